Orders: a dead ticket is no proof that the order did not run

Cause: an attempt that found another's ticket dead and then got no ticket of its own said 'not run'. The ticket may be dead because its order is done and the agent has forgotten the answer. Change: before that word the row is read again, and only an unchanged version counts. The same for an agent that could not reach its backend server. Ruled out: keeping settled tickets at the agent for longer, which only narrows the window; taking the agent's report for the evidence, since another request may run the order while the report is on its way.

--- a/core/order/attempt.go
+++ b/core/order/attempt.go
@@ -33,7 +33,6 @@
 	stepProbeOwn
 	stepProbeOther
 	stepRead
-	stepReadRefused
 	stepSettle
 	stepEnd
 )
@@ -55,7 +54,10 @@
 	tickets   int
 	writes    int
 	unreached int
-	refused   *answer.Error
+	// refused is set when no agent grants a ticket; the attempt then only finds out whether the order has run.
+	refused *answer.Error
+	// voided is the version of the row whose ticket was last found dead.
+	voided uint64
 }
 
 // NewAttempt returns an attempt; id must never be used by another attempt, request is the caller's request id and
@@ -128,14 +130,15 @@
 	return at.write(row)
 }
 
-// denied ends the attempt without a ticket. If the row was seen with a ticket that is void, nothing has run; otherwise
-// the row has to tell whether an earlier request with this key ran.
+// denied ends the attempt without a ticket. The row has to tell whether an earlier request with this key ran, and
+// whether another attempt has gone on since it was last read.
 func (at *Attempt) denied(retryAfter time.Duration) []Effect {
 	at.refused = answer.NewError(answer.Overloaded, answer.NotRun, retryAfter, "no agent of the service takes orders now")
-	if at.base.version != 0 {
-		return at.finish(Row{}, at.refused)
-	}
-	at.step = stepReadRefused
+	return at.read()
+}
+
+func (at *Attempt) read() []Effect {
+	at.step = stepRead
 	return []Effect{ReadRow{}}
 }
 
@@ -213,6 +216,9 @@
 	case Lost:
 		return at.lost()
 	}
+	if at.refused != nil && row.version == at.voided {
+		return at.finish(Row{}, at.refused)
+	}
 	at.step = stepProbeOther
 	return []Effect{Probe{ticket: row.ticket}}
 }
@@ -246,29 +252,28 @@
 	return nil
 }
 
-// notLive goes on after a ticket was found void. The probe of another attempt's ticket came after the row was read,
-// so the row's version guards the move. An own ticket was voided by another attempt, which moves the row.
+// notLive goes on after a ticket was found dead. It may be dead because its order is done by now, hence the version of
+// the row, which was read before the probe, guards whatever follows: the move to another ticket, or the word that the
+// order did not run. An own ticket that is dead was voided by another attempt, which moves the row.
 func (at *Attempt) notLive() []Effect {
 	if at.step != stepProbeOther {
-		at.step = stepRead
-		return []Effect{ReadRow{}}
+		return at.read()
 	}
-	return at.nextTicket()
-}
-
-// notSent goes on after the agent could not reach its backend server: the order did not run under this ticket.
-func (at *Attempt) notSent() []Effect {
-	if at.tickets >= maxTickets {
-		return at.fail(answer.ServerUnreached, answer.NotRun, agentRetryAfter, "the backend server cannot be reached")
+	at.voided = at.base.version
+	if at.refused != nil {
+		return at.read()
 	}
-	return at.nextTicket()
+	return at.askTicket()
 }
 
-func (at *Attempt) nextTicket() []Effect {
-	if at.refused != nil {
-		return at.finish(Row{}, at.refused)
+// notSent goes on after the order did not run under the own ticket, which is used up.
+func (at *Attempt) notSent() []Effect {
+	if at.tickets < maxTickets {
+		return at.askTicket()
 	}
-	return at.askTicket()
+	at.refused = answer.NewError(answer.ServerUnreached, answer.NotRun, agentRetryAfter, "the backend server cannot be reached")
+	at.voided = at.base.version
+	return at.read()
 }
 
 // reborn goes on after the agent's incarnation was found to be over. Only the ticket's own attempt may redeem it, so
