--- a/io/local/nodes.go
+++ b/io/local/nodes.go
@@ -57,10 +57,20 @@
 	// Model and Plain are the base URL of an agent's backend server; one of them is set.
 	Model string
 	Plain string
+	// Front returns the address under which others reach the node, given its own; nil means its own.
+	Front func(address string) (string, error)
 	// Log takes the log lines; nil drops them.
 	Log io.Writer
 }
 
+// front returns the address under which others reach a node.
+func (no NodeOptions) front(address string) (string, error) {
+	if no.Front == nil {
+		return address, nil
+	}
+	return no.Front(address)
+}
+
 func (pf *Platform) recorder(opts NodeOptions) (*trace.Recorder, error) {
 	out := opts.Log
 	if out == nil {
@@ -83,9 +93,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
+	address, err := opts.front(lis.Addr().String())
+	if err != nil {
+		return nil, fmt.Errorf("front of the agent: %w", err)
+	}
 	pool := link.NewPool()
 	agentOpts := agent.Options{
-		Address:     lis.Addr().String(),
+		Address:     address,
 		Service:     opts.Service,
 		Slots:       opts.Slots,
 		Store:       table.NewHTTP(pf.TableURL()),
@@ -104,8 +118,8 @@
 	ag := agent.New(agentOpts)
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { _ = ag.Serve(ctx, lis) }()
-	pf.AddVM(vmlist.VM{Address: lis.Addr().String(), Zone: opts.Zone, Role: vmlist.Agent, Service: opts.Service})
-	return &Node{address: lis.Addr().String(), rec: rec, cancel: cancel, done: ag.Done(), pool: pool}, nil
+	pf.AddVM(vmlist.VM{Address: address, Zone: opts.Zone, Role: vmlist.Agent, Service: opts.Service})
+	return &Node{address: address, rec: rec, cancel: cancel, done: ag.Done(), pool: pool}, nil
 }
 
 // StartEntry starts an entry and puts its VM on the list.
