--- a/core/answer/answer.go
+++ b/core/answer/answer.go
@@ -33,6 +33,7 @@
 	Leaving          Code = "leaving"
 	Expired          Code = "deadline_exceeded"
 	StaleEpoch       Code = "stale_epoch"
+	StaleCache       Code = "stale_cache"
 	NoServer         Code = "no_backend_server"
 	TableUnavailable Code = "table_unavailable"
 	ServerUnreached  Code = "backend_server_unreachable"
--- a/core/config/declare.go
+++ b/core/config/declare.go
@@ -47,6 +47,7 @@
 	kind    Kind
 	model   string
 	weights string
+	adapter string
 	once    []string
 	fencing bool
 }
@@ -63,6 +64,9 @@
 // Weights returns the version of the model's weights.
 func (sv Service) Weights() string { return sv.weights }
 
+// Adapter returns the adapter and its version that the service's calls run with, or nothing.
+func (sv Service) Adapter() string { return sv.adapter }
+
 // Fencing reports whether the engines refuse orders that carry an old fencing number.
 func (sv Service) Fencing() bool { return sv.fencing }
 
--- a/core/config/parse.go
+++ b/core/config/parse.go
@@ -37,6 +37,7 @@
 		Kind    string   `yaml:"kind"`
 		Model   string   `yaml:"model"`
 		Weights string   `yaml:"weights"`
+		Adapter string   `yaml:"adapter"`
 		Once    []string `yaml:"at-most-once"`
 		Fencing bool     `yaml:"fencing"`
 	}
@@ -187,7 +188,7 @@
 			ck.add(line, "service %q: at-most-once %q: allowed is the form \"POST /path\"", sh.Name, call)
 		}
 	}
-	return Service{name: sh.Name, kind: kind, model: sh.Model, weights: sh.Weights, once: sh.Once, fencing: sh.Fencing}
+	return Service{name: sh.Name, kind: kind, model: sh.Model, weights: sh.Weights, adapter: sh.Adapter, once: sh.Once, fencing: sh.Fencing}
 }
 
 func (ck *checker) workspace(sh workspaceShape, line int) Workspace {
--- /dev/null
+++ b/core/piece/piece_test.go
@@ -0,0 +1,49 @@
+package piece
+
+import (
+	"strings"
+	"testing"
+)
+
+func TestSeedsShareNoKey(t *testing.T) {
+	prompt := strings.Repeat("the same text ", 100)
+	seeds := []Seed{
+		NewSeed("mchanga", "m", "", "v1"),
+		NewSeed("hradek", "m", "", "v1"),
+		NewSeed("mchanga", "m", "", "v2"),
+		NewSeed("mchanga", "m", "a", "v1"),
+		NewSeed("mchanga", "n", "", "v1"),
+		NewSeed("mchang", "am", "", "v1"),
+	}
+	owner := make(map[Key]int)
+	salts := make(map[string]int)
+	for i, sd := range seeds {
+		for _, key := range Keys(sd, prompt, 64) {
+			if other, ok := owner[key]; ok && other != i {
+				t.Errorf("seeds %v and %v share a key", seeds[other], sd)
+			}
+			owner[key] = i
+		}
+		if other, ok := salts[sd.Salt()]; ok {
+			t.Errorf("seeds %v and %v share a salt", seeds[other], sd)
+		}
+		salts[sd.Salt()] = i
+	}
+}
+
+func TestKeysFollowThePrefix(t *testing.T) {
+	sd := NewSeed("mchanga", "m", "", "v1")
+	short := Keys(sd, strings.Repeat("a", 256), 64)
+	long := Keys(sd, strings.Repeat("a", 256)+strings.Repeat("b", 200), 64)
+	if len(short) != 4 || len(long) != 7 {
+		t.Fatalf("%d and %d keys", len(short), len(long))
+	}
+	for i, key := range short {
+		if long[i] != key {
+			t.Errorf("piece %d differs", i)
+		}
+	}
+	if other := Keys(sd, "b"+strings.Repeat("a", 255), 64); other[3] == short[3] {
+		t.Error("a different beginning has the same key")
+	}
+}
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -142,6 +142,9 @@
 // Board returns the agent's blackboard.
 func (ag *Agent) Board() *board.Board { return ag.board }
 
+// Engine returns the last known incarnation of the backend server.
+func (ag *Agent) Engine() uint64 { return ag.state.Load().Incarnation }
+
 // Serve answers entries on a listener until the context ends; then it lets all accepted work finish.
 func (ag *Agent) Serve(ctx context.Context, lis net.Listener) error {
 	defer close(ag.done)
--- a/io/agent/handler.go
+++ b/io/agent/handler.go
@@ -55,10 +55,17 @@
 	if refusal != nil && !(rq.GetBegun() && refusal.Code() == answer.StaleEpoch) {
 		return refusal
 	}
-	weights := ag.state.Load().Weights
-	if ag.model != nil && rq.GetWeights() != weights {
+	if ag.model == nil {
+		return nil
+	}
+	state := ag.state.Load()
+	if rq.GetWeights() != state.Weights {
 		return answer.NewError(answer.NoServer, answer.NotRun, leastRetryAfter,
-			"the engine serves weights %q, the request needs %q", weights, rq.GetWeights())
+			"the engine serves weights %q, the request needs %q", state.Weights, rq.GetWeights())
+	}
+	if rq.GetCachedTokens() > 0 && rq.GetEngine() != state.Incarnation {
+		return answer.NewError(answer.StaleCache, answer.NotRun, leastRetryAfter,
+			"the engine whose cache the request was placed for is gone")
 	}
 	return nil
 }
--- a/io/agent/run.go
+++ b/io/agent/run.go
@@ -71,6 +71,7 @@
 		Body:      rq.GetBody(),
 		RequestID: rq.GetContext().GetRequestId(),
 		Salt:      rq.GetSalt(),
+		Adapter:   rq.GetAdapter(),
 		Priority:  priority,
 	}, func(event []byte) {
 		if computing {
--- a/io/entry/model.go
+++ b/io/entry/model.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -90,7 +91,7 @@
 		return answer.NewError(answer.NotFound, answer.NotRun, 0, "workspace %q has no model %q", rq.workspace.Name(), call.prompt.Model)
 	}
 	call.service = sv
-	call.seed = piece.NewSeed(rq.workspace.Name(), sv.Model(), "", sv.Weights())
+	call.seed = piece.NewSeed(rq.workspace.Name(), sv.Model(), sv.Adapter(), sv.Weights())
 	pieceTokens := en.opts.PieceTokens
 	keys := piece.Keys(call.seed, call.prompt.text, pieceTokens*bytesPerToken)
 	price := rq.snapshot.Preset().RecomputePrice()
@@ -107,6 +108,7 @@
 	}
 	rq.snapshot = sn
 	rq.workspace = ws
+	en.rec.Note(rq.id, trace.Rebound, "epoch", strconv.FormatUint(sn.Epoch(), 10), "preset", sn.Preset().Name())
 	return nil
 }
 
@@ -150,18 +152,22 @@
 	return last
 }
 
-// prepareRetry excludes the agent from the next try, or takes the configuration that the agent asks for.
+// prepareRetry excludes the agent from the next try, or takes what the agent's refusal tells: a later configuration,
+// or a reborn engine, which the reply's status has made known.
 func (en *Entry) prepareRetry(ctx context.Context, call *modelCall, ch place.Choice, last *answer.Error) *answer.Error {
 	address := ch.Server().Address()
-	if last.Code() != answer.StaleEpoch {
-		call.refused[address] = true
+	switch last.Code() {
+	case answer.StaleCache:
 		return nil
+	case answer.StaleEpoch:
+		en.catchUp(ctx, address)
+		if er := en.rebind(call.rq); er != nil {
+			return er
+		}
+		return en.bind(call)
 	}
-	en.catchUp(ctx, address)
-	if er := en.rebind(call.rq); er != nil {
-		return er
-	}
-	return en.bind(call)
+	call.refused[address] = true
+	return nil
 }
 
 // choose returns the cheapest server that has not refused the call.
@@ -198,6 +204,8 @@
 		CachedTokens: int32(ch.Cached()),
 		Salt:         call.seed.Salt(),
 		Weights:      call.service.Weights(),
+		Adapter:      call.service.Adapter(),
+		Engine:       ch.Server().Status().Engine(),
 		Begun:        call.tokens > 0,
 	})
 	if err != nil {
--- a/io/local/nodes.go
+++ b/io/local/nodes.go
@@ -31,8 +31,12 @@
 	cancel  context.CancelFunc
 	done    <-chan struct{}
 	pool    *link.Pool
+	agent   *agent.Agent
 }
 
+// Engine returns the incarnation of an agent's engine, as the agent knows it.
+func (nd *Node) Engine() uint64 { return nd.agent.Engine() }
+
 // Address returns the address that the node serves: callers' for an entry, the agents' protocol for an agent.
 func (nd *Node) Address() string { return nd.address }
 
@@ -119,7 +123,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { _ = ag.Serve(ctx, lis) }()
 	pf.AddVM(vmlist.VM{Address: address, Zone: opts.Zone, Role: vmlist.Agent, Service: opts.Service})
-	return &Node{address: address, rec: rec, cancel: cancel, done: ag.Done(), pool: pool}, nil
+	return &Node{address: address, rec: rec, cancel: cancel, done: ag.Done(), pool: pool, agent: ag}, nil
 }
 
 // StartEntry starts an entry and puts its VM on the list.
--- a/io/local/platform.go
+++ b/io/local/platform.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 
 	"shallotcleat/core/config"
@@ -92,17 +93,36 @@
 	if _, ok := dc.Preset(preset); !ok {
 		return fmt.Errorf("preset %q: %w", preset, errNoPreset)
 	}
-	store, objects := table.NewHTTP(pf.TableURL()), object.NewHTTP(pf.ObjectsURL())
-	hash, err := watch.StoreText(ctx, objects, text)
+	hash, err := watch.StoreText(ctx, object.NewHTTP(pf.ObjectsURL()), text)
 	if err != nil {
 		return fmt.Errorf("apply: %w", err)
 	}
+	return pf.move(ctx, func(hd config.Head) config.Head {
+		return hd.Next(change).WithDeclaration(hash).WithPreset(preset)
+	})
+}
+
+// SetPreset puts a preset in force.
+func (pf *Platform) SetPreset(ctx context.Context, preset string) error {
+	return pf.move(ctx, func(hd config.Head) config.Head { return hd.Next("preset " + preset).WithPreset(preset) })
+}
+
+// Retire takes a backend server out.
+func (pf *Platform) Retire(ctx context.Context, address string) error {
+	return pf.move(ctx, func(hd config.Head) config.Head {
+		return hd.Next("retire "+address).WithServers(append(slices.Clone(hd.Retired()), address), hd.Added())
+	})
+}
+
+// move changes the head as it is read.
+func (pf *Platform) move(ctx context.Context, change func(config.Head) config.Head) error {
+	store := table.NewHTTP(pf.TableURL())
 	hd, version, err := watch.ReadHead(ctx, store)
 	if err != nil {
-		return fmt.Errorf("apply: %w", err)
+		return fmt.Errorf("change the head: %w", err)
 	}
-	if err := watch.Move(ctx, store, version, hd.Next(change).WithDeclaration(hash).WithPreset(preset)); err != nil {
-		return fmt.Errorf("apply: %w", err)
+	if err := watch.Move(ctx, store, version, change(hd)); err != nil {
+		return fmt.Errorf("change the head: %w", err)
 	}
 	return nil
 }
--- a/io/server/model.go
+++ b/io/server/model.go
@@ -26,6 +26,8 @@
 	RequestID string
 	// Salt separates cache entries; the engine uses an entry only under the salt that it was made with.
 	Salt string
+	// Adapter is the adapter to run with, or nothing.
+	Adapter string
 	// Priority orders the engine's own queue; a smaller number goes first.
 	Priority int
 }
@@ -101,6 +103,9 @@
 	fields["stream_options"] = map[string]bool{"include_usage": true}
 	fields["cache_salt"] = call.Salt
 	fields["priority"] = call.Priority
+	if call.Adapter != "" {
+		fields["adapter"] = call.Adapter
+	}
 	body, err := json.Marshal(fields)
 	if err != nil {
 		return nil, fmt.Errorf("encode body: %w", err)
--- a/io/trace/event.go
+++ b/io/trace/event.go
@@ -25,6 +25,7 @@
 	RowLost       Kind = "order_row_write_lost"
 	RowConflict   Kind = "order_row_conflict"
 	Settled       Kind = "order_settled_by_agent"
+	Rebound       Kind = "request_moved_to_epoch"
 	EpochAdopted  Kind = "epoch_adopted"
 	LeavingBegan  Kind = "leaving_began"
 	Started       Kind = "process_started"
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -23,12 +24,15 @@
 
 // Periods of the spread. An accepted change is in force everywhere within 8 s, hence several rounds fit into it.
 const (
-	tablePeriod = 2 * time.Second
+	tablePeriod = time.Second
 	peerPeriod  = 500 * time.Millisecond
 	callTimeout = time.Second
 	bootPeers   = 5
 	// asksPerRound bounds the peers that are asked in one round when messages are lost.
 	asksPerRound = 4
+	// tableReads is how many reads of the head all processes together make in a period; with more of them each one
+	// reads by chance, and learns the rest from its peers.
+	tableReads = 100
 )
 
 // Exchanger is a process that compares configurations: an agent or an entry.
@@ -42,7 +46,9 @@
 	store   table.Store
 	objects object.Store
 	rec     *trace.Recorder
-	rng     *rand.Rand
+	// rngMu guards rng, since the subscriptions run beside each other.
+	rngMu sync.Mutex
+	rng   *rand.Rand
 	// peers returns the processes that may be asked; it is called for each round.
 	peers func() []Exchanger
 	// pollsTable tells whether this process reads the head row by itself after it has begun.
@@ -104,7 +110,7 @@
 // Subscribe begins to ask at each period and returns what ends it.
 func (wt *Watcher) Subscribe(ctx context.Context) (cancel func()) {
 	endTable := wt.clock.Every(tablePeriod, func() {
-		if wt.pollsTable || wt.board.Epoch() == 0 {
+		if wt.isTurn() || wt.board.Epoch() == 0 {
 			wt.pollTable(ctx)
 		}
 	})
@@ -115,6 +121,17 @@
 	}
 }
 
+// isTurn tells by chance whether this process reads the table now.
+func (wt *Watcher) isTurn() bool {
+	if !wt.pollsTable {
+		return false
+	}
+	processes := len(wt.peers()) + 1
+	wt.rngMu.Lock()
+	defer wt.rngMu.Unlock()
+	return wt.rng.IntN(processes) < tableReads
+}
+
 // askSome compares configurations with one peer; if a message is lost it asks others at once.
 func (wt *Watcher) askSome(ctx context.Context) {
 	for _, peer := range wt.pick(asksPerRound) {
@@ -127,6 +144,8 @@
 // pick returns some peers by chance, all different.
 func (wt *Watcher) pick(count int) []Exchanger {
 	peers := wt.peers()
+	wt.rngMu.Lock()
+	defer wt.rngMu.Unlock()
 	wt.rng.Shuffle(len(peers), func(left, right int) { peers[left], peers[right] = peers[right], peers[left] })
 	return peers[:min(count, len(peers))]
 }
