--- a/core/trial/deploy.go
+++ b/core/trial/deploy.go
@@ -31,7 +31,7 @@
 	name string
 	// shiftPeriod is the time after which other prefixes are hot; zero for never.
 	shiftPeriod time.Duration
-	// slowServer makes the first server ten times slower than it says.
+	// slowServer makes the first server ten times slower than it says from the middle of the run on.
 	slowServer bool
 	// lostServers go at the middle of the run.
 	lostServers int
--- a/core/trial/engine.go
+++ b/core/trial/engine.go
@@ -5,6 +5,7 @@
 
 	lru "github.com/hashicorp/golang-lru/v2/simplelru"
 
+	"shallotcleat/core/admit"
 	"shallotcleat/core/piece"
 )
 
@@ -20,8 +21,8 @@
 	queues    [2][]*job
 	// pending counts the prompt tokens that are expected to be computed for the jobs that wait or are computed.
 	pending int
-	// measured is the smoothed prefill rate that the agent sees.
-	measured float64
+	// rate is the agent's estimate.
+	rate admit.Rate
 }
 
 // job is a request at an engine.
@@ -37,12 +38,14 @@
 	ahead    int
 }
 
-func newEngine(rate, actual float64, pieces int) *engine {
+func newEngine(rate float64, pieces int) *engine {
 	cache, err := lru.NewLRU[piece.Key, struct{}](pieces, nil)
 	if err != nil {
 		panic(err) // The size is a constant of the deployment.
 	}
-	return &engine{claimed: rate, actual: actual, measured: rate, cache: cache, alive: true, born: 1}
+	en := &engine{claimed: rate, actual: rate, cache: cache, alive: true, born: 1}
+	en.rate.SetClaimed(rate)
+	return en
 }
 
 // lookup returns the cached tokens of a prompt and caches its pieces.
@@ -84,6 +87,8 @@
 }
 
 // wait is the agent's word on the time until a new prompt would be computed.
-func (en *engine) wait() time.Duration { return seconds(float64(en.pending) / en.measured) }
+func (en *engine) wait(now time.Duration) time.Duration {
+	return seconds(float64(en.pending) / en.rate.Now(epochTime.Add(now)))
+}
 
 func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
--- a/core/trial/policy.go
+++ b/core/trial/policy.go
@@ -95,7 +95,7 @@
 
 func (or *ours) replied(now time.Duration, server int, en *engine) {
 	or.stamps++
-	st := member.NewStatus(or.stamps, 1, en.born, 1, "", en.wait(), en.measured, false)
+	st := member.NewStatus(or.stamps, 1, en.born, 1, "", en.wait(now), en.rate.Now(epochTime.Add(now)), false)
 	or.members.Heard(epochTime.Add(now), addressOf(server), st)
 }
 
@@ -175,7 +175,7 @@
 	return best, 0, 0
 }
 
-func (ll *leastLoaded) replied(_ time.Duration, server int, en *engine) {
-	ll.waits[server] = en.wait().Seconds()
-	ll.rates[server] = en.measured
+func (ll *leastLoaded) replied(now time.Duration, server int, en *engine) {
+	ll.waits[server] = en.wait(now).Seconds()
+	ll.rates[server] = en.rate.Now(epochTime.Add(now))
 }
--- a/core/trial/run.go
+++ b/core/trial/run.go
@@ -15,7 +15,6 @@
 	warmUp      = 60 * time.Second
 	oneWayDelay = 1500 * time.Microsecond
 	greetPeriod = time.Second
-	rateWeight  = 0.2
 	giveUpTime  = 60 * time.Second
 )
 
@@ -32,6 +31,7 @@
 // Result is what one run measured after its warm-up.
 type Result struct {
 	calls    int
+	sent     [][]time.Duration
 	prompt   int
 	cached   int
 	bound    int
@@ -48,6 +48,17 @@
 // Recomputed returns the tokens that were computed although they had been computed before.
 func (rs Result) Recomputed() int { return rs.bound - rs.cached }
 
+// Sent returns how many calls were sent to a server in a span of the run.
+func (rs Result) Sent(server int, from, to time.Duration) int {
+	count := 0
+	for _, at := range rs.sent[server] {
+		if at >= from && at < to {
+			count++
+		}
+	}
+	return count
+}
+
 // Calls returns the number of measured calls.
 func (rs Result) Calls() int { return rs.calls }
 
@@ -123,17 +134,14 @@
 		rng:    rand.New(rand.NewPCG(opts.Seed, 11)),
 		loader: newLoader(opts.Seed, opts.Deployment, opts.Condition),
 		result: Result{
+			sent:     make([][]time.Duration, opts.Deployment.replicas),
 			firstAll: hdrhistogram.New(1, giveUpTime.Microseconds()*10, 3),
 			firstChk: hdrhistogram.New(1, giveUpTime.Microseconds()*10, 3),
 		},
 	}
 	for server := range opts.Deployment.replicas {
 		rate := opts.Deployment.rateOf(server)
-		actual := rate
-		if server == 0 && opts.Condition.slowServer {
-			actual = rate / slowFactor
-		}
-		rn.engines = append(rn.engines, newEngine(rate, actual, opts.Deployment.cachePieces))
+		rn.engines = append(rn.engines, newEngine(rate, opts.Deployment.cachePieces))
 	}
 	rn.restartRouters()
 	return rn
@@ -179,6 +187,7 @@
 func (rn *runner) send(cl *call) {
 	rt := rn.routers[cl.entry]
 	server, cached, expected := rt.choose(rn.now, cl)
+	rn.result.sent[server] = append(rn.result.sent[server], rn.now)
 	jb := &job{call: cl, server: server, sentAt: rn.now, expected: expected, guess: cached}
 	rn.after(oneWayDelay, func() { rn.deliver(jb) })
 }
@@ -221,10 +230,7 @@
 	}
 	en.computing = nil
 	en.pending -= jb.guess
-	if elapsed := rn.now - jb.arrived; elapsed > 0 {
-		sample := float64(jb.ahead) / elapsed.Seconds()
-		en.measured = en.measured*(1-rateWeight) + min(sample, en.claimed)*rateWeight
-	}
+	en.rate.Measure(epochTime.Add(rn.now), jb.ahead, rn.now-jb.arrived)
 	rn.compute(en)
 	rn.after(oneWayDelay, func() {
 		rt := rn.routers[jb.call.entry]
@@ -273,6 +279,9 @@
 	for server := range rn.opts.Condition.lostServers {
 		rn.lose(server*2 + 1)
 	}
+	if rn.opts.Condition.slowServer {
+		rn.engines[0].actual /= slowFactor
+	}
 	if rn.opts.Condition.herdRestart {
 		rn.restartRouters()
 	}
--- a/core/trial/run_test.go
+++ b/core/trial/run_test.go
@@ -52,3 +52,23 @@
 		t.Errorf("the same options gave %s and %s", first, second)
 	}
 }
+
+// A server that becomes ten times slower than it says is left within five seconds, and tried again later.
+func TestSlowServerIsLeft(t *testing.T) {
+	t.Parallel()
+	const length = 3 * time.Minute
+	const middle, leave, span = length / 2, 5 * time.Second, 25 * time.Second
+	for _, dep := range Deployments() {
+		rs := Run(Options{Deployment: dep, Condition: Conditions()[3], Policy: Ours, Load: 0.7, Seed: 1, Length: length})
+		before := rs.Sent(0, middle-span, middle)
+		after := rs.Sent(0, middle+leave, middle+leave+span)
+		later := rs.Sent(0, middle+leave+span, length)
+		t.Logf("%s: %d calls before, %d after, %d later", dep.Name(), before, after, later)
+		if after*slowFactor > before*2 {
+			t.Errorf("%s: %d calls in %v before and %d after", dep.Name(), before, span, after)
+		}
+		if later == 0 {
+			t.Errorf("%s: the server was never tried again", dep.Name())
+		}
+	}
+}
--- a/io/agent/gate.go
+++ b/io/agent/gate.go
@@ -11,16 +11,12 @@
 
 // Estimates of a gate.
 const (
-	// timeWeight is the part of a new measurement in a smoothed time or rate.
+	// timeWeight is the part of a new measurement in a smoothed time.
 	timeWeight = 0.2
-	// rateForget is how fast a measured prefill rate gives way to the claimed one without new measurements.
-	rateForget = 20 * time.Second
 	// firstCost is the expected time of a call before any was measured.
 	firstCost = 100 * time.Millisecond
 	// leastRetryAfter is the shortest time after which a refused caller should come back.
 	leastRetryAfter = time.Second
-	// leastSample is the fewest missing tokens from which a prefill rate is measured.
-	leastSample = 64
 )
 
 // gate holds calls back until the queue lets them enter the backend server.
@@ -34,10 +30,8 @@
 	// costs are the smoothed times that calls of a class stay in the server.
 	costs [2]time.Duration
 	// pending counts the prompt tokens that the server has yet to compute.
-	pending      int
-	claimedRate  float64
-	measuredRate float64
-	measuredAt   time.Time
+	pending int
+	rate    admit.Rate
 }
 
 func newGate(slots int) *gate {
@@ -58,7 +52,7 @@
 func (gt *gate) setClaimedRate(rate float64) {
 	gt.mu.Lock()
 	defer gt.mu.Unlock()
-	gt.claimedRate = rate
+	gt.rate.SetClaimed(rate)
 }
 
 // pass describes a call that wants to enter.
@@ -166,16 +160,7 @@
 	gt.mu.Lock()
 	defer gt.mu.Unlock()
 	gt.pending -= tokens
-	if tokens < leastSample || elapsed <= 0 {
-		return
-	}
-	sample := float64(ahead) / elapsed.Seconds()
-	old := gt.rate(time.Now())
-	if old <= 0 {
-		old = sample
-	}
-	gt.measuredRate = old*(1-timeWeight) + sample*timeWeight
-	gt.measuredAt = time.Now()
+	gt.rate.Measure(time.Now(), ahead, elapsed)
 }
 
 // dropPrefill notes that the server will not compute some tokens after all.
@@ -185,20 +170,11 @@
 	gt.pending -= tokens
 }
 
-// rate returns the prefill rate to expect; the caller holds mu.
-func (gt *gate) rate(now time.Time) float64 {
-	if gt.measuredRate <= 0 {
-		return gt.claimedRate
-	}
-	age := min(float64(now.Sub(gt.measuredAt))/float64(rateForget), 1)
-	return gt.measuredRate*(1-age) + gt.claimedRate*age
-}
-
 // load returns the time until a new call of a class would start to be computed, and the prefill rate.
 func (gt *gate) load(class admit.Class) (time.Duration, float64) {
 	gt.mu.Lock()
 	defer gt.mu.Unlock()
-	rate := gt.rate(time.Now())
+	rate := gt.rate.Now(time.Now())
 	wait := gt.queue.Wait(class)
 	if rate > 0 {
 		wait += time.Duration(float64(gt.pending) / rate * float64(time.Second))
