Charges: usage records by entry and agent, one charge for each request

Cause: nothing traced a model answer's charge to a request after the process that served it was gone. Change: entry and agent each make a record; the entry writes batches to the object store every five seconds and confirms them with its rounds through the agents; an agent writes what no entry has confirmed within five minutes, or at its stop. Readers fold by request id. Found by writing the test: a caller that resumes its stream at another entry has a new request id there; the stream's own id now comes with its first frame, so that the answer stays one charge. Ruled out: the agent writing all records (doubles the objects); confirmations as messages of their own (one for each request). Not shown: the bound on waiting records under a long outage at full load.

--- a/core/order/event.go
+++ b/core/order/event.go
@@ -41,6 +41,9 @@
 // NewFound returns the event of a row that was read.
 func NewFound(row Row) Found { return Found{row: row} }
 
+// Row returns the row that was read.
+func (fd Found) Row() Row { return fd.row }
+
 // Absent says that the last ReadRow found no row.
 type Absent struct{}
 
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -21,6 +21,7 @@
 	"shallotcleat/core/config"
 	"shallotcleat/core/member"
 	"shallotcleat/core/order"
+	"shallotcleat/io/bill"
 	"shallotcleat/io/link"
 	"shallotcleat/io/object"
 	"shallotcleat/io/server"
@@ -42,6 +43,10 @@
 	settlePeriod = time.Second
 	// settleAge is how long an entry has to settle a row before the agent does.
 	settleAge = 2 * time.Second
+	// billPeriod is the time between two looks for usage records that no entry has confirmed in the confirmTime, which
+	// leaves an entry a whole round through all agents.
+	billPeriod  = 30 * time.Second
+	confirmTime = 5 * time.Minute
 	// drainPeriod is the time between two checks whether all work is done.
 	drainPeriod = 20 * time.Millisecond
 )
@@ -84,6 +89,8 @@
 	vms         *watch.VMs
 	gate        *gate
 	streams     *streams
+	holder      *bill.Holder
+	bill        *bill.Writer
 
 	// ledgerMu guards the ledger.
 	ledgerMu sync.Mutex
@@ -115,6 +122,8 @@
 		clock:       timer.New(),
 		gate:        newGate(opts.Slots),
 		streams:     newStreams(opts.Incarnation),
+		holder:      bill.NewHolder(),
+		bill:        bill.NewWriter(opts.Objects, opts.Recorder, fmt.Sprintf("agent-%x", opts.Incarnation)),
 		ledger:      order.NewLedger(opts.Address, opts.Incarnation, ticketLifetime, opts.Slots*ticketsPerSlot),
 		done:        make(chan struct{}),
 	}
@@ -164,6 +173,7 @@
 	loops.Go(func() { ag.vms.Run(background) })
 	loops.Go(func() { ag.watcher.Run(background) })
 	endState := ag.clock.Every(statePeriod, func() { ag.readState(background) })
+	endBill := ag.clock.Every(billPeriod, func() { ag.writeBill(background, ag.clock.Now().Add(-confirmTime)) })
 	endSettle := ag.clock.Every(settlePeriod, func() { ag.settle(background) })
 	var serveErr error
 	loops.Go(func() {
@@ -173,9 +183,11 @@
 
 	<-ctx.Done()
 	ag.stop(background)
+	ag.writeBill(background, ag.clock.Now())
 	cancel()
 	endState()
 	endSettle()
+	endBill()
 	loops.Wait()
 	ag.rec.Note("", trace.Stopped)
 	if serveErr != nil && !errors.Is(serveErr, context.Canceled) {
@@ -209,6 +221,16 @@
 	return tickets == 0 && ag.gate.isEmpty() && ag.streams.readers() == 0
 }
 
+// writeBill writes the usage records that were kept before a time and that no entry has confirmed.
+func (ag *Agent) writeBill(ctx context.Context, before time.Time) {
+	for _, rc := range ag.holder.TakeOlder(before) {
+		ag.bill.Add(rc)
+	}
+	if err := ag.bill.Flush(ctx); err != nil {
+		ag.rec.Log().WithError(err).Warn("usage records wait for the object store")
+	}
+}
+
 // isLeaving reports whether new work is refused.
 func (ag *Agent) isLeaving() bool { return ag.stopping.Load() || ag.retired.Load() }
 
--- a/io/agent/handler.go
+++ b/io/agent/handler.go
@@ -106,5 +106,6 @@
 
 // Exchange compares configurations.
 func (hd *handler) Exchange(ctx context.Context, rq *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
+	hd.agent.holder.Confirm(rq.GetStoredTries())
 	return hd.agent.watcher.Answer(ctx, rq, hd.agent.status()), nil
 }
--- a/io/agent/run.go
+++ b/io/agent/run.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"shallotcleat/core/answer"
+	"shallotcleat/core/usage"
 	"shallotcleat/io/server"
 	"shallotcleat/io/trace"
 	"shallotcleat/io/wire"
@@ -17,7 +18,8 @@
 func (ag *Agent) start(rq *wire.SubmitRequest, ps pass) *stream {
 	ctx, cancel := context.WithDeadline(context.Background(), ps.deadline)
 	st := ag.streams.add(ps.workspace, cancel)
-	st.append(&wire.Frame{Kind: &wire.Frame_Accepted{Accepted: &wire.Accepted{StreamId: st.id}}, Status: ag.status()}, false)
+	accepted := &wire.Accepted{StreamId: st.id, RequestId: rq.GetContext().GetRequestId(), TryId: ps.id}
+	st.append(&wire.Frame{Kind: &wire.Frame_Accepted{Accepted: accepted}, Status: ag.status()}, false)
 	ag.work.Go(func() {
 		defer cancel()
 		began := time.Now()
@@ -26,6 +28,7 @@
 		ag.rec.Note(request, trace.ServerBegan)
 		end := ag.call(ctx, rq, st)
 		ag.noteEnd(request, end)
+		ag.keepUsage(rq, end)
 		end.Status = ag.status()
 		st.append(end, true)
 	})
@@ -37,11 +40,35 @@
 		ag.rec.Note(request, trace.ServerFailed, "code", failed.GetCode(), "message", failed.GetMessage())
 		return
 	}
-	usage := end.GetEnd().GetUsage()
-	ag.rec.CountTokens(usage.GetPromptTokens(), usage.GetCachedTokens())
+	us := end.GetEnd().GetUsage()
+	ag.rec.CountTokens(us.GetPromptTokens(), us.GetCachedTokens())
 	ag.rec.Note(request, trace.ServerEnded,
-		"cached_tokens", strconv.FormatInt(usage.GetCachedTokens(), 10),
-		"prompt_tokens", strconv.FormatInt(usage.GetPromptTokens(), 10))
+		"cached_tokens", strconv.FormatInt(us.GetCachedTokens(), 10),
+		"prompt_tokens", strconv.FormatInt(us.GetPromptTokens(), 10))
+}
+
+// keepUsage makes the agent's record of a call.
+func (ag *Agent) keepUsage(rq *wire.SubmitRequest, end *wire.Frame) {
+	us := end.GetEnd().GetUsage()
+	outcome := answer.Done
+	if failed := end.GetFailed(); failed != nil {
+		outcome = failed.ToError().Outcome()
+	}
+	ag.holder.Keep(ag.clock.Now(), usage.Record{
+		Request:     rq.GetContext().GetRequestId(),
+		Try:         rq.GetContext().GetTryId(),
+		Source:      usage.Agent,
+		Workspace:   rq.GetContext().GetWorkspace(),
+		Service:     rq.GetService(),
+		Epoch:       rq.GetContext().GetEpoch(),
+		Agent:       ag.address,
+		Incarnation: ag.incarnation,
+		Engine:      ag.Engine(),
+		Prompt:      us.GetPromptTokens(),
+		Cached:      us.GetCachedTokens(),
+		Output:      us.GetOutputTokens(),
+		Outcome:     string(outcome),
+	})
 }
 
 func (ag *Agent) call(ctx context.Context, rq *wire.SubmitRequest, st *stream) *wire.Frame {
@@ -66,7 +93,7 @@
 	if rq.GetCheck() {
 		priority = checkPriority
 	}
-	usage, err := ag.model.Stream(ctx, server.Completion{
+	us, err := ag.model.Stream(ctx, server.Completion{
 		Path:      rq.GetPath(),
 		Body:      rq.GetBody(),
 		RequestID: rq.GetContext().GetRequestId(),
@@ -87,9 +114,9 @@
 		return failedFrame(ctx, err)
 	}
 	return &wire.Frame{Kind: &wire.Frame_End{End: &wire.End{Usage: &wire.Usage{
-		PromptTokens: usage.Prompt,
-		CachedTokens: usage.Cached,
-		OutputTokens: usage.Output,
+		PromptTokens: us.Prompt,
+		CachedTokens: us.Cached,
+		OutputTokens: us.Output,
 	}}}}
 }
 
--- a/io/cmds/timeline.go
+++ b/io/cmds/timeline.go
@@ -21,13 +21,16 @@
 
 Examples:
   shallotcleat timeline --admin 10.0.0.7:7900,10.0.1.4:7900 --request 0197a3e2-7d1c-7000-8000-0123456789ab
-  shallotcleat timeline --admin 10.0.0.7:7900,10.0.1.4:7900 --order mchanga/sandpit-4711`
+  shallotcleat timeline --admin 10.0.0.7:7900,10.0.1.4:7900 --order mchanga/sandpit-4711
+  shallotcleat timeline --admin 10.0.0.7:7900 --request 0197a3e2-7d1c-7000-8000-0123456789ab --charge`
 
 // timelineCommand holds the settings of the timeline's display.
 type timelineCommand struct {
 	adminFlags
+	platformFlags
 	Request string `long:"request" env:"SHALLOTCLEAT_REQUEST" description:"id of the request to follow"`
 	Order   string `long:"order" env:"SHALLOTCLEAT_ORDER" description:"order to follow, as WORKSPACE/KEY"`
+	Charge  bool   `long:"charge" env:"SHALLOTCLEAT_CHARGE" description:"show what the request or the order is charged for, from the object store and the table"`
 }
 
 func (cm *timelineCommand) run(ctx context.Context, out io.Writer) error {
@@ -37,9 +40,20 @@
 	if cm.Order != "" && !isOrder {
 		st.wrong("order", cm.Order, "WORKSPACE/KEY")
 	}
+	store, objects := cm.stores(&st)
 	if err := st.err(); err != nil {
 		return err
 	}
+	if cm.Charge && cm.Request != "" {
+		if err := showCharge(ctx, out, objects, cm.Request); err != nil {
+			return err
+		}
+	}
+	if cm.Charge && isOrder {
+		if err := showOrder(ctx, out, store, rows.Key(workspace, key)); err != nil {
+			return err
+		}
+	}
 	events, err := fetchAll(ctx, addresses, cm.Request)
 	if isOrder {
 		events = ofOrder(events, rows.Key(workspace, key))
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -19,6 +19,7 @@
 	"shallotcleat/core/config"
 	"shallotcleat/core/place"
 	"shallotcleat/core/retry"
+	"shallotcleat/io/bill"
 	"shallotcleat/io/link"
 	"shallotcleat/io/object"
 	"shallotcleat/io/table"
@@ -37,6 +38,9 @@
 	maxHeaderBytes = 32 << 10
 )
 
+// billPeriod is the time between two batches of usage records.
+const billPeriod = 5 * time.Second
+
 // Options are the settings and parts of an entry.
 type Options struct {
 	// PeerAddress is the host and port under which agents and other entries reach this entry.
@@ -71,6 +75,7 @@
 	budget  *retry.Budget
 	watcher *watch.Watcher
 	vms     *watch.VMs
+	bill    *bill.Writer
 	// greeted counts the agents that were asked by turns; only the timer's call uses it.
 	greeted int
 	// leaving is set when the process has been told to stop.
@@ -89,6 +94,7 @@
 		store:   opts.Store,
 		board:   board.New(),
 		clock:   timer.New(),
+		bill:    bill.NewWriter(opts.Objects, opts.Recorder, fmt.Sprintf("entry-%x", opts.Seed)),
 		chooser: place.NewChooser(opts.Zone),
 		budget:  retry.NewBudget(),
 		done:    make(chan struct{}),
@@ -132,6 +138,7 @@
 	var loops conc.WaitGroup
 	loops.Go(func() { en.vms.Run(background) })
 	loops.Go(func() { en.watcher.Run(background) })
+	endBill := en.clock.Every(billPeriod, func() { en.flushBill(background) })
 	endGreet := en.clock.Every(greetPeriod, func() { en.greetNext(background) })
 	loops.Go(func() {
 		srv := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: link.ManagerOptions()})
@@ -154,7 +161,9 @@
 	case err = <-failed:
 		err = fmt.Errorf("serve callers: %w", err)
 	}
+	en.flushBill(background)
 	cancel()
+	endBill()
 	endGreet()
 	loops.Wait()
 	en.background.Wait()
@@ -175,6 +184,13 @@
 	return nil
 }
 
+// flushBill writes the usage records; what can't be written is tried again in the next period.
+func (en *Entry) flushBill(ctx context.Context) {
+	if err := en.bill.Flush(ctx); err != nil {
+		en.rec.Log().WithError(err).Warn("usage records wait for the object store")
+	}
+}
+
 // peerHandler serves what entries offer to agents and to each other.
 type peerHandler struct {
 	entry *Entry
--- a/io/entry/members.go
+++ b/io/entry/members.go
@@ -112,7 +112,10 @@
 func (en *Entry) greetOne(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, greetTimeout)
 	defer cancel()
-	rq := &wire.ExchangeRequest{Context: &wire.Context{Stamp: uint64(en.rec.Stamp()), Epoch: en.board.Epoch()}}
+	rq := &wire.ExchangeRequest{
+		Context:     &wire.Context{Stamp: uint64(en.rec.Stamp()), Epoch: en.board.Epoch()},
+		StoredTries: en.bill.TakeConfirmed(address),
+	}
 	if sn := en.board.Snapshot(); sn != nil {
 		rq.Head = wire.FromHead(sn.Head())
 	}
--- a/io/entry/model.go
+++ b/io/entry/model.go
@@ -14,6 +14,7 @@
 	"shallotcleat/core/config"
 	"shallotcleat/core/piece"
 	"shallotcleat/core/place"
+	"shallotcleat/core/usage"
 	"shallotcleat/io/trace"
 	"shallotcleat/io/wire"
 )
@@ -42,6 +43,8 @@
 	// sent is the text that has been passed on, and tokens the number of events that it came in.
 	sent   strings.Builder
 	tokens int
+	// charge is the usage record as far as it is known.
+	charge usage.Record
 }
 
 // serveModel answers the completions and chat endpoints.
@@ -67,6 +70,7 @@
 
 // endModel tells the caller of a failure in the way that is still open: an error event once the stream has begun.
 func (en *Entry) endModel(ctx context.Context, call *modelCall, er *answer.Error) *answer.Error {
+	en.billModel(call, er)
 	if er == nil {
 		en.noteAnswer(call.rq, string(answer.Done))
 		return nil
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -54,8 +54,10 @@
 
 // plainAnswer is a plain service's answer.
 type plainAnswer struct {
-	body []byte
-	end  *wire.End
+	accepted *wire.Accepted
+	status   *wire.Status
+	body     []byte
+	end      *wire.End
 }
 
 // serveLookup runs a call that may be repeated, at another agent if one refuses or fails.
@@ -73,6 +75,7 @@
 		}
 		got, er := en.tryLookup(ctx, call, address)
 		if er == nil {
+			en.billLookup(call, address, got)
 			writePlain(wr, got)
 			en.noteAnswer(call.rq, string(answer.Done))
 			return nil
@@ -136,6 +139,8 @@
 		}
 		en.heard(address, fr.GetStatus())
 		switch kind := fr.GetKind().(type) {
+		case *wire.Frame_Accepted:
+			got.accepted, got.status = kind.Accepted, fr.GetStatus()
 		case *wire.Frame_Refused:
 			return got, kind.Refused.ToError()
 		case *wire.Frame_Failed:
--- a/io/entry/relay.go
+++ b/io/entry/relay.go
@@ -87,6 +87,7 @@
 	case *wire.Frame_Accepted:
 		rl.streamID = kind.Accepted.GetStreamId()
 		rl.incarnation = fr.GetStatus().GetIncarnation()
+		rl.call.chargeTo(kind.Accepted, rl.address, fr.GetStatus())
 	case *wire.Frame_Refused:
 		return tryRefused, kind.Refused.ToError(), true
 	case *wire.Frame_Chunk:
@@ -126,11 +127,12 @@
 }
 
 func (rl *relay) end(status *wire.Status, end *wire.End) {
-	usage := end.GetUsage()
+	us := end.GetUsage()
 	call := rl.call
+	call.charge.Prompt, call.charge.Cached = us.GetPromptTokens(), us.GetCachedTokens()
 	rl.entry.chooser.Learn(time.Now(), call.place, rl.address, status.GetEngine())
-	rl.entry.rec.CountTokens(usage.GetPromptTokens(), usage.GetCachedTokens())
-	call.out.end(usage)
+	rl.entry.rec.CountTokens(us.GetPromptTokens(), us.GetCachedTokens())
+	call.out.end(us)
 }
 
 // resume asks the agent for the frames after the last one that was received.
--- a/io/object/store.go
+++ b/io/object/store.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -22,6 +23,8 @@
 	Put(ctx context.Context, name string, value []byte) error
 	// Get returns an object, or a *MissingError if there is none.
 	Get(ctx context.Context, name string) ([]byte, error)
+	// List returns the sorted names that begin with a prefix.
+	List(ctx context.Context, prefix string) ([]string, error)
 }
 
 // MissingError says that there is no object with a name.
@@ -45,7 +48,7 @@
 
 // Put implements Store.
 func (ht *HTTP) Put(ctx context.Context, name string, value []byte) error {
-	rs, err := ht.call(ctx, http.MethodPut, name, bytes.NewReader(value))
+	rs, err := ht.call(ctx, http.MethodPut, url.PathEscape(name), bytes.NewReader(value))
 	if err != nil {
 		return fmt.Errorf("put object %q: %w", name, err)
 	}
@@ -58,7 +61,7 @@
 
 // Get implements Store.
 func (ht *HTTP) Get(ctx context.Context, name string) ([]byte, error) {
-	rs, err := ht.call(ctx, http.MethodGet, name, nil)
+	rs, err := ht.call(ctx, http.MethodGet, url.PathEscape(name), nil)
 	if err != nil {
 		return nil, fmt.Errorf("get object %q: %w", name, err)
 	}
@@ -76,8 +79,25 @@
 	return value, nil
 }
 
-func (ht *HTTP) call(ctx context.Context, method, name string, body io.Reader) (*http.Response, error) {
-	rq, err := http.NewRequestWithContext(ctx, method, ht.base+"/objects/"+url.PathEscape(name), body)
+// List implements Store.
+func (ht *HTTP) List(ctx context.Context, prefix string) ([]string, error) {
+	rs, err := ht.call(ctx, http.MethodGet, "?prefix="+url.QueryEscape(prefix), nil)
+	if err != nil {
+		return nil, fmt.Errorf("list objects: %w", err)
+	}
+	defer func() { _ = rs.Body.Close() }()
+	if rs.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("list objects: %s", rs.Status)
+	}
+	var names []string
+	if err := json.NewDecoder(rs.Body).Decode(&names); err != nil {
+		return nil, fmt.Errorf("list objects: decode: %w", err)
+	}
+	return names, nil
+}
+
+func (ht *HTTP) call(ctx context.Context, method, path string, body io.Reader) (*http.Response, error) {
+	rq, err := http.NewRequestWithContext(ctx, method, ht.base+"/objects/"+path, body)
 	if err != nil {
 		return nil, fmt.Errorf("make request: %w", err)
 	}
--- a/io/stand/store.go
+++ b/io/stand/store.go
@@ -2,7 +2,9 @@
 
 import (
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 
@@ -27,17 +29,6 @@
 	ob.down = down
 }
 
-// Names returns how many objects there are.
-func (ob *Objects) Names() []string {
-	ob.mu.Lock()
-	defer ob.mu.Unlock()
-	names := make([]string, 0, len(ob.values))
-	for name := range ob.values {
-		names = append(names, name)
-	}
-	return names
-}
-
 // ServeHTTP serves the protocol of package object.
 func (ob *Objects) ServeHTTP(wr http.ResponseWriter, rq *http.Request) {
 	name := strings.TrimPrefix(rq.URL.Path, "/objects/")
@@ -52,6 +43,10 @@
 		ob.values[name] = value
 		return
 	}
+	if name == "" {
+		writeJSON(wr, http.StatusOK, namesWith(ob.values, rq.URL.Query().Get("prefix")))
+		return
+	}
 	stored, ok := ob.values[name]
 	if !ok {
 		http.NotFound(wr, rq)
@@ -60,6 +55,12 @@
 	_, _ = wr.Write(stored)
 }
 
+// namesWith returns the sorted names that begin with a prefix.
+func namesWith(values map[string][]byte, prefix string) []string {
+	names := slices.Sorted(maps.Keys(values))
+	return slices.DeleteFunc(names, func(name string) bool { return !strings.HasPrefix(name, prefix) })
+}
+
 // VMs is the platform's list of VMs.
 type VMs struct {
 	// mu guards the list.
--- a/io/watch/fleet_test.go
+++ b/io/watch/fleet_test.go
@@ -112,6 +112,9 @@
 	return value, nil
 }
 
+// List implements object.Store.
+func (mm *memory) List(context.Context, string) ([]string, error) { return nil, nil }
+
 // fleet is a set of watchers that reach each other through calls that get lost.
 type fleet struct {
 	clock  *clock.Virtual
