--- a/io/cmds/run.go
+++ b/io/cmds/run.go
@@ -65,7 +65,7 @@
 		chosen[ls.name] = ls.command
 	}
 	if _, err := parser.ParseArgs(args); err != nil {
-		return usage(err, out, errOut)
+		return explain(err, out, errOut)
 	}
 	return execute(ctx, chosen[parser.Active.Name], out, errOut)
 }
@@ -77,8 +77,8 @@
 	return nil
 }
 
-// usage prints help where it was asked for, and the parser's error otherwise.
-func usage(err error, out, errOut io.Writer) int {
+// explain prints help where it was asked for, and the parser's error otherwise.
+func explain(err error, out, errOut io.Writer) int {
 	var fe *flags.Error
 	if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
 		_, _ = fmt.Fprintln(out, err)
