Placement: a restarted entry begins with its peers' heat

Cause: an entry that knew nothing took each first prefix for hot and spread it over several servers: 43 of 200 prompts were placed as by an entry that had served for long. Change: at its start an entry asks three peers for their 500 hottest prefixes (12 bytes each); the count of requests taken for granted decays like all others. The table or object store for the heat: it must work while they are down. After: 200 of 200 placed alike. Of 300 prompts at most 30 move when one of 20 servers goes.

--- /dev/null
+++ b/core/place/choose_test.go
@@ -0,0 +1,161 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"shallotcleat/core/member"
+	"shallotcleat/core/piece"
+)
+
+// now is the moment of the tests.
+var now = time.Unix(1_000_000, 0)
+
+// fleet returns a table of idle servers of several models in six zones.
+func fleet(servers, models int) *member.Table {
+	tb := member.NewTable()
+	list := make([]*member.Server, 0, servers)
+	for i := range servers {
+		address := fmt.Sprintf("10.%d.%d.%d:7001", i/65536, i/256%256, i%256)
+		list = append(list, member.NewServer(address, fmt.Sprintf("zone-%d", i%6), fmt.Sprintf("model-%d", i%models)))
+	}
+	tb.Replace(list)
+	for i, sv := range list {
+		st := member.NewStatus(1, 1, 1, 1, "v1", 0, float64(6000+6000*(i%4)), false)
+		tb.Heard(now, sv.Address(), st)
+	}
+	return tb
+}
+
+func request(number int) Request {
+	var keys []piece.Key
+	chain := piece.Key(number % 40)
+	for depth := range 7 {
+		if depth >= 5 {
+			chain += piece.Key(number << 8)
+		}
+		chain = piece.Key(piece.Mix(chain, uint64(depth+1)))
+		keys = append(keys, chain)
+	}
+	return NewRequest("model-0", keys, 14_500, 2000, 0.5, "v1")
+}
+
+func best(cs *Chooser, tb *member.Table, rq Request) string {
+	return cs.Rank(now, tb.View(), rq, 1)[0].Server().Address()
+}
+
+// served returns a chooser that has placed many requests; it learns where they went only when it knows the heat, since
+// what it placed before that went to more servers than it needed.
+func served(tb *member.Table, prompts int) *Chooser {
+	cs := NewChooser("zone-0")
+	for round := range 6 {
+		for number := range prompts {
+			rq := request(number)
+			address := best(cs, tb, rq)
+			if round > 2 {
+				cs.Learn(now, rq, address, 1)
+			}
+		}
+	}
+	return cs
+}
+
+// An entry that has just started places like the peer that told it its hot prefixes.
+func TestRestartedEntryPlacesAlike(t *testing.T) {
+	const prompts = 200
+	tb := fleet(20, 1)
+	old := served(tb, prompts)
+	fresh := NewChooser("zone-0")
+	fresh.Warm(now, old.Heat(now, 2000))
+	for number := range prompts {
+		rq := request(number)
+		if got, want := best(fresh, tb, rq), best(old, tb, rq); got != want {
+			t.Errorf("prompt %d goes to %s, its peer sends it to %s", number, got, want)
+		}
+	}
+}
+
+// With one server less, few prefixes of the others move: another server takes the place of the gone one in the homes of
+// the shallow prefixes, and gets what it would have had there, which is at most the gone one's share with the slack.
+func TestHomesStayWhenAServerGoes(t *testing.T) {
+	const gone = 7
+	tb := fleet(20, 1)
+	all := tb.View().Servers("model-0")
+	left := append(append([]*member.Server{}, all[:gone]...), all[gone+1:]...)
+	shares := []float64{0.2, 0.2, 0.1, 0.1, 0.1, 0.01, 0.01}
+	home := func(servers []*member.Server, keys []piece.Key) string {
+		for i, level := range homeLevels(servers, keys, shares) {
+			if level == len(keys) {
+				return servers[i].Address()
+			}
+		}
+		return ""
+	}
+	const prompts = 300
+	moved := 0
+	for number := range prompts {
+		keys := request(number).keys
+		before, after := home(all, keys), home(left, keys)
+		if before != all[gone].Address() && after != before {
+			moved++
+		}
+	}
+	if limit := int(prompts * homeSlack / float64(len(all))); moved > limit {
+		t.Errorf("%d of %d prompts moved, at most %d should", moved, prompts, limit)
+	}
+}
+
+// What a dead engine held counts for nothing.
+func TestRebornEngineCountsForNothing(t *testing.T) {
+	tb := fleet(4, 1)
+	cs := NewChooser("zone-0")
+	rq := request(1)
+	address := best(cs, tb, rq)
+	cs.Learn(now, rq, address, 1)
+	if ch := cs.Rank(now, tb.View(), rq, 1)[0]; ch.Cached() == 0 {
+		t.Fatal("nothing was learned")
+	}
+	tb.Heard(now, address, member.NewStatus(2, 1, 2, 1, "v1", 0, 6000, false))
+	for _, ch := range cs.Rank(now, tb.View(), rq, 4) {
+		if ch.Cached() != 0 {
+			t.Errorf("%s is believed to hold %d tokens", ch.Server().Address(), ch.Cached())
+		}
+	}
+}
+
+// BenchmarkRank measures one placement at several sizes of the fleet; docs/CAPACITY.md uses its slope.
+func BenchmarkRank(b *testing.B) {
+	for _, servers := range []int{100, 1000, 3100} {
+		b.Run(fmt.Sprintf("replicas=%d", servers), func(b *testing.B) {
+			tb := fleet(servers, 17)
+			cs := NewChooser("zone-0")
+			requests := make([]Request, 1024)
+			for i := range requests {
+				requests[i] = request(i)
+				cs.Learn(now, requests[i], best(cs, tb, requests[i]), 1)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				cs.Rank(now, tb.View(), requests[i%len(requests)], 1)
+			}
+		})
+	}
+}
+
+// BenchmarkHeard measures the noting of one reply's status.
+func BenchmarkHeard(b *testing.B) {
+	for _, servers := range []int{100, 1000, 3100} {
+		b.Run(fmt.Sprintf("replicas=%d", servers), func(b *testing.B) {
+			tb := fleet(servers, 17)
+			all := tb.View().All()
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				st := member.NewStatus(2, 1, 1, 1, "v1", 0, 6000, false)
+				tb.Heard(now, all[i%len(all)].Address(), st)
+			}
+		})
+	}
+}
--- a/core/place/hints.go
+++ b/core/place/hints.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"math"
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2/simplelru"
@@ -20,28 +19,6 @@
 	seen   time.Time
 }
 
-// heatHalfLife is the time after which a request counts half in the heat of its prefixes.
-const heatHalfLife = time.Minute
-
-// priorRequests is how many requests for other prefixes are taken for granted, so that the first ones that an entry
-// sees after its start do not look hot.
-const priorRequests = 10
-
-// heat is a decaying count of requests.
-type heat struct {
-	count float64
-	at    time.Time
-}
-
-// now returns the decayed count.
-func (ht heat) now(now time.Time) float64 {
-	age := now.Sub(ht.at)
-	return ht.count * math.Exp2(-float64(age)/float64(heatHalfLife))
-}
-
-// add returns the count with one request more.
-func (ht heat) add(now time.Time) heat { return heat{count: ht.now(now) + 1, at: now} }
-
 // hint is what is remembered of one prefix.
 type hint struct {
 	holders []holder
@@ -63,18 +40,27 @@
 	return &hints{byKey: byKey}
 }
 
+// at returns the hint of a prefix, which is new if there was none.
+func (hn *hints) at(key piece.Key) *hint {
+	ht, ok := hn.byKey.Get(key)
+	if !ok {
+		ht = &hint{}
+		hn.byKey.Add(key, ht)
+	}
+	return ht
+}
+
 // count notes one request and returns for each of its prefixes the part of all requests that share it.
 func (hn *hints) count(now time.Time, keys []piece.Key) []float64 {
+	if hn.total.at.IsZero() {
+		hn.total = heat{count: priorRequests, at: now}
+	}
 	hn.total = hn.total.add(now)
 	shares := make([]float64, len(keys))
 	for i, key := range keys {
-		ht, ok := hn.byKey.Get(key)
-		if !ok {
-			ht = &hint{}
-			hn.byKey.Add(key, ht)
-		}
+		ht := hn.at(key)
 		ht.heat = ht.heat.add(now)
-		shares[i] = ht.heat.count / (hn.total.count + priorRequests)
+		shares[i] = ht.heat.count / hn.total.count
 	}
 	return shares
 }
@@ -82,11 +68,7 @@
 // learn notes that a server holds the first pieces of a prompt.
 func (hn *hints) learn(now time.Time, keys []piece.Key, address string, engine uint64) {
 	for _, key := range keys {
-		ht, ok := hn.byKey.Get(key)
-		if !ok {
-			ht = &hint{}
-			hn.byKey.Add(key, ht)
-		}
+		ht := hn.at(key)
 		ht.holders = withHolder(ht.holders, holder{address: address, engine: engine, seen: now})
 	}
 }
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -38,6 +38,9 @@
 	maxHeaderBytes = 32 << 10
 )
 
+// maxHeat bounds the hot prefixes that an entry tells a restarted one; each takes 12 bytes.
+const maxHeat = 500
+
 // billPeriod is the time between two batches of usage records.
 const billPeriod = 5 * time.Second
 
@@ -132,6 +135,7 @@
 	en.updateMembers()
 	en.vms.Read(background)
 	en.watcher.Boot(background)
+	en.warm(background)
 	en.greetAll(background)
 	en.rec.Note("", trace.Started, "role", "entry", "address", callers.Addr().String())
 
@@ -198,5 +202,9 @@
 
 // Exchange compares configurations.
 func (ph *peerHandler) Exchange(ctx context.Context, rq *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
-	return ph.entry.watcher.Answer(ctx, rq, nil), nil
+	reply := ph.entry.watcher.Answer(ctx, rq, nil)
+	if rq.GetWantHeat() {
+		reply.Heat = wire.FromHeat(ph.entry.chooser.Heat(ph.entry.clock.Now(), maxHeat))
+	}
+	return reply, nil
 }
--- a/io/entry/members.go
+++ b/io/entry/members.go
@@ -20,6 +20,8 @@
 	greetPeriod  = time.Second
 	greetsAtOnce = 20
 	greetTimeout = time.Second
+	// warmPeers is how many peers a starting entry asks for their hot prefixes.
+	warmPeers = 3
 )
 
 // updateMembers makes the board's servers those of the VM list and the configuration.
@@ -66,6 +68,24 @@
 	return peers
 }
 
+// warm takes the hot prefixes of some peers, so that this entry places as they do from its first request on.
+func (en *Entry) warm(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, greetTimeout/2)
+	defer cancel()
+	var wg conc.WaitGroup
+	peers := en.peers()
+	for _, peer := range peers[:min(warmPeers, len(peers))] {
+		wg.Go(func() {
+			rq := &wire.ExchangeRequest{Context: &wire.Context{Stamp: uint64(en.rec.Stamp())}, WantHeat: true}
+			reply, err := peer.Exchange(ctx, rq)
+			if err == nil && reply.GetHeat() != nil {
+				en.chooser.Warm(en.clock.Now(), reply.GetHeat().ToHeat())
+			}
+		})
+	}
+	wg.Wait()
+}
+
 // heard notes the status in an agent's reply. An agent that knows a later configuration is asked for it.
 func (en *Entry) heard(address string, st *wire.Status) {
 	if st == nil {
--- a/io/wire/convert.go
+++ b/io/wire/convert.go
@@ -7,6 +7,8 @@
 	"shallotcleat/core/config"
 	"shallotcleat/core/member"
 	"shallotcleat/core/order"
+	"shallotcleat/core/piece"
+	"shallotcleat/core/place"
 	"shallotcleat/core/stamp"
 )
 
@@ -113,3 +115,23 @@
 	retryAfter := time.Duration(rf.GetRetryAfterMs()) * time.Millisecond
 	return answer.NewError(answer.Code(rf.GetCode()), answer.Outcome(rf.GetOutcome()), retryAfter, "%s", rf.GetMessage())
 }
+
+// FromHeat returns the message of hot prefixes.
+func FromHeat(ht place.Heat) *Heat {
+	out := &Heat{Total: ht.Total()}
+	for _, hp := range ht.Prefixes() {
+		out.Keys = append(out.Keys, uint64(hp.Key()))
+		out.Counts = append(out.Counts, float32(hp.Count()))
+	}
+	return out
+}
+
+// ToHeat returns the hot prefixes in a message.
+func (ht *Heat) ToHeat() place.Heat {
+	count := min(len(ht.GetKeys()), len(ht.GetCounts()))
+	prefixes := make([]place.HotPrefix, 0, count)
+	for i := range count {
+		prefixes = append(prefixes, place.NewHotPrefix(piece.Key(ht.GetKeys()[i]), float64(ht.GetCounts()[i])))
+	}
+	return place.NewHeat(ht.GetTotal(), prefixes)
+}
