Weights: slots without a time limit, rolled out while requests go on

Cause: nothing loaded new weights; a declaration with others would have stopped the service. Change: an agent compares what its engine serves with what is declared. The right to load is a slot row, taken with a fencing number in one transaction. A slot has no time limit: it passes on by its holder's word or when the holder's VM is gone. An order whose end is not known keeps its slot; it is sent again only if the engine refuses old numbers or is another process by now. Entries give each version of the weights as many requests as it has engines. By the test over loopback: a request bound to old weights failed when the last engine had just changed; the refusal now has its own code and the request is bound anew. Ruled out: leases with a time limit.

--- a/core/answer/answer.go
+++ b/core/answer/answer.go
@@ -34,6 +34,7 @@
 	Expired          Code = "deadline_exceeded"
 	StaleEpoch       Code = "stale_epoch"
 	StaleCache       Code = "stale_cache"
+	StaleWeights     Code = "stale_weights"
 	NoServer         Code = "no_backend_server"
 	TableUnavailable Code = "table_unavailable"
 	ServerUnreached  Code = "backend_server_unreachable"
--- a/core/config/declare.go
+++ b/core/config/declare.go
@@ -88,6 +88,7 @@
 	checkReserve   float64
 	queueLimit     int
 	timeout        time.Duration
+	loadsAtOnce    int
 }
 
 // Name returns the preset's name.
@@ -108,6 +109,9 @@
 // Timeout returns how long a request may take in all.
 func (pr Preset) Timeout() time.Duration { return pr.timeout }
 
+// LoadsAtOnce returns how many engines may load weights at the same time.
+func (pr Preset) LoadsAtOnce() int { return pr.loadsAtOnce }
+
 // Declaration is the checked content of a declarations file; it is immutable.
 type Declaration struct {
 	workspaces []Workspace
--- a/core/config/parse.go
+++ b/core/config/parse.go
@@ -48,6 +48,7 @@
 		CheckReserve   float64       `yaml:"check-reserve"`
 		QueueLimit     int           `yaml:"queue-limit"`
 		Timeout        time.Duration `yaml:"timeout"`
+		LoadsAtOnce    int           `yaml:"loads-at-once"`
 	}
 )
 
@@ -94,6 +95,8 @@
 	defaultTimeout     = 60 * time.Second
 	maxTimeout         = time.Hour
 	defaultCheckTokens = 16
+	defaultLoads       = 2
+	maxLoads           = 64
 )
 
 // checker collects the problems of one file.
@@ -221,6 +224,9 @@
 	if sh.QueueLimit < 0 || sh.CheckTokens < 0 {
 		ck.add(line, "preset %q: queue-limit and check-tokens: allowed are whole numbers from 1", sh.Name)
 	}
+	if sh.LoadsAtOnce < 0 || sh.LoadsAtOnce > maxLoads {
+		ck.add(line, "preset %q: loads-at-once %d: allowed are whole numbers from 1 to %d", sh.Name, sh.LoadsAtOnce, maxLoads)
+	}
 	if sh.Timeout < 0 || sh.Timeout > maxTimeout {
 		ck.add(line, "preset %q: timeout %s: allowed are up to %s", sh.Name, sh.Timeout, maxTimeout)
 	}
@@ -231,6 +237,7 @@
 		checkReserve:   sh.CheckReserve,
 		queueLimit:     sh.QueueLimit,
 		timeout:        sh.Timeout,
+		loadsAtOnce:    sh.LoadsAtOnce,
 	}
 	if pr.checkTokens == 0 {
 		pr.checkTokens = defaultCheckTokens
@@ -238,6 +245,9 @@
 	if pr.queueLimit == 0 {
 		pr.queueLimit = defaultQueueLimit
 	}
+	if pr.loadsAtOnce == 0 {
+		pr.loadsAtOnce = defaultLoads
+	}
 	if pr.timeout == 0 {
 		pr.timeout = defaultTimeout
 	}
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -21,6 +21,7 @@
 	"shallotcleat/core/config"
 	"shallotcleat/core/member"
 	"shallotcleat/core/order"
+	"shallotcleat/core/weight"
 	"shallotcleat/io/bill"
 	"shallotcleat/io/link"
 	"shallotcleat/io/object"
@@ -68,6 +69,8 @@
 	Pool     *link.Pool
 	// Incarnation is a number that no earlier start of this agent had.
 	Incarnation uint64
+	// Fencing tells whether the engine refuses orders with old fencing numbers.
+	Fencing bool
 	// StopTimeout bounds the wait for running work at a stop.
 	StopTimeout time.Duration
 }
@@ -96,6 +99,10 @@
 	ledgerMu sync.Mutex
 	ledger   *order.Ledger
 
+	// loaderMu guards the loader.
+	loaderMu sync.Mutex
+	loader   *weight.Loader
+
 	// stopping is set when the process has been told to stop.
 	stopping atomic.Bool
 	// retired is set while the configuration or the VM list says that the server leaves.
@@ -125,6 +132,7 @@
 		holder:      bill.NewHolder(),
 		bill:        bill.NewWriter(opts.Objects, opts.Recorder, fmt.Sprintf("agent-%x", opts.Incarnation)),
 		ledger:      order.NewLedger(opts.Address, opts.Incarnation, ticketLifetime, opts.Slots*ticketsPerSlot),
+		loader:      weight.NewLoader(opts.Address, opts.Incarnation, opts.Fencing),
 		done:        make(chan struct{}),
 	}
 	ag.state.Store(&server.State{})
@@ -154,6 +162,9 @@
 // Engine returns the last known incarnation of the backend server.
 func (ag *Agent) Engine() uint64 { return ag.state.Load().Incarnation }
 
+// Weights returns the last known version of the weights that the engine serves.
+func (ag *Agent) Weights() string { return ag.state.Load().Weights }
+
 // Serve answers entries on a listener until the context ends; then it lets all accepted work finish.
 func (ag *Agent) Serve(ctx context.Context, lis net.Listener) error {
 	defer close(ag.done)
@@ -265,14 +276,22 @@
 	}
 	ag.gate.setClaimedRate(st.PrefillRate)
 	ag.state.Store(&st)
+	ag.steerWeights(ctx, st)
 }
 
+// loadingWeights is what an agent says of its engine's weights while the engine loads others; no request asks for them.
+const loadingWeights = "loading"
+
 // status returns what goes with each reply.
 func (ag *Agent) status() *wire.Status {
 	st := ag.state.Load()
+	weights := st.Weights
+	if st.Loading {
+		weights = loadingWeights
+	}
 	wait, rate := ag.gate.load(admit.Guide)
 	return wire.FromStatus(member.NewStatus(ag.rec.Stamp(), ag.incarnation, st.Incarnation, ag.board.Epoch(),
-		st.Weights, wait, rate, ag.isLeaving()))
+		weights, wait, rate, ag.isLeaving()))
 }
 
 // peers returns the entries that the agent compares configurations with.
--- a/io/agent/handler.go
+++ b/io/agent/handler.go
@@ -72,8 +72,11 @@
 		return nil
 	}
 	state := ag.state.Load()
+	if state.Loading {
+		return answer.NewError(answer.NoServer, answer.NotRun, leastRetryAfter, "the engine loads weights")
+	}
 	if rq.GetWeights() != state.Weights {
-		return answer.NewError(answer.NoServer, answer.NotRun, leastRetryAfter,
+		return answer.NewError(answer.StaleWeights, answer.NotRun, leastRetryAfter,
 			"the engine serves weights %q, the request needs %q", state.Weights, rq.GetWeights())
 	}
 	if rq.GetCachedTokens() > 0 && rq.GetEngine() != state.Incarnation {
--- a/io/cmds/agent.go
+++ b/io/cmds/agent.go
@@ -26,6 +26,7 @@
 	Service string `long:"service" env:"SHALLOTCLEAT_SERVICE" description:"name of the service that the backend server belongs to" required:"true"`
 	Model   string `long:"model" env:"SHALLOTCLEAT_MODEL" description:"base URL of the model engine"`
 	Plain   string `long:"plain" env:"SHALLOTCLEAT_PLAIN" description:"base URL of the plain service"`
+	Fencing bool   `long:"fencing" env:"SHALLOTCLEAT_FENCING" description:"the engine refuses orders with old fencing numbers"`
 	Slots   string `long:"slots" env:"SHALLOTCLEAT_SLOTS" description:"calls in the backend server at once" default:"16"`
 }
 
@@ -38,6 +39,7 @@
 		StopTimeout: st.duration("stop-timeout", cm.StopTime, 0, time.Hour),
 		Pool:        link.NewPool(),
 		Incarnation: randomNumber(),
+		Fencing:     cm.Fencing,
 	}
 	switch {
 	case (cm.Model == "") == (cm.Plain == ""):
--- a/io/entry/model.go
+++ b/io/entry/model.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 	"github.com/julienschmidt/httprouter"
 
@@ -34,6 +37,8 @@
 	chat    bool
 	path    string
 	service config.Service
+	// weights is the version that the call runs with; while new weights are rolled out it may be the old one.
+	weights string
 	seed    piece.Seed
 	place   place.Request
 	out     *output
@@ -95,14 +100,43 @@
 		return answer.NewError(answer.NotFound, answer.NotRun, 0, "workspace %q has no model %q", rq.workspace.Name(), call.prompt.Model)
 	}
 	call.service = sv
-	call.seed = piece.NewSeed(rq.workspace.Name(), sv.Model(), sv.Adapter(), sv.Weights())
+	call.weights = en.weightsFor(rq, sv)
+	call.seed = piece.NewSeed(rq.workspace.Name(), sv.Model(), sv.Adapter(), call.weights)
 	pieceTokens := en.opts.PieceTokens
 	keys := piece.Keys(call.seed, call.prompt.text, pieceTokens*bytesPerToken)
 	price := rq.snapshot.Preset().RecomputePrice()
-	call.place = place.NewRequest(sv.Name(), keys, call.prompt.tokens(), pieceTokens, price, sv.Weights())
+	call.place = place.NewRequest(sv.Name(), keys, call.prompt.tokens(), pieceTokens, price, call.weights)
 	return nil
 }
 
+// weightsFor returns the version of the weights that a request runs with. While the engines load new ones by turns, each
+// version gets as many requests as it has engines; the request's id decides.
+func (en *Entry) weightsFor(rq *request, sv config.Service) string {
+	now := time.Now()
+	counts := make(map[string]int)
+	total := 0
+	for _, ms := range en.board.Members().View().Servers(sv.Name()) {
+		weights := ms.Status().Weights()
+		if ms.Known() && ms.Usable(now) && weights != loadingWeights {
+			counts[weights]++
+			total++
+		}
+	}
+	if total == 0 || counts[sv.Weights()] == total {
+		return sv.Weights()
+	}
+	turn := int(xxhash.Sum64String(rq.id) % uint64(total))
+	for _, weights := range slices.Sorted(maps.Keys(counts)) {
+		if turn -= counts[weights]; turn < 0 {
+			return weights
+		}
+	}
+	return sv.Weights()
+}
+
+// loadingWeights is what agents say while their engines load.
+const loadingWeights = "loading"
+
 // rebind moves a request of which nothing has run to the configuration that is in force now.
 func (en *Entry) rebind(rq *request) *answer.Error {
 	sn := en.board.Snapshot()
@@ -156,13 +190,15 @@
 	return last
 }
 
-// prepareRetry excludes the agent from the next try, or takes what the agent's refusal tells: a later configuration,
-// or a reborn engine, which the reply's status has made known.
+// prepareRetry excludes the agent from the next try, or takes what the agent's refusal tells: a later configuration, or
+// a reborn engine or other weights, which the reply's status has made known.
 func (en *Entry) prepareRetry(ctx context.Context, call *modelCall, ch place.Choice, last *answer.Error) *answer.Error {
 	address := ch.Server().Address()
 	switch last.Code() {
 	case answer.StaleCache:
 		return nil
+	case answer.StaleWeights:
+		return en.bind(call)
 	case answer.StaleEpoch:
 		en.catchUp(ctx, address)
 		if er := en.rebind(call.rq); er != nil {
@@ -207,7 +243,7 @@
 		PromptTokens: int32(call.prompt.tokens()),
 		CachedTokens: int32(ch.Cached()),
 		Salt:         call.seed.Salt(),
-		Weights:      call.service.Weights(),
+		Weights:      call.weights,
 		Adapter:      call.service.Adapter(),
 		Engine:       ch.Server().Status().Engine(),
 		Begun:        call.tokens > 0,
--- a/io/local/nodes.go
+++ b/io/local/nodes.go
@@ -50,6 +50,9 @@
 	_ = nd.pool.Close()
 }
 
+// Weights returns the version that an agent's engine serves, as the agent knows it.
+func (nd *Node) Weights() string { return nd.agent.Weights() }
+
 // NodeOptions describe a node; the parts that a kind of node does not need stay empty.
 type NodeOptions struct {
 	Name        string
@@ -58,6 +61,8 @@
 	Slots       int
 	Incarnation uint64
 	PieceTokens int
+	// Fencing tells whether an agent's engine refuses old fencing numbers.
+	Fencing bool
 	// Model and Plain are the base URL of an agent's backend server; one of them is set.
 	Model string
 	Plain string
@@ -112,6 +117,7 @@
 		Recorder:    rec,
 		Pool:        pool,
 		Incarnation: opts.Incarnation,
+		Fencing:     opts.Fencing,
 		StopTimeout: stopTimeout,
 	}
 	if opts.Model != "" {
--- a/io/local/site_test.go
+++ b/io/local/site_test.go
@@ -111,6 +111,7 @@
 		Slots:       opts.slots,
 		Incarnation: uint64(len(st.models) + 1),
 		Model:       "http://" + st.listen(engine),
+		Fencing:     true,
 		Front: func(address string) (string, error) {
 			ct, err := newCutter(st.t, address)
 			if err != nil {
--- /dev/null
+++ b/io/rows/slots.go
@@ -0,0 +1,89 @@
+package rows
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"shallotcleat/core/weight"
+	"shallotcleat/io/table"
+)
+
+// fenceKey is the table's key of the last fencing number that was given out.
+const fenceKey = "weights/fence"
+
+func slotKey(index int) string { return fmt.Sprintf("weights/slot/%02d", index) }
+
+// slotShape is a slot's holder as it is stored; a free slot has no agent.
+type slotShape struct {
+	Agent       string `json:"agent,omitempty"`
+	Incarnation uint64 `json:"incarnation,omitempty"`
+	Fence       uint64 `json:"fence,omitempty"`
+}
+
+// ReadSlots returns the event that tells a loader the slots.
+func ReadSlots(ctx context.Context, store table.Store, count int) weight.Event {
+	keys := []string{fenceKey}
+	for index := range count {
+		keys = append(keys, slotKey(index))
+	}
+	cells, err := store.Read(ctx, keys)
+	if err != nil {
+		return weight.NotTaken{}
+	}
+	byKey := make(map[string]table.Cell, len(cells))
+	for _, cl := range cells {
+		byKey[cl.Key] = cl
+	}
+	slots := make([]weight.Slot, 0, count)
+	for index := range count {
+		holder, ok := decodeHolder(byKey[slotKey(index)].Value)
+		if !ok {
+			return weight.NotTaken{}
+		}
+		slots = append(slots, weight.NewSlot(index, byKey[slotKey(index)].Version, holder))
+	}
+	last, ok := decodeHolder(byKey[fenceKey].Value)
+	if !ok {
+		return weight.NotTaken{}
+	}
+	return weight.NewSlotsRead(slots, last.Fence(), byKey[fenceKey].Version)
+}
+
+func decodeHolder(text []byte) (weight.Holder, bool) {
+	var sh slotShape
+	if len(text) > 0 && json.Unmarshal(text, &sh) != nil {
+		return weight.Holder{}, false
+	}
+	return weight.NewHolder(sh.Agent, sh.Incarnation, sh.Fence), true
+}
+
+// TakeSlot writes a slot's holder and the fencing number in one transaction.
+func TakeSlot(ctx context.Context, store table.Store, ef weight.TakeSlot) weight.Event {
+	holder := ef.Slot().Holder()
+	text, err := json.Marshal(slotShape{Agent: holder.Agent(), Incarnation: holder.Incarnation(), Fence: holder.Fence()})
+	if err != nil {
+		return weight.NotTaken{}
+	}
+	last, err := json.Marshal(slotShape{Fence: holder.Fence()})
+	if err != nil {
+		return weight.NotTaken{}
+	}
+	_, err = store.Commit(ctx, []table.Write{
+		{Key: slotKey(ef.Slot().Index()), Value: text, Expect: ef.Slot().Version()},
+		{Key: fenceKey, Value: last, Expect: ef.FenceVersion()},
+	})
+	if err != nil {
+		return weight.NotTaken{}
+	}
+	return weight.Taken{}
+}
+
+// FreeSlot empties a slot's row.
+func FreeSlot(ctx context.Context, store table.Store, sl weight.Slot) error {
+	_, err := store.Commit(ctx, []table.Write{{Key: slotKey(sl.Index()), Value: []byte("{}"), Expect: sl.Version()}})
+	if err != nil {
+		return fmt.Errorf("free slot %d: %w", sl.Index(), err)
+	}
+	return nil
+}
--- a/io/server/model.go
+++ b/io/server/model.go
@@ -46,6 +46,8 @@
 	PrefillRate float64 `json:"prefill_rate"`
 	Running     int     `json:"running"`
 	Waiting     int     `json:"waiting"`
+	// Loading is set while the engine loads weights.
+	Loading bool `json:"loading"`
 }
 
 // Model is a model engine.
@@ -55,6 +57,9 @@
 	Stream(ctx context.Context, call Completion, emit func(event []byte)) (Usage, error)
 	// State returns what the engine reports.
 	State(ctx context.Context) (State, error)
+	// Load orders the engine to load weights; it fails with a *StatusError if the engine refuses the fencing number. It has
+	// no time limit of its own.
+	Load(ctx context.Context, weights string, fence uint64) error
 }
 
 // HTTPModel is a Model behind the OpenAI-compatible interface.
@@ -183,3 +188,30 @@
 	}
 	return st, nil
 }
+
+// loadOrder is the body of an order to load weights.
+type loadOrder struct {
+	Weights string `json:"weights"`
+	Fence   uint64 `json:"fence"`
+}
+
+// Load implements Model.
+func (hm *HTTPModel) Load(ctx context.Context, weights string, fence uint64) error {
+	body, err := json.Marshal(loadOrder{Weights: weights, Fence: fence})
+	if err != nil {
+		return fmt.Errorf("load order: %w", err)
+	}
+	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, hm.base+"/load", bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("load order: %w", err)
+	}
+	rs, err := hm.client.Do(rq)
+	if err != nil {
+		return callError(err)
+	}
+	defer func() { _ = rs.Body.Close() }()
+	if rs.StatusCode != http.StatusOK {
+		return &StatusError{status: rs.StatusCode}
+	}
+	return nil
+}
--- a/io/stand/engine.go
+++ b/io/stand/engine.go
@@ -52,6 +52,8 @@
 	loseEvents  bool
 	running     int
 	waiting     int
+	loading     bool
+	store       *WeightStore
 	crashAfter  int
 	dead        context.Context
 	kill        context.CancelFunc
@@ -61,7 +63,7 @@
 
 // NewEngine returns an engine that serves weights of a version; with fencing it refuses orders with old numbers.
 func NewEngine(speed EngineSpeed, weights string, fencing bool) *Engine {
-	en := &Engine{speed: speed, weights: weights, fencing: fencing, prefill: make(chan struct{}, 1)}
+	en := &Engine{speed: speed, weights: weights, fencing: fencing, store: NewWeightStore(1, 0), prefill: make(chan struct{}, 1)}
 	en.Restart()
 	return en
 }
@@ -125,6 +127,7 @@
 	PrefillRate float64 `json:"prefill_rate"`
 	Running     int     `json:"running"`
 	Waiting     int     `json:"waiting"`
+	Loading     bool    `json:"loading"`
 }
 
 func (en *Engine) serveState(wr http.ResponseWriter) {
@@ -136,6 +139,7 @@
 		PrefillRate: en.speed.PrefillRate,
 		Running:     en.running,
 		Waiting:     en.waiting,
+		Loading:     en.loading,
 	})
 }
 
@@ -172,8 +176,67 @@
 		return
 	}
 	en.fence = order.Fence
-	en.weights = order.Weights
-	en.cache.Purge()
+	if en.loading || en.weights == order.Weights {
+		return
+	}
+	en.loading = true
+	go en.load(order.Weights, en.incarnation, en.store.begin())
+}
+
+// load takes the weight store's time and then serves the new weights with an empty cache.
+func (en *Engine) load(weights string, incarnation uint64, took time.Duration) {
+	time.Sleep(took)
+	en.store.end()
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.loading = false
+	if en.incarnation == incarnation {
+		en.weights = weights
+		en.cache.Purge()
+	}
+}
+
+// SetStore sets the store that weights come from.
+func (en *Engine) SetStore(store *WeightStore) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.store = store
+}
+
+// WeightStore takes longer for each load when more engines load at once than it bears.
+type WeightStore struct {
+	limit int
+	took  time.Duration
+	// mu guards the counts.
+	mu      sync.Mutex
+	loading int
+	peak    int
+}
+
+// NewWeightStore returns a store from which a load takes a time.
+func NewWeightStore(limit int, took time.Duration) *WeightStore {
+	return &WeightStore{limit: limit, took: took}
+}
+
+func (ws *WeightStore) begin() time.Duration {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	ws.loading++
+	ws.peak = max(ws.peak, ws.loading)
+	return ws.took * time.Duration(max(ws.loading, ws.limit)) / time.Duration(ws.limit)
+}
+
+func (ws *WeightStore) end() {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	ws.loading--
+}
+
+// Peak returns how many engines loaded at once at the most.
+func (ws *WeightStore) Peak() int {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	return ws.peak
 }
 
 type message struct {
--- a/io/trace/event.go
+++ b/io/trace/event.go
@@ -27,6 +27,7 @@
 	Settled       Kind = "order_settled_by_agent"
 	Rebound       Kind = "request_moved_to_epoch"
 	EpochAdopted  Kind = "epoch_adopted"
+	LoadOrdered   Kind = "weights_load_ordered"
 	LeavingBegan  Kind = "leaving_began"
 	Started       Kind = "process_started"
 	Stopped       Kind = "process_stopped"
