Configuration: quiet processes exchange epochs only

Cause: each comparison of two processes carried the head with its hash, about 250 bytes; at 420 entries and 3,100 agents that alone is more than the 7 KB a second that a node may spend. Change: a request tells its epoch; head and declaration follow only if one side is behind, the declaration only if it is not at hand. One question each second in place of two; a lost one is asked of up to eleven more peers at once.

--- a/io/agent/handler.go
+++ b/io/agent/handler.go
@@ -115,7 +115,7 @@
 }
 
 // Exchange compares configurations.
-func (hd *handler) Exchange(ctx context.Context, rq *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
+func (hd *handler) Exchange(_ context.Context, rq *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
 	hd.agent.holder.Confirm(rq.GetStoredTries())
-	return hd.agent.watcher.Answer(ctx, rq, hd.agent.status()), nil
+	return hd.agent.watcher.Answer(rq, hd.agent.status()), nil
 }
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -201,8 +201,8 @@
 }
 
 // Exchange compares configurations.
-func (ph *peerHandler) Exchange(ctx context.Context, rq *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
-	reply := ph.entry.watcher.Answer(ctx, rq, nil)
+func (ph *peerHandler) Exchange(_ context.Context, rq *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
+	reply := ph.entry.watcher.Answer(rq, nil)
 	if rq.GetWantHeat() {
 		reply.Heat = wire.FromHeat(ph.entry.chooser.Heat(ph.entry.clock.Now(), maxHeat))
 	}
--- a/io/entry/members.go
+++ b/io/entry/members.go
@@ -18,7 +18,7 @@
 // Limits of the rounds in which an entry asks agents for their status.
 const (
 	greetPeriod  = time.Second
-	greetsAtOnce = 20
+	greetsAtOnce = 10
 	greetTimeout = time.Second
 	// warmPeers is how many peers a starting entry asks for their hot prefixes.
 	warmPeers = 3
@@ -136,9 +136,6 @@
 		Context:     &wire.Context{Stamp: uint64(en.rec.Stamp()), Epoch: en.board.Epoch()},
 		StoredTries: en.bill.TakeConfirmed(address),
 	}
-	if sn := en.board.Snapshot(); sn != nil {
-		rq.Head = wire.FromHead(sn.Head())
-	}
 	reply, err := en.pool.Agent(address).Exchange(ctx, rq)
 	if err != nil {
 		if ctx.Err() == nil {
--- /dev/null
+++ b/io/watch/bench_test.go
@@ -0,0 +1,77 @@
+package watch
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"shallotcleat/core/config"
+	"shallotcleat/io/wire"
+)
+
+// quiet returns two processes that have the same in force.
+func quiet(b *testing.B) (*fleetNode, *fleetNode) {
+	fl := newFleet(2, 0, 0)
+	if _, err := fl.apply(0, "ordinary"); err != nil {
+		b.Fatal(err)
+	}
+	for _, nd := range fl.nodes {
+		nd.start()
+	}
+	fl.clock.Advance(inForceTime)
+	return fl.nodes[0], fl.nodes[1]
+}
+
+// BenchmarkExchange measures one comparison of two processes that have the same in force, and its bytes.
+func BenchmarkExchange(b *testing.B) {
+	one, other := quiet(b)
+	peer := &cutPeer{from: one, to: other}
+	rq := &wire.ExchangeRequest{Context: &wire.Context{Stamp: 1 << 58, Epoch: 4300}}
+	reply, err := peer.Exchange(b.Context(), rq)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		if err := one.watcher.Ask(b.Context(), peer); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(proto.Size(rq)+proto.Size(reply)), "B/exchange")
+}
+
+// declarationFor returns a declaration with some workspaces and 17 models.
+func declarationFor(workspaces int) []byte {
+	var out strings.Builder
+	out.WriteString("services:\n")
+	for i := range 17 {
+		fmt.Fprintf(&out, "  - {name: model-%d, kind: model, model: m%d, weights: v1}\n", i, i)
+	}
+	out.WriteString("workspaces:\n")
+	for i := range workspaces {
+		fmt.Fprintf(&out, "  - {name: workspace-%04d, share: 2, key-sha256: %s}\n", i, config.Hash(fmt.Append(nil, i)))
+	}
+	out.WriteString("presets:\n  - {name: ordinary}\n  - {name: peak}\n")
+	return []byte(out.String())
+}
+
+// BenchmarkSnapshot measures what a process does with a new declaration.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, workspaces := range []int{100, 1000, 3800} {
+		b.Run(fmt.Sprintf("workspaces=%d", workspaces), func(b *testing.B) {
+			text := declarationFor(workspaces)
+			hd := config.NewHead(1, config.Hash(text), "ordinary", "change")
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				if _, err := config.NewSnapshot(hd, text); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(text)), "B/declaration")
+		})
+	}
+}
--- a/io/watch/fleet_test.go
+++ b/io/watch/fleet_test.go
@@ -226,7 +226,7 @@
 }
 
 // Exchange implements Exchanger.
-func (cp *cutPeer) Exchange(ctx context.Context, rq *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
+func (cp *cutPeer) Exchange(_ context.Context, rq *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
 	if cp.from.isPaused() || cp.to.isPaused() || cp.from.fleet.isLost() {
 		return nil, errDown
 	}
@@ -236,7 +236,7 @@
 	if wt == nil {
 		return nil, errDown
 	}
-	reply := wt.Answer(ctx, rq, nil)
+	reply := wt.Answer(rq, nil)
 	if cp.from.fleet.isLost() {
 		return nil, errDown
 	}
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"strconv"
@@ -25,11 +24,11 @@
 // Periods of the spread. An accepted change is in force everywhere within 8 s, hence several rounds fit into it.
 const (
 	tablePeriod = time.Second
-	peerPeriod  = 500 * time.Millisecond
+	peerPeriod  = time.Second
 	callTimeout = time.Second
 	bootPeers   = 5
 	// asksPerRound bounds the peers that are asked in one round when messages are lost.
-	asksPerRound = 4
+	asksPerRound = 12
 	// tableReads is how many reads of the head all processes together make in a period; with more of them each one
 	// reads by chance, and learns the rest from its peers.
 	tableReads = 100
@@ -190,90 +189,107 @@
 }
 
 // Ask compares configurations with a peer; whoever is behind receives the other's. It fails if the peer gives no answer.
+// When both have the same, the messages hold little more than an epoch each.
 func (wt *Watcher) Ask(ctx context.Context, peer Exchanger) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	reply, err := peer.Exchange(ctx, wt.request(nil))
+	reply, err := wt.exchange(ctx, peer, &wire.ExchangeRequest{})
 	if err != nil {
 		return fmt.Errorf("ask peer: %w", err)
 	}
-	wt.rec.CountControl(proto.Size(reply))
-	wt.rec.Observe(stamp.Stamp(reply.GetStatus().GetStamp()))
-	if reply.GetHead().GetEpoch() < wt.board.Epoch() {
-		wt.push(ctx, peer, reply.GetHead())
-		return nil
+	switch theirs, ours := reply.GetStatus().GetEpoch(), wt.board.Epoch(); {
+	case theirs < ours:
+		err = wt.push(ctx, peer)
+	case theirs > ours:
+		err = wt.pull(ctx, peer, reply)
+	}
+	if err != nil {
+		return fmt.Errorf("the configuration did not get across: %w", err)
 	}
-	wt.receive(ctx, reply.GetHead(), reply.GetText(), "peer")
 	return nil
 }
 
-// push sends this process's configuration to a peer that is behind; the text goes along only if the peer lacks it.
-func (wt *Watcher) push(ctx context.Context, peer Exchanger, theirs *wire.Head) {
-	sn := wt.board.Snapshot()
-	if sn == nil {
-		return
-	}
-	var text []byte
-	if theirs.GetHash() != sn.Head().Hash() {
-		text = sn.Text()
-	}
-	_, err := peer.Exchange(ctx, wt.request(text))
+func (wt *Watcher) exchange(ctx context.Context, peer Exchanger, rq *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
+	rq.Context = &wire.Context{Stamp: uint64(wt.rec.Stamp()), Epoch: wt.board.Epoch()}
+	wt.rec.CountControl(proto.Size(rq))
+	reply, err := peer.Exchange(ctx, rq)
 	if err != nil {
-		wt.rec.Log().WithError(err).Debug("push of the configuration failed")
+		return nil, fmt.Errorf("exchange: %w", err)
 	}
+	wt.rec.CountControl(proto.Size(reply))
+	wt.rec.Observe(stamp.Stamp(reply.GetStatus().GetStamp()))
+	return reply, nil
 }
 
-func (wt *Watcher) request(text []byte) *wire.ExchangeRequest {
-	rq := &wire.ExchangeRequest{Context: &wire.Context{Stamp: uint64(wt.rec.Stamp()), Epoch: wt.board.Epoch()}, Text: text}
-	if sn := wt.board.Snapshot(); sn != nil {
-		rq.Head = wire.FromHead(sn.Head())
+// push sends this process's head to a peer that is behind, and the declaration if the peer lacks it.
+func (wt *Watcher) push(ctx context.Context, peer Exchanger) error {
+	sn := wt.board.Snapshot()
+	reply, err := wt.exchange(ctx, peer, &wire.ExchangeRequest{Head: wire.FromHead(sn.Head())})
+	if err != nil || !reply.GetWantText() {
+		return err
 	}
-	wt.rec.CountControl(proto.Size(rq))
-	return rq
+	_, err = wt.exchange(ctx, peer, &wire.ExchangeRequest{Head: wire.FromHead(sn.Head()), Text: sn.Text()})
+	return err
 }
 
-// errNoText is the cause when a peer's head names a declaration that this process can't get.
-var errNoText = errors.New("the declaration of the head is not at hand")
-
-func (wt *Watcher) receive(ctx context.Context, head *wire.Head, text []byte, source string) {
-	hd := head.ToHead()
-	if hd.Epoch() <= wt.board.Epoch() {
-		return
-	}
-	if len(text) == 0 {
+// pull takes the head in a peer's reply, and asks for the declaration if it is not at hand.
+func (wt *Watcher) pull(ctx context.Context, peer Exchanger, reply *wire.ExchangeReply) error {
+	text, ok := wt.textAtHand(reply.GetHead())
+	if !ok {
 		var err error
-		if text, err = wt.textOf(ctx, hd); err != nil {
-			wt.rec.Log().WithError(errors.Join(errNoText, err)).Debug("the peer's configuration is not adopted")
-			return
+		if reply, err = wt.exchange(ctx, peer, &wire.ExchangeRequest{WantText: true}); err != nil {
+			return err
 		}
+		text = reply.GetText()
 	}
-	if err := wt.adopt(hd, text, source); err != nil {
-		wt.rec.Log().WithError(err).Error("the peer's configuration can't be put in force")
+	if reply.GetHead() == nil {
+		return nil
+	}
+	return wt.adopt(reply.GetHead().ToHead(), text, "peer")
+}
+
+// textAtHand returns the declaration of a head if it is the one in force: only the preset or the servers have changed.
+func (wt *Watcher) textAtHand(head *wire.Head) ([]byte, bool) {
+	sn := wt.board.Snapshot()
+	if sn == nil || sn.Head().Hash() != head.GetHash() {
+		return nil, false
 	}
+	return sn.Text(), true
 }
 
 // Answer is the other side of Ask; the status is that of the process, or nil for an entry.
-func (wt *Watcher) Answer(ctx context.Context, rq *wire.ExchangeRequest, status *wire.Status) *wire.ExchangeReply {
+func (wt *Watcher) Answer(rq *wire.ExchangeRequest, status *wire.Status) *wire.ExchangeReply {
 	wt.rec.Observe(stamp.Stamp(rq.GetContext().GetStamp()))
-	if rq.GetHead().GetEpoch() > wt.board.Epoch() && (len(rq.GetText()) > 0 || wt.hasText(rq.GetHead())) {
-		wt.receive(ctx, rq.GetHead(), rq.GetText(), "push")
+	reply := &wire.ExchangeReply{}
+	if rq.GetHead().GetEpoch() > wt.board.Epoch() {
+		reply.WantText = !wt.takePushed(rq)
 	}
 	if status == nil {
-		status = &wire.Status{Stamp: uint64(wt.rec.Stamp()), Epoch: wt.board.Epoch()}
+		status = &wire.Status{Stamp: uint64(wt.rec.Stamp())}
 	}
-	reply := &wire.ExchangeReply{Status: status}
+	status.Epoch = wt.board.Epoch()
+	reply.Status = status
 	sn := wt.board.Snapshot()
-	if sn == nil {
-		return reply
-	}
-	reply.Head = wire.FromHead(sn.Head())
-	if rq.GetHead().GetEpoch() < sn.Epoch() && rq.GetHead().GetHash() != sn.Head().Hash() {
-		reply.Text = sn.Text()
+	if sn != nil && rq.GetContext().GetEpoch() < sn.Epoch() {
+		reply.Head = wire.FromHead(sn.Head())
+		if rq.GetWantText() {
+			reply.Text = sn.Text()
+		}
 	}
 	return reply
 }
 
-func (wt *Watcher) hasText(head *wire.Head) bool {
-	sn := wt.board.Snapshot()
-	return sn != nil && sn.Head().Hash() == head.GetHash()
+// takePushed adopts the configuration in a request and reports whether its declaration is at hand.
+func (wt *Watcher) takePushed(rq *wire.ExchangeRequest) bool {
+	text := rq.GetText()
+	if len(text) == 0 {
+		var ok bool
+		if text, ok = wt.textAtHand(rq.GetHead()); !ok {
+			return false
+		}
+	}
+	if err := wt.adopt(rq.GetHead().ToHead(), text, "push"); err != nil {
+		wt.rec.Log().WithError(err).Error("the pushed configuration can't be put in force")
+	}
+	return true
 }
