--- a/core/admit/queue_test.go
+++ b/core/admit/queue_test.go
@@ -85,3 +85,26 @@
 	}
 	return out.String()
 }
+
+// BenchmarkQueue measures one request at its agent: offer, start and end, beside 64 that wait.
+func BenchmarkQueue(b *testing.B) {
+	now := time.Unix(0, 0)
+	qu := NewQueue(NewLimits(16, 0.25, 256))
+	item := func(i int) *Item {
+		return NewItem(fmt.Sprint(i), fmt.Sprint("w", i%50), 1, Guide, time.Second, now.Add(time.Hour))
+	}
+	var running []string
+	for i := range 76 {
+		it := item(i)
+		if qu.Offer(now, it) == Start {
+			running = append(running, it.id)
+		}
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		qu.Offer(now, item(1000+i))
+		started, _ := qu.Done(now, running[0])
+		running = append(running[1:], started[0].id)
+	}
+}
--- a/core/piece/piece_test.go
+++ b/core/piece/piece_test.go
@@ -47,3 +47,14 @@
 		t.Error("a different beginning has the same key")
 	}
 }
+
+// BenchmarkKeys measures the keys of a prompt of 16,000 tokens.
+func BenchmarkKeys(b *testing.B) {
+	sd := NewSeed("mchanga", "m", "", "v1")
+	prompt := strings.Repeat("x", 64_000)
+	b.SetBytes(int64(len(prompt)))
+	b.ReportAllocs()
+	for range b.N {
+		Keys(sd, prompt, 8000)
+	}
+}
--- a/core/place/choose_test.go
+++ b/core/place/choose_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -183,3 +184,32 @@
 		}
 	}
 }
+
+// BenchmarkMemory reports the bytes that an entry keeps at full size: the servers, and the hints when they are full.
+func BenchmarkMemory(b *testing.B) {
+	for range b.N {
+		before := heapInUse()
+		tb := fleet(3100, 17)
+		members := heapInUse()
+		cs := NewChooser("zone-0")
+		for i := range hintCount {
+			rq := Request{service: "model-0", keys: []piece.Key{piece.Key(piece.Mix(piece.Key(i), 3))}}
+			cs.hints.count(now, rq.keys, nil)
+			for holder := range 2 {
+				cs.Learn(now, rq, tb.View().Servers("model-0")[(i+holder)%180].Address(), 1)
+			}
+		}
+		hints := heapInUse()
+		b.ReportMetric(float64(members-before)/1e6, "MB-servers")
+		b.ReportMetric(float64(hints-members)/1e6, "MB-hints")
+		runtime.KeepAlive(tb)
+		runtime.KeepAlive(cs)
+	}
+}
+
+func heapInUse() uint64 {
+	var ms runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&ms)
+	return ms.HeapAlloc
+}
--- a/io/local/bench_test.go
+++ b/io/local/bench_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"shallotcleat/io/stand"
 )
 
 // overheadRate is the requests per second of the overhead's measurement.
@@ -77,3 +79,22 @@
 	}
 	return err
 }
+
+// BenchmarkTokens measures the relay of streamed tokens through agent and entry: the processor time of the whole process,
+// with the engine and the caller in it, for each token.
+func BenchmarkTokens(b *testing.B) {
+	st := newSite(b, siteOptions{
+		engines: 1,
+		entries: 1,
+		speed:   stand.EngineSpeed{PrefillRate: 1e9, BlockTokens: 50, CacheBlocks: 100},
+	})
+	sm := &streamed{}
+	b.ResetTimer()
+	_, err := st.caller(0).Stream(b.Context(), http.MethodPost, "/v1/completions", streamBody("tokens", b.N), func(ev Event) bool {
+		sm.take(ev)
+		return true
+	})
+	if err != nil || sm.events != b.N {
+		b.Fatalf("%d of %d tokens, %v", sm.events, b.N, err)
+	}
+}
