Freezes: a second agent is asked when the first is silent

Cause: an agent or VM that is stopped but not gone takes a message and says nothing. A lookup, a model call or a ticket's question to it waited for the request's whole time, 30 s and more, at a counter. An agent tells at once that a model call waits in its queue; one that tells nothing for 500 ms counts as unreachable. A ticket's question is given up after 500 ms.

--- a/io/agent/gate.go
+++ b/io/agent/gate.go
@@ -64,12 +64,14 @@
 	deadline  time.Time
 }
 
-// enter returns when the call may enter the server, or the reason why it is refused.
-func (gt *gate) enter(ctx context.Context, ps pass) *answer.Error {
+// enter returns when the call may enter the server, or the reason why it is refused. If the call has to wait, queued is
+// called first.
+func (gt *gate) enter(ctx context.Context, ps pass, queued func()) *answer.Error {
 	verdict, wait := gt.offer(ps)
 	if wait == nil {
 		return gt.verdictError(verdict)
 	}
+	queued()
 	select {
 	case started := <-wait:
 		if !started {
--- a/io/agent/handler.go
+++ b/io/agent/handler.go
@@ -19,7 +19,10 @@
 // Submit runs a call of a model.
 func (hd *handler) Submit(rq *wire.SubmitRequest, out wire.DRPCAgent_SubmitStream) error {
 	ag := hd.agent
-	ps, refusal := ag.admit(out.Context(), rq)
+	ps, refusal := ag.admit(out.Context(), rq, func() {
+		// If this can't be sent, the entry is gone and the context ends the wait.
+		_ = out.Send(&wire.Frame{Kind: &wire.Frame_Waiting{Waiting: &wire.Waiting{}}, Status: ag.status()})
+	})
 	if refusal != nil {
 		return out.Send(&wire.Frame{Kind: &wire.Frame_Refused{Refused: refusal}, Status: ag.status()})
 	}
@@ -27,14 +30,14 @@
 	return st.send(out.Context(), 0, out.Send)
 }
 
-// admit lets a call enter the backend server, or returns the reason why it may not.
-func (ag *Agent) admit(ctx context.Context, rq *wire.SubmitRequest) (pass, *wire.Refusal) {
+// admit lets a call enter the backend server, or returns the reason why it may not; queued is called if it has to wait.
+func (ag *Agent) admit(ctx context.Context, rq *wire.SubmitRequest, queued func()) (pass, *wire.Refusal) {
 	ag.rec.Observe(stamp.Stamp(rq.GetContext().GetStamp()))
 	ps := passOf(rq)
 	refusal := ag.check(rq)
 	if refusal == nil {
 		arrived := time.Now()
-		refusal = ag.gate.enter(ctx, ps)
+		refusal = ag.gate.enter(ctx, ps, queued)
 		ag.rec.CountQueueWait(time.Since(arrived))
 	}
 	request := rq.GetContext().GetRequestId()
--- a/io/agent/lookup.go
+++ b/io/agent/lookup.go
@@ -17,7 +17,7 @@
 		er := answer.NewError(answer.NoServer, answer.NotRun, leastRetryAfter, "a model engine takes no plain calls")
 		return &wire.CallReply{Refused: wire.FromError(er), Status: ag.status()}, nil
 	}
-	ps, refusal := ag.admit(ctx, rq)
+	ps, refusal := ag.admit(ctx, rq, func() {})
 	if refusal != nil {
 		return &wire.CallReply{Refused: refusal, Status: ag.status()}, nil
 	}
--- a/io/agent/orders.go
+++ b/io/agent/orders.go
@@ -79,7 +79,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	ps := pass{id: uuid.NewString(), workspace: rq.GetContext().GetWorkspace(), share: 1, class: admit.Check, deadline: deadline}
-	if refusal := ag.gate.enter(ctx, ps); refusal != nil {
+	if refusal := ag.gate.enter(ctx, ps, func() {}); refusal != nil {
 		return order.NotSent{}
 	}
 	began := time.Now()
--- a/io/entry/model.go
+++ b/io/entry/model.go
@@ -26,6 +26,8 @@
 const (
 	// maxTries bounds the agents that a request is offered to.
 	maxTries = 4
+	// firstFrameLimit bounds the time until an agent's first frame; another agent is tried then.
+	firstFrameLimit = 500 * time.Millisecond
 	// refusedRetryAfter is when a caller should come back if no agent said so.
 	refusedRetryAfter = time.Second
 )
@@ -233,6 +235,11 @@
 	}
 	address := ch.Server().Address()
 	en.rec.Note(call.rq.id, trace.Placed, "agent", address, "expected_cached", itoa(ch.Cached()))
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	// A frozen agent takes the message and says nothing. A live one says at once that the call waits, or more.
+	silence := time.AfterFunc(firstFrameLimit, cancel)
+	defer silence.Stop()
 	stream, err := en.pool.Agent(address).Submit(ctx, &wire.SubmitRequest{
 		Context:      en.contextOf(call.rq),
 		Service:      call.service.Name(),
@@ -252,7 +259,7 @@
 		return en.unreached(address, err)
 	}
 	en.board.Members().Sent(address, ch.Work(call.place))
-	rl := &relay{entry: en, call: call, address: address}
+	rl := &relay{entry: en, call: call, address: address, silence: silence}
 	return rl.run(ctx, stream)
 }
 
--- a/io/entry/orders.go
+++ b/io/entry/orders.go
@@ -20,7 +20,7 @@
 
 // Times of the order protocol's messages.
 const (
-	ticketTimeout = time.Second
+	ticketTimeout = 500 * time.Millisecond
 	probeTimeout  = time.Second
 	noteTimeout   = time.Second
 	// maxAsked bounds the agents that one ticket is asked of.
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -52,41 +52,6 @@
 	return en.serveLookup(ctx, call, wr)
 }
 
-// serveLookup runs a call that may be repeated, at another agent if one refuses or fails.
-func (en *Entry) serveLookup(ctx context.Context, call *plainCall, wr http.ResponseWriter) *answer.Error {
-	last := answer.NewError(answer.NoServer, answer.NotRun, refusedRetryAfter, "no backend server of %q takes work", call.service.Name())
-	en.budget.Tried()
-	refused := make(map[string]bool)
-	for try := range maxTries {
-		if try > 0 && !en.budget.Take() {
-			return last
-		}
-		address, ok := en.choosePlain(call, refused)
-		if !ok {
-			return last
-		}
-		got, er := en.tryLookup(ctx, call, address)
-		if er == nil {
-			writePlain(wr, got)
-			en.noteAnswer(call.rq, string(answer.Done))
-			return nil
-		}
-		last = er
-		if ctx.Err() != nil {
-			return answer.NewError(answer.Expired, answer.Unknown, refusedRetryAfter, "the request's time is over")
-		}
-		if er.Code() == answer.StaleEpoch {
-			en.catchUp(ctx, address)
-			if er := en.rebind(call.rq); er != nil {
-				return er
-			}
-			continue
-		}
-		refused[address] = true
-	}
-	return last
-}
-
 // choosePlain returns the agent of a plain service with the shortest wait.
 func (en *Entry) choosePlain(call *plainCall, refused map[string]bool) (string, bool) {
 	rq := place.NewRequest(call.service.Name(), nil, 0, 1, 0, "")
--- a/io/entry/relay.go
+++ b/io/entry/relay.go
@@ -23,6 +23,8 @@
 	entry   *Entry
 	call    *modelCall
 	address string
+	// silence ends the relay unless it is stopped by the first frame; it is nil for a resumed stream.
+	silence *time.Timer
 
 	incarnation uint64
 	streamID    string
@@ -67,6 +69,9 @@
 			rl.lastErr = err
 			return 0, nil, true
 		}
+		if rl.silence != nil {
+			rl.silence.Stop()
+		}
 		rl.entry.heard(rl.address, fr.GetStatus())
 		if fr.GetSeq() > 0 {
 			if fr.GetSeq() != rl.seq+1 {
--- a/io/local/cutter_test.go
+++ b/io/local/cutter_test.go
@@ -1,7 +1,6 @@
 package local
 
 import (
-	"io"
 	"net"
 	"sync"
 	"testing"
@@ -15,6 +14,8 @@
 	mu     sync.Mutex
 	conns  []net.Conn
 	closed bool
+	// frozen is held while nothing gets through, as when the process is stopped.
+	frozen sync.RWMutex
 }
 
 // newCutter returns a forwarder to an address; it ends with the test.
@@ -45,17 +46,32 @@
 		if !ct.keep(conn, back) {
 			continue
 		}
-		go copyAndClose(conn, back)
-		go copyAndClose(back, conn)
+		go ct.copyAndClose(conn, back)
+		go ct.copyAndClose(back, conn)
 	}
 }
 
-func copyAndClose(to, from net.Conn) {
-	_, _ = io.Copy(to, from)
+func (ct *cutter) copyAndClose(to, from net.Conn) {
+	buf := make([]byte, 4096)
+	for {
+		count, err := from.Read(buf)
+		ct.frozen.RLock()
+		_, werr := to.Write(buf[:count])
+		ct.frozen.RUnlock()
+		if err != nil || werr != nil {
+			break
+		}
+	}
 	_ = to.Close()
 	_ = from.Close()
 }
 
+// freeze holds all bytes back until the returned function is called.
+func (ct *cutter) freeze() (thaw func()) {
+	ct.frozen.Lock()
+	return ct.frozen.Unlock
+}
+
 func (ct *cutter) keep(conns ...net.Conn) bool {
 	ct.mu.Lock()
 	defer ct.mu.Unlock()
--- /dev/null
+++ b/io/local/freeze_test.go
@@ -0,0 +1,71 @@
+package local
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"shallotcleat/io/trace"
+)
+
+// stallLimit is far under the request's own time limit of 30 s, which a stalled request would take.
+const stallLimit = 10 * time.Second
+
+// A frozen agent takes connections and says nothing; lookups are asked of another one, and soon of that one only.
+func TestFrozenAgentStallsNoLookup(t *testing.T) {
+	st := newSite(t, siteOptions{services: 2, entries: 1})
+	if _, err := st.caller(0).Do(t.Context(), http.MethodGet, "/services/stock/items/sand", nil); err != nil {
+		t.Fatal(err)
+	}
+	for i, node := range st.services {
+		if count(node, trace.ServerBegan) > 0 {
+			defer st.serviceCutters[i].freeze()()
+		}
+	}
+	slowest := time.Duration(0)
+	for range 20 {
+		began := time.Now()
+		rp, err := st.caller(0).Do(t.Context(), http.MethodGet, "/services/stock/items/sand", nil)
+		if err != nil || rp.Status != http.StatusOK {
+			t.Fatalf("status %d %s, %v", rp.Status, rp.Body, err)
+		}
+		slowest = max(slowest, time.Since(began))
+	}
+	t.Logf("the slowest of 20 lookups took %v", slowest)
+	if slowest > stallLimit {
+		t.Errorf("a lookup took %v", slowest)
+	}
+}
+
+// The same for calls of models and for orders: the agents that have served them until now are frozen.
+func TestFrozenAgentStallsNoCall(t *testing.T) {
+	st := newSite(t, siteOptions{engines: 2, services: 2, entries: 1})
+	complete(t, st.caller(0), promptOf("first"))
+	if _, err := st.caller(0).Order(t.Context(), "first", "{}"); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 2 {
+		if count(st.models[i], trace.ServerBegan) > 0 {
+			defer st.cutters[i].freeze()()
+		}
+		if count(st.services[i], trace.TicketGranted) > 0 {
+			defer st.serviceCutters[i].freeze()()
+		}
+	}
+	slowest := time.Duration(0)
+	for i := range 4 {
+		began := time.Now()
+		complete(t, st.caller(0), promptOf(fmt.Sprint("f", i)))
+		key := fmt.Sprint("frozen-", i)
+		rp, err := st.caller(0).Order(t.Context(), key, "{}")
+		if err != nil || rp.Status != http.StatusCreated {
+			t.Errorf("order %s: status %d %s, %v", key, rp.Status, rp.Body, err)
+		}
+		slowest = max(slowest, time.Since(began))
+	}
+	t.Logf("the slowest of 4 pairs took %v", slowest)
+	if slowest > stallLimit {
+		t.Errorf("a call and an order took %v", slowest)
+	}
+}
--- a/io/local/site_test.go
+++ b/io/local/site_test.go
@@ -35,6 +35,20 @@
 	directPlain []string
 	// cutters stand before the agents of the engines.
 	cutters []*cutter
+	// serviceCutters stand before the agents of the plain services.
+	serviceCutters []*cutter
+}
+
+// front puts a cutter before a node and keeps it.
+func (st *site) front(kept *[]*cutter) func(string) (string, error) {
+	return func(address string) (string, error) {
+		ct, err := newCutter(st.t, address)
+		if err != nil {
+			return "", err
+		}
+		*kept = append(*kept, ct)
+		return ct.address(), nil
+	}
 }
 
 // siteOptions are the sizes of a site.
@@ -112,14 +126,7 @@
 		Incarnation: uint64(len(st.models) + 1),
 		Model:       "http://" + st.listen(engine),
 		Fencing:     true,
-		Front: func(address string) (string, error) {
-			ct, err := newCutter(st.t, address)
-			if err != nil {
-				return "", err
-			}
-			st.cutters = append(st.cutters, ct)
-			return ct.address(), nil
-		},
+		Front:       st.front(&st.cutters),
 	})
 	if err != nil {
 		st.t.Fatal(err)
@@ -140,6 +147,7 @@
 		Slots:       opts.slots,
 		Incarnation: uint64(len(st.services) + 101),
 		Plain:       "http://" + address,
+		Front:       st.front(&st.serviceCutters),
 	})
 	if err != nil {
 		st.t.Fatal(err)
