--- a/core/retry/doc.go
+++ b/core/retry/doc.go
@@ -1,2 +1,3 @@
-// Package retry bounds the load that a process adds by sending requests again.
+// Package retry bounds the load that a process adds by sending requests again, and the time that it loses to a service
+// that is down.
 package retry
--- a/io/cmds/platform.go
+++ b/io/cmds/platform.go
@@ -51,7 +51,8 @@
 // check checks the common settings; name is the process's name in logs and events.
 func (pf *processFlags) check(st *settings, name string) (*process, error) {
 	pc := &process{}
-	pc.store, pc.objects = pf.stores(st)
+	store, objects := pf.stores(st)
+	pc.store, pc.objects = table.NewGuarded(store), objects
 	pc.list = vmlist.NewHTTP(st.base("vm-list", pf.List))
 	pc.seeds = st.seeds("seeds", pf.Seeds)
 	st.word("zone", pf.Zone)
