--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -47,10 +47,9 @@
 
 // Choice is a server with what is expected of it.
 type Choice struct {
-	server   *member.Server
-	cached   int
-	expected time.Duration
-	cost     time.Duration
+	server *member.Server
+	cached int
+	cost   time.Duration
 }
 
 // Server returns the server to send the request to.
@@ -59,9 +58,6 @@
 // Cached returns how many prompt tokens the server is expected to hold.
 func (ch Choice) Cached() int { return ch.cached }
 
-// Expected returns the expected time to the first token.
-func (ch Choice) Expected() time.Duration { return ch.expected }
-
 // Work returns the expected time that the prompt keeps the server busy.
 func (ch Choice) Work(rq Request) time.Duration {
 	return prefillTime(rq.tokens-ch.cached, ch.server.PrefillRate())
@@ -137,12 +133,12 @@
 	findLevels(sc, rq.keys)
 	ranked := make([]Choice, 0, limit)
 	for i, sv := range sc.servers {
-		expected, cost := cs.price(now, sv, rq, sc.depths[i], sc.levels[i])
+		cost := cs.price(now, sv, rq, sc.depths[i], sc.levels[i])
 		if len(ranked) == limit && cost >= ranked[limit-1].cost {
 			continue
 		}
 		cached := min(sc.depths[i]*rq.pieceTokens, rq.tokens)
-		ranked = insertCheapest(ranked, Choice{server: sv, cached: cached, expected: expected, cost: cost})
+		ranked = insertCheapest(ranked, Choice{server: sv, cached: cached, cost: cost})
 	}
 	return ranked
 }
@@ -184,13 +180,15 @@
 	})
 }
 
-// price returns the expected time to the first token at a server, and its cost. The server is believed to hold the first
-// pieces of the prompt, as many as depth, and is at home for the first prefixes, as many as level. It is expected to hold
-// those too, since other entries send them there; this also places well what a restarted entry knows nothing of.
-func (cs *Chooser) price(now time.Time, sv *member.Server, rq Request, depth, level int) (expected, cost time.Duration) {
+// price returns the cost of a server: the expected time to the first token, and the price of what is recomputed.
+//
+// The server is believed to hold the first pieces of the prompt, as many as depth, and is at home for the first prefixes,
+// as many as level. It is expected to hold those too, since other entries send them there; this also places well what a
+// restarted entry knows nothing of.
+func (cs *Chooser) price(now time.Time, sv *member.Server, rq Request, depth, level int) time.Duration {
 	likely := min(max(depth, level)*rq.pieceTokens, rq.tokens)
 	compute := prefillTime(rq.tokens-likely, sv.PrefillRate())
-	expected = sv.Wait(now) + compute
+	expected := sv.Wait(now) + compute
 	if sv.Zone() != cs.zone {
 		expected += otherZoneDelay
 	}
@@ -198,7 +196,7 @@
 	if pieces := len(rq.keys); level < pieces {
 		price += (strayBase + strayPerPrice*rq.price) * float64(pieces-level) / float64(pieces)
 	}
-	return expected, expected + time.Duration(float64(compute)*price)
+	return expected + time.Duration(float64(compute)*price)
 }
 
 func prefillTime(tokens int, rate float64) time.Duration {
--- a/core/trial/engine.go
+++ b/core/trial/engine.go
@@ -25,17 +25,18 @@
 	rate admit.Rate
 }
 
-// job is a request at an engine.
+// job is a request at an engine; its counts are in prompt tokens.
 type job struct {
-	call     *call
-	server   int
-	sentAt   time.Duration
-	arrived  time.Duration
-	expected time.Duration
-	missing  int
-	cached   int
-	guess    int
-	ahead    int
+	call    *call
+	server  int
+	arrived time.Duration
+	// guess is what the entry believes to be cached, and from the arrival on what is expected to be computed.
+	guess int
+	// ahead is what was expected to be computed before the job's first token, its own part included.
+	ahead int
+	// cached and missing are known when the engine begins to compute.
+	cached  int
+	missing int
 }
 
 func newEngine(rate float64, pieces int) *engine {
--- a/core/trial/policy.go
+++ b/core/trial/policy.go
@@ -27,8 +27,8 @@
 
 // router chooses servers for one entry.
 type router interface {
-	// choose returns the server for a call, what it is believed to hold, and the expected time to the first token.
-	choose(now time.Duration, cl *call) (server, cached int, expected time.Duration)
+	// choose returns the server for a call, and how many of its tokens the server is believed to hold.
+	choose(now time.Duration, cl *call) (server, cached int)
 	// replied notes the status in a reply.
 	replied(now time.Duration, server int, en *engine)
 	// first notes the first token of a job, whose prompt had some cached tokens.
@@ -80,17 +80,17 @@
 	return place.NewRequest(serviceName, cl.keys, cl.tokens, pieceTokens, or.dep.price, "")
 }
 
-func (or *ours) choose(now time.Duration, cl *call) (int, int, time.Duration) {
+func (or *ours) choose(now time.Duration, cl *call) (int, int) {
 	rq := or.request(cl)
 	ranked := or.chooser.Rank(epochTime.Add(now), or.members.View(), rq, 1)
 	if len(ranked) == 0 {
-		return 0, 0, 0
+		return 0, 0
 	}
 	ch := ranked[0]
 	server := 0
 	_, _ = fmt.Sscanf(ch.Server().Address(), "server-%d", &server)
 	or.members.Sent(ch.Server().Address(), ch.Work(rq))
-	return server, ch.Cached(), ch.Expected()
+	return server, ch.Cached()
 }
 
 func (or *ours) replied(now time.Duration, server int, en *engine) {
@@ -115,11 +115,11 @@
 	gone  map[int]bool
 }
 
-func (rr *roundRobin) choose(time.Duration, *call) (int, int, time.Duration) {
+func (rr *roundRobin) choose(time.Duration, *call) (int, int) {
 	for {
 		rr.next = (rr.next + 1) % rr.count
 		if !rr.gone[rr.next] {
-			return rr.next, 0, 0
+			return rr.next, 0
 		}
 	}
 }
@@ -139,7 +139,7 @@
 	gone  map[int]bool
 }
 
-func (cs *consistent) choose(_ time.Duration, cl *call) (int, int, time.Duration) {
+func (cs *consistent) choose(_ time.Duration, cl *call) (int, int) {
 	best, bestScore := 0, uint64(0)
 	for server := range cs.count {
 		score := piece.Mix(cl.keys[0], uint64(server+1))
@@ -147,7 +147,7 @@
 			best, bestScore = server, score
 		}
 	}
-	return best, 0, 0
+	return best, 0
 }
 
 // leastLoaded takes the server with the shortest wait by its last reply and the calls sent since.
@@ -164,7 +164,7 @@
 	return ll
 }
 
-func (ll *leastLoaded) choose(_ time.Duration, cl *call) (int, int, time.Duration) {
+func (ll *leastLoaded) choose(_ time.Duration, cl *call) (int, int) {
 	best := 0
 	for server := range ll.waits {
 		if ll.waits[server] < ll.waits[best] {
@@ -172,7 +172,7 @@
 		}
 	}
 	ll.waits[best] += float64(cl.tokens) / ll.rates[best]
-	return best, 0, 0
+	return best, 0
 }
 
 func (ll *leastLoaded) replied(now time.Duration, server int, en *engine) {
--- /dev/null
+++ b/core/trial/result.go
@@ -0,0 +1,67 @@
+package trial
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Result is what one run measured after its warm-up.
+type Result struct {
+	sent     [][]time.Duration
+	prompt   int
+	cached   int
+	bound    int
+	firstAll *hdrhistogram.Histogram
+	firstChk *hdrhistogram.Histogram
+}
+
+// HitRate returns the part of the prompts' tokens that were found in caches.
+func (rs Result) HitRate() float64 { return float64(rs.cached) / float64(max(rs.prompt, 1)) }
+
+// BoundRate returns the part that the clairvoyant bound finds: all that was computed anywhere before.
+func (rs Result) BoundRate() float64 { return float64(rs.bound) / float64(max(rs.prompt, 1)) }
+
+// Recomputed returns the tokens that were computed although they had been computed before.
+func (rs Result) Recomputed() int { return rs.bound - rs.cached }
+
+// Sent returns how many calls were sent to a server in a span of the run.
+func (rs Result) Sent(server int, from, to time.Duration) int {
+	count := 0
+	for _, at := range rs.sent[server] {
+		if at >= from && at < to {
+			count++
+		}
+	}
+	return count
+}
+
+// FirstToken returns a quantile, from 0 to 100, of the time to the first token.
+func (rs Result) FirstToken(quantile float64) time.Duration {
+	return time.Duration(rs.firstAll.ValueAtQuantile(quantile)) * time.Microsecond
+}
+
+// CheckFirstToken returns a quantile of the time to the first token of quick checks.
+func (rs Result) CheckFirstToken(quantile float64) time.Duration {
+	return time.Duration(rs.firstChk.ValueAtQuantile(quantile)) * time.Microsecond
+}
+
+// String returns the result in one line.
+func (rs Result) String() string {
+	return fmt.Sprintf("hit %.3f of %.3f, first token p50 %v p95 %v p99 %v, recomputed %.2f M",
+		rs.HitRate(), rs.BoundRate(), rs.FirstToken(50), rs.FirstToken(95), rs.FirstToken(99), float64(rs.Recomputed())/1e6)
+}
+
+// Merge returns the sum of several runs.
+func Merge(results []Result) Result {
+	sum := results[0]
+	for _, rs := range results[1:] {
+		sum.prompt += rs.prompt
+		sum.cached += rs.cached
+		sum.bound += rs.bound
+		sum.firstAll.Merge(rs.firstAll)
+		sum.firstChk.Merge(rs.firstChk)
+	}
+	return sum
+}
--- a/core/trial/run.go
+++ b/core/trial/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -28,50 +27,6 @@
 	Length     time.Duration
 }
 
-// Result is what one run measured after its warm-up.
-type Result struct {
-	calls    int
-	sent     [][]time.Duration
-	prompt   int
-	cached   int
-	bound    int
-	firstAll *hdrhistogram.Histogram
-	firstChk *hdrhistogram.Histogram
-}
-
-// HitRate returns the part of the prompts' tokens that were found in caches.
-func (rs Result) HitRate() float64 { return float64(rs.cached) / float64(max(rs.prompt, 1)) }
-
-// BoundRate returns the part that the clairvoyant bound finds: all that was computed anywhere before.
-func (rs Result) BoundRate() float64 { return float64(rs.bound) / float64(max(rs.prompt, 1)) }
-
-// Recomputed returns the tokens that were computed although they had been computed before.
-func (rs Result) Recomputed() int { return rs.bound - rs.cached }
-
-// Sent returns how many calls were sent to a server in a span of the run.
-func (rs Result) Sent(server int, from, to time.Duration) int {
-	count := 0
-	for _, at := range rs.sent[server] {
-		if at >= from && at < to {
-			count++
-		}
-	}
-	return count
-}
-
-// Calls returns the number of measured calls.
-func (rs Result) Calls() int { return rs.calls }
-
-// FirstToken returns a quantile, from 0 to 100, of the time to the first token.
-func (rs Result) FirstToken(quantile float64) time.Duration {
-	return time.Duration(rs.firstAll.ValueAtQuantile(quantile)) * time.Microsecond
-}
-
-// CheckFirstToken returns a quantile of the time to the first token of quick checks.
-func (rs Result) CheckFirstToken(quantile float64) time.Duration {
-	return time.Duration(rs.firstChk.ValueAtQuantile(quantile)) * time.Microsecond
-}
-
 // runner is a run under way.
 type runner struct {
 	opts    Options
@@ -85,35 +40,6 @@
 	result  Result
 }
 
-type timedEvent struct {
-	at   time.Duration
-	seq  int
-	call func()
-}
-
-type timeQueue []timedEvent
-
-func (tq timeQueue) Len() int { return len(tq) }
-
-func (tq timeQueue) Less(left, right int) bool {
-	if tq[left].at != tq[right].at {
-		return tq[left].at < tq[right].at
-	}
-	return tq[left].seq < tq[right].seq
-}
-
-func (tq timeQueue) Swap(left, right int) { tq[left], tq[right] = tq[right], tq[left] }
-
-// Push adds a timedEvent.
-func (tq *timeQueue) Push(value any) { *tq = append(*tq, value.(timedEvent)) }
-
-// Pop removes the last timedEvent.
-func (tq *timeQueue) Pop() any {
-	last := (*tq)[len(*tq)-1]
-	*tq = (*tq)[:len(*tq)-1]
-	return last
-}
-
 // Run plays one run; the same options give the same result.
 func Run(opts Options) Result {
 	rn := newRunner(opts)
@@ -186,9 +112,9 @@
 
 func (rn *runner) send(cl *call) {
 	rt := rn.routers[cl.entry]
-	server, cached, expected := rt.choose(rn.now, cl)
+	server, cached := rt.choose(rn.now, cl)
 	rn.result.sent[server] = append(rn.result.sent[server], rn.now)
-	jb := &job{call: cl, server: server, sentAt: rn.now, expected: expected, guess: cached}
+	jb := &job{call: cl, server: server, guess: cached}
 	rn.after(oneWayDelay, func() { rn.deliver(jb) })
 }
 
@@ -248,7 +174,6 @@
 		return
 	}
 	rs := &rn.result
-	rs.calls++
 	rs.prompt += jb.call.tokens
 	rs.cached += jb.cached
 	rs.bound += jb.call.bound
@@ -303,23 +228,3 @@
 		rn.send(jb.call)
 	}
 }
-
-// String returns the result in one line.
-func (rs Result) String() string {
-	return fmt.Sprintf("hit %.3f of %.3f, first token p50 %v p95 %v p99 %v, recomputed %.2f M",
-		rs.HitRate(), rs.BoundRate(), rs.FirstToken(50), rs.FirstToken(95), rs.FirstToken(99), float64(rs.Recomputed())/1e6)
-}
-
-// Merge returns the sum of several runs.
-func Merge(results []Result) Result {
-	sum := results[0]
-	for _, rs := range results[1:] {
-		sum.calls += rs.calls
-		sum.prompt += rs.prompt
-		sum.cached += rs.cached
-		sum.bound += rs.bound
-		sum.firstAll.Merge(rs.firstAll)
-		sum.firstChk.Merge(rs.firstChk)
-	}
-	return sum
-}
--- a/process_test.go
+++ b/process_test.go
@@ -288,18 +288,59 @@
 			t.Error(fault)
 		}
 	}
+	sy.checkOrders(workers, rounds, &orders)
+}
+
+// checkOrders compares the services' own counts with the answers.
+func (sy *system) checkOrders(workers, rounds int, orders *tally) {
+	sy.t.Helper()
 	done := 0
 	for worker := range workers {
 		for round := range rounds {
 			key := fmt.Sprintf("order-%d-%d", worker, round)
 			if ran := sy.runs(key); ran > 1 {
-				t.Errorf("%s ran %d times", key, ran)
+				sy.t.Errorf("%s ran %d times", key, ran)
 			} else {
 				done += ran
 			}
 		}
 	}
 	if answered := orders.counts["done"]; answered > done {
-		t.Errorf("%d orders were answered as done, the services ran %d", answered, done)
+		sy.t.Errorf("%d orders were answered as done, the services ran %d", answered, done)
+	}
+}
+
+// Processes are frozen and go on, the table goes down and loses replies: no order runs twice, all get settled.
+func TestProcessesUnderFreezeAndOutage(t *testing.T) {
+	sy := newSystem(t)
+	var orders tally
+	var wg sync.WaitGroup
+	const workers, rounds = 8, 10
+	for worker := range workers {
+		wg.Go(func() {
+			for round := range rounds {
+				orderUntilSettled(t.Context(), sy, fmt.Sprintf("order-%d-%d", worker, round), &orders)
+			}
+		})
+	}
+	frozen := []*exec.Cmd{sy.services[0], sy.entries[0]}
+	for _, cmd := range frozen {
+		time.Sleep(100 * time.Millisecond)
+		_ = cmd.Process.Signal(syscall.SIGSTOP)
+		time.Sleep(700 * time.Millisecond)
+		_ = cmd.Process.Signal(syscall.SIGCONT)
+	}
+	sy.platform.Table().SetDown(true)
+	time.Sleep(500 * time.Millisecond)
+	sy.platform.Table().SetDown(false)
+	sy.platform.Table().SetLoseEvery(4)
+	wg.Wait()
+	t.Logf("orders %v", orders.counts)
+	for _, fault := range orders.faults {
+		t.Error(fault)
+	}
+	if lost := orders.counts["lost"]; lost > 0 {
+		t.Errorf("%d orders are unknown for good, though no process was lost", lost)
 	}
+	sy.checkOrders(workers, rounds, &orders)
 }
