Control at full size, measured as a process; the VM list and the start are bounded

Cause: no entry had been run beside 3,100 agents. Measured so, an idle one spent 23.5 ms/s of a core and read the whole VM list each second: 280 KB/s where 7 KB/s are allowed. At its start it dialled all agents at once; resident memory was 47 to 106 MB, depending on the garbage collector. Change: the list is asked for with its entity tag, and a full answer is followed by as many periods without a read as 2 KB/s demand. A starting entry asks 64 agents, beginning at a place of its own. Idle connections last 15 s. Ruled out: a longer fixed period, which would make today's small deployments slower to notice. Not measured: the questions of 3,100 agents to 420 entries; one agent process stood for all.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -79,8 +79,9 @@
 	watcher *watch.Watcher
 	vms     *watch.VMs
 	bill    *bill.Writer
-	// greeted counts the agents that were asked by turns; only the timer's call uses it.
-	greeted int
+	// greeted is the next agent to ask by turns; each entry begins at a place of its own. Only the start and then the
+	// timer's call use it.
+	greeted uint64
 	// leaving is set when the process has been told to stop.
 	leaving atomic.Bool
 	// background runs what follows an answer: confirmations and voided tickets.
@@ -97,6 +98,7 @@
 		store:   opts.Store,
 		board:   board.New(),
 		clock:   timer.New(),
+		greeted: opts.Seed >> 1,
 		bill:    bill.NewWriter(opts.Objects, opts.Recorder, fmt.Sprintf("entry-%x", opts.Seed)),
 		chooser: place.NewChooser(opts.Zone),
 		budget:  retry.NewBudget(),
@@ -136,7 +138,7 @@
 	en.vms.Read(background)
 	en.watcher.Boot(background)
 	en.warm(background)
-	en.greetAll(background)
+	en.greetFirst(background)
 	en.rec.Note("", trace.Started, "role", "entry", "address", callers.Addr().String())
 
 	var loops conc.WaitGroup
--- a/io/entry/members.go
+++ b/io/entry/members.go
@@ -19,7 +19,9 @@
 const (
 	greetPeriod  = time.Second
 	greetsAtOnce = 10
-	greetTimeout = time.Second
+	// greetsAtStart bounds the agents that a starting entry asks before it serves.
+	greetsAtStart = 64
+	greetTimeout  = time.Second
 	// warmPeers is how many peers a starting entry asks for their hot prefixes.
 	warmPeers = 3
 )
@@ -102,23 +104,29 @@
 	}
 }
 
-// greetAll asks all agents for their status once, so that the first request is placed with what they tell.
-func (en *Entry) greetAll(ctx context.Context) {
+// greetFirst asks agents for their status at the start, so that the first requests are placed with what they tell. At
+// today's sizes these are all agents; with more the number is bounded, since entries may start in herds.
+func (en *Entry) greetFirst(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, greetTimeout/2)
 	defer cancel()
-	en.greetSome(ctx, en.board.Members().View().All())
+	en.greetSome(ctx, en.nextServers(greetsAtStart))
 }
 
 // greetNext asks the next agents for their status, so that a server without requests is known too and a mended one is
 // found again. The number of questions in a period is bounded, whatever the number of agents.
 func (en *Entry) greetNext(ctx context.Context) {
+	en.greetSome(ctx, en.nextServers(greetsAtOnce))
+}
+
+// nextServers returns the servers whose turn it is, at most limit of them.
+func (en *Entry) nextServers(limit int) []*member.Server {
 	all := en.board.Members().View().All()
-	turn := make([]*member.Server, 0, greetsAtOnce)
-	for range min(greetsAtOnce, len(all)) {
-		turn = append(turn, all[en.greeted%len(all)])
+	turn := make([]*member.Server, 0, limit)
+	for range min(limit, len(all)) {
+		turn = append(turn, all[en.greeted%uint64(len(all))])
 		en.greeted++
 	}
-	en.greetSome(ctx, turn)
+	return turn
 }
 
 func (en *Entry) greetSome(ctx context.Context, servers []*member.Server) {
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -16,7 +16,7 @@
 // Limits of the pool and of dialling.
 const (
 	dialTimeout     = 500 * time.Millisecond
-	idleExpiration  = time.Minute
+	idleExpiration  = 15 * time.Second
 	idlePerAddress  = 32
 	idleInAll       = 2048
 	maxMessageBytes = 8 << 20
--- a/io/local/platform.go
+++ b/io/local/platform.go
@@ -77,13 +77,21 @@
 func (pf *Platform) AddVM(vm vmlist.VM) {
 	pf.mu.Lock()
 	defer pf.mu.Unlock()
-	pf.list = append(pf.list, vm)
-	pf.vms.Set(append([]vmlist.VM(nil), pf.list...))
+	pf.list = append(slices.Clip(pf.list), vm)
+	pf.vms.Set(pf.list)
 }
 
 // errNoPreset is the cause when a declaration can't be put in force.
 var errNoPreset = errors.New("the declaration has no preset of this name")
 
+// SetVMs makes a list of VMs the platform's own.
+func (pf *Platform) SetVMs(list []vmlist.VM) {
+	pf.mu.Lock()
+	defer pf.mu.Unlock()
+	pf.list = list
+	pf.vms.Set(list)
+}
+
 // Apply puts a declaration and a preset in force, as the operators' command does.
 func (pf *Platform) Apply(ctx context.Context, text []byte, preset, change string) error {
 	dc, problems := config.Parse("declaration", text)
--- a/io/stand/store.go
+++ b/io/stand/store.go
@@ -1,10 +1,12 @@
 package stand
 
 import (
+	"fmt"
 	"io"
 	"maps"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -64,8 +66,9 @@
 // VMs is the platform's list of VMs.
 type VMs struct {
 	// mu guards the list.
-	mu   sync.Mutex
-	list []vmlist.VM
+	mu      sync.Mutex
+	list    []vmlist.VM
+	version int
 }
 
 // Set replaces the list.
@@ -73,12 +76,18 @@
 	vs.mu.Lock()
 	defer vs.mu.Unlock()
 	vs.list = list
+	vs.version++
 }
 
 // ServeHTTP serves the protocol of package vmlist.
-func (vs *VMs) ServeHTTP(wr http.ResponseWriter, _ *http.Request) {
+func (vs *VMs) ServeHTTP(wr http.ResponseWriter, rq *http.Request) {
 	vs.mu.Lock()
-	list := vs.list
+	list, tag := vs.list, fmt.Sprintf("%q", strconv.Itoa(vs.version))
 	vs.mu.Unlock()
+	wr.Header().Set("ETag", tag)
+	if rq.Header.Get("If-None-Match") == tag {
+		wr.WriteHeader(http.StatusNotModified)
+		return
+	}
 	writeJSON(wr, http.StatusOK, list)
 }
--- a/io/vmlist/list.go
+++ b/io/vmlist/list.go
@@ -4,13 +4,18 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
+	"sync"
 	"time"
 )
 
 // callTimeout bounds one call.
 const callTimeout = 2 * time.Second
 
+// maxSize bounds a list in bytes.
+const maxSize = 16 << 20
+
 // Role tells what runs on a VM.
 type Role string
 
@@ -31,15 +36,30 @@
 	Leaving bool   `json:"leaving,omitempty"`
 }
 
+// Answer is one answer of the platform.
+type Answer struct {
+	// VMs is the list; it is empty if it has not changed.
+	VMs []VM
+	// Changed tells whether the list differs from the last one that this client got.
+	Changed bool
+	// Size is the length of the answer in bytes.
+	Size int
+}
+
 // List returns the VMs as the platform sees them.
 type List interface {
-	VMs(ctx context.Context) ([]VM, error)
+	VMs(ctx context.Context) (Answer, error)
 }
 
-// HTTP is a List behind GET /vms.
+// HTTP is a List behind GET /vms. It sends the entity tag of the last list, so that a platform that knows tags answers an
+// unchanged list with a few bytes.
 type HTTP struct {
 	base   string
 	client *http.Client
+
+	// mu guards the tag.
+	mu  sync.Mutex
+	tag string
 }
 
 // NewHTTP returns the client of the list at a base URL.
@@ -48,22 +68,36 @@
 }
 
 // VMs implements List.
-func (ht *HTTP) VMs(ctx context.Context) ([]VM, error) {
+func (ht *HTTP) VMs(ctx context.Context) (Answer, error) {
 	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, ht.base+"/vms", nil)
 	if err != nil {
-		return nil, fmt.Errorf("list VMs: %w", err)
+		return Answer{}, fmt.Errorf("list VMs: %w", err)
+	}
+	ht.mu.Lock()
+	defer ht.mu.Unlock()
+	if ht.tag != "" {
+		rq.Header.Set("If-None-Match", ht.tag)
 	}
 	rs, err := ht.client.Do(rq)
 	if err != nil {
-		return nil, fmt.Errorf("list VMs: %w", err)
+		return Answer{}, fmt.Errorf("list VMs: %w", err)
 	}
 	defer func() { _ = rs.Body.Close() }()
-	if rs.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("list VMs: %s", rs.Status)
+	switch rs.StatusCode {
+	case http.StatusNotModified:
+		return Answer{}, nil
+	case http.StatusOK:
+	default:
+		return Answer{}, fmt.Errorf("list VMs: %s", rs.Status)
+	}
+	text, err := io.ReadAll(io.LimitReader(rs.Body, maxSize))
+	if err != nil {
+		return Answer{}, fmt.Errorf("list VMs: %w", err)
 	}
-	var vms []VM
-	if err := json.NewDecoder(rs.Body).Decode(&vms); err != nil {
-		return nil, fmt.Errorf("list VMs: decode: %w", err)
+	got := Answer{Changed: true, Size: len(text)}
+	if err := json.Unmarshal(text, &got.VMs); err != nil {
+		return Answer{}, fmt.Errorf("list VMs: decode: %w", err)
 	}
-	return vms, nil
+	ht.tag = rs.Header.Get("ETag")
+	return got, nil
 }
--- a/io/watch/vms.go
+++ b/io/watch/vms.go
@@ -10,8 +10,13 @@
 	"shallotcleat/io/vmlist"
 )
 
-// listPeriod is the time between two reads of the VM list.
-const listPeriod = time.Second
+// Costs of the VM list.
+const (
+	// listPeriod is the time between two reads of the list.
+	listPeriod = time.Second
+	// listBytes is how many bytes a second all reads together may take; after a long list the next reads are left out.
+	listBytes = 2000
+)
 
 // VMs keeps the latest list of VMs that the platform gave.
 type VMs struct {
@@ -19,8 +24,10 @@
 	rec    *trace.Recorder
 	latest atomic.Pointer[[]vmlist.VM]
 	notify func()
-	clock  clock.Service
-	done   chan struct{}
+	// rest is how long the last answer has to last; Read is not called beside itself.
+	rest  time.Duration
+	clock clock.Service
+	done  chan struct{}
 }
 
 // NewVMs returns a reader of the list that begins with seeds from the settings; notify is called after each read.
@@ -38,21 +45,31 @@
 
 // Read asks for the list once; an answer without VMs is not believed, since the list itself may fail.
 func (vs *VMs) Read(ctx context.Context) {
-	vms, err := vs.list.VMs(ctx)
+	got, err := vs.list.VMs(ctx)
 	if err != nil {
 		vs.rec.Log().WithError(err).Debug("the VM list does not answer")
 		return
 	}
-	if len(vms) == 0 {
+	vs.rec.CountControl(got.Size)
+	vs.rest = time.Duration(got.Size) * time.Second / listBytes
+	if !got.Changed || len(got.VMs) == 0 {
 		return
 	}
-	vs.latest.Store(&vms)
+	vs.latest.Store(&got.VMs)
 	vs.notify()
 }
 
+// readInTurn reads the list unless the last answer was so long that it has to last for some more periods.
+func (vs *VMs) readInTurn(ctx context.Context) {
+	vs.rest -= listPeriod
+	if vs.rest <= 0 {
+		vs.Read(ctx)
+	}
+}
+
 // Run reads the list until the context ends.
 func (vs *VMs) Run(ctx context.Context) {
 	defer close(vs.done)
-	defer vs.clock.Every(listPeriod, func() { vs.Read(ctx) })()
+	defer vs.clock.Every(listPeriod, func() { vs.readInTurn(ctx) })()
 	<-ctx.Done()
 }
--- /dev/null
+++ b/io/watch/vms_test.go
@@ -0,0 +1,52 @@
+package watch
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"shallotcleat/core/clock"
+	"shallotcleat/io/logs"
+	"shallotcleat/io/trace"
+	"shallotcleat/io/vmlist"
+)
+
+// longList is a list whose answers have a length; it counts them.
+type longList struct {
+	size    int
+	answers int
+}
+
+// VMs implements vmlist.List.
+func (ll *longList) VMs(context.Context) (vmlist.Answer, error) {
+	ll.answers++
+	return vmlist.Answer{VMs: []vmlist.VM{{Address: "127.0.0.1:1"}}, Changed: true, Size: ll.size}, nil
+}
+
+// The reads of a long list stay within their bytes a second; a short one is read each second.
+func TestListStaysWithinItsBytes(t *testing.T) {
+	lg, err := logs.New(io.Discard, "error", "test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	rec, err := trace.New("test", lg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const minutes = 30
+	for _, size := range []int{300, 2000, 300_000} {
+		ck := clock.NewVirtual(time.Unix(0, 0))
+		ll := &longList{size: size}
+		vs := NewVMs(ll, nil, rec, ck, func() {})
+		cancel := ck.Every(listPeriod, func() { vs.readInTurn(t.Context()) })
+		ck.Advance(minutes * time.Minute)
+		cancel()
+		if rate := float64(ll.answers*size) / (minutes * 60); rate > listBytes*1.1 {
+			t.Errorf("size %d: %.0f bytes a second", size, rate)
+		}
+		if size <= listBytes && ll.answers < minutes*60-1 {
+			t.Errorf("size %d: only %d reads in %d minutes", size, ll.answers, minutes)
+		}
+	}
+}
--- a/process_test.go
+++ b/process_test.go
@@ -45,7 +45,7 @@
 
 // system is the program's processes with the platform's stand-ins, which the test itself serves.
 type system struct {
-	t        *testing.T
+	t        testing.TB
 	platform *local.Platform
 	plain    []*stand.Plain
 	entries  []*exec.Cmd
@@ -86,7 +86,7 @@
 }
 
 // freeAddress returns a loopback address that nothing listens on.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
