--- a/control_test.go
+++ b/control_test.go
@@ -85,3 +85,50 @@
 	_, _ = fmt.Sscan(string(text), &size, &resident)
 	return float64(resident*int64(os.Getpagesize())) / 1e6
 }
+
+// streamedTokens is the length of each stream of the relay's measurement.
+const streamedTokens = 20_000
+
+// BenchmarkEntryTokens measures the processor time that an entry process and an agent process spend on each streamed
+// token, with an engine that generates without a pause. Run it with -benchtime 1x.
+func BenchmarkEntryTokens(b *testing.B) {
+	pf, err := local.NewPlatform()
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer pf.Close()
+	if err := pf.Apply(b.Context(), []byte(declaration), "ordinary", "first"); err != nil {
+		b.Fatal(err)
+	}
+	sy := &system{t: b, platform: pf}
+	agent := sy.agent("dispatch", "--model", stand.NewEngine(stand.EngineSpeed{PrefillRate: 1e9, BlockTokens: 50, CacheBlocks: 100}, "v1", true))
+	entry := sy.entry()
+	if err := local.WaitReady(b.Context(), sy.callers[0], 20*time.Second); err != nil {
+		b.Fatal(err)
+	}
+	time.Sleep(2 * time.Second)
+	entryBefore, agentBefore := processorTime(b, entry), processorTime(b, agent)
+	tokens := 0
+	for range b.N * 8 {
+		tokens += sy.streamTokens(b)
+	}
+	b.ReportMetric(float64((processorTime(b, entry)-entryBefore).Microseconds())/float64(tokens), "entry-us/token")
+	b.ReportMetric(float64((processorTime(b, agent)-agentBefore).Microseconds())/float64(tokens), "agent-us/token")
+}
+
+// streamTokens asks for one long stream and returns how many tokens came.
+func (sy *system) streamTokens(b *testing.B) int {
+	b.Helper()
+	body := fmt.Sprintf(`{"model":"dispatch","prompt":"#t#","max_tokens":%d,"stream":true}`, streamedTokens)
+	tokens := 0
+	_, err := local.NewCaller(sy.callers[0], callerKey).Stream(b.Context(), "POST", "/v1/completions", []byte(body), func(ev local.Event) bool {
+		if ev.Text() != "" {
+			tokens++
+		}
+		return true
+	})
+	if err != nil || tokens != streamedTokens {
+		b.Fatalf("%d tokens, %v", tokens, err)
+	}
+	return tokens
+}
