Streams: the agent parses events, an event's id is made once for each stream

For each event it decoded the engine's JSON and encoded a token of JSON for the id. Ruled out: leaving events unflushed while more are at hand; drpc does not tell whether there are more.

--- a/io/agent/run.go
+++ b/io/agent/run.go
@@ -92,12 +92,12 @@
 		Salt:      rq.GetSalt(),
 		Adapter:   rq.GetAdapter(),
 		Priority:  priority,
-	}, func(event []byte) {
+	}, func(ev server.Event) {
 		if computing {
 			computing = false
 			ag.gate.endPrefill(missing, ahead, time.Since(began))
 		}
-		st.append(&wire.Frame{Kind: &wire.Frame_Chunk{Chunk: &wire.Chunk{Data: event}}}, false)
+		st.append(&wire.Frame{Kind: &wire.Frame_Chunk{Chunk: &wire.Chunk{Data: ev.Data, Text: ev.Text}}}, false)
 	})
 	if computing {
 		ag.gate.dropPrefill(missing)
--- a/io/entry/output.go
+++ b/io/entry/output.go
@@ -21,30 +21,13 @@
 	started bool
 	text    strings.Builder
 	created int64
+	flusher *http.ResponseController
+	// line is the memory of the event that is written.
+	line []byte
 }
 
 func newOutput(wr http.ResponseWriter, rq *request, call *modelCall, stream bool) *output {
-	return &output{wr: wr, rq: rq, call: call, stream: stream, created: time.Now().Unix()}
-}
-
-// engineEvent is the part of an engine's event that holds text.
-type engineEvent struct {
-	Choices []struct {
-		Text  string `json:"text"`
-		Delta struct {
-			Content string `json:"content"`
-		} `json:"delta"`
-	} `json:"choices"`
-}
-
-// textOf returns the text of an engine's event, and whether it has any.
-func textOf(event []byte) (string, bool) {
-	var ev engineEvent
-	if err := json.Unmarshal(event, &ev); err != nil || len(ev.Choices) == 0 {
-		return "", false
-	}
-	text := ev.Choices[0].Text + ev.Choices[0].Delta.Content
-	return text, text != ""
+	return &output{wr: wr, rq: rq, call: call, stream: stream, created: time.Now().Unix(), flusher: http.NewResponseController(wr)}
 }
 
 func (ou *output) start() {
@@ -58,18 +41,20 @@
 	ou.wr.WriteHeader(http.StatusOK)
 }
 
-// chunk passes an event of the engine on; the token is the event's id.
-func (ou *output) chunk(rt resumeToken, event []byte, text string, hasText bool) {
-	if !ou.stream {
-		ou.text.WriteString(text)
+// chunk passes an event of the engine on under an id; events that add nothing to the answer are left out.
+func (ou *output) chunk(id string, ck *wire.Chunk) {
+	if ck.GetText() == "" {
 		return
 	}
-	if !hasText {
+	if !ou.stream {
+		ou.text.WriteString(ck.GetText())
 		return
 	}
 	ou.start()
-	_, _ = fmt.Fprintf(ou.wr, "id: %s\ndata: %s\n\n", rt.encode(), event)
-	_ = http.NewResponseController(ou.wr).Flush()
+	ou.line = append(append(append(ou.line[:0], "id: "...), id...), "\ndata: "...)
+	ou.line = append(append(ou.line, ck.GetData()...), "\n\n"...)
+	_, _ = ou.wr.Write(ou.line)
+	_ = ou.flusher.Flush()
 }
 
 // fail ends a stream that can't be completed with an error event.
--- a/io/entry/relay.go
+++ b/io/entry/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"shallotcleat/core/answer"
@@ -31,8 +32,10 @@
 	// seq is the number of the last frame that was received.
 	seq uint64
 	// skip is the number of the last frame that the caller has already.
-	skip    uint64
-	resumes int
+	skip uint64
+	// idPrefix is the part of the events' ids that all events of the stream share.
+	idPrefix string
+	resumes  int
 	// lastErr is why the link was lost.
 	lastErr error
 }
@@ -96,7 +99,7 @@
 	case *wire.Frame_Refused:
 		return tryRefused, kind.Refused.ToError(), true
 	case *wire.Frame_Chunk:
-		rl.chunk(kind.Chunk.GetData())
+		rl.chunk(kind.Chunk)
 	case *wire.Frame_Failed:
 		er := kind.Failed.ToError()
 		return rl.failed(er), er, true
@@ -116,19 +119,26 @@
 }
 
 // chunk passes one event of the engine on, unless the caller has it already.
-func (rl *relay) chunk(event []byte) {
+func (rl *relay) chunk(ck *wire.Chunk) {
 	call := rl.call
-	text, hasText := textOf(event)
-	if hasText && call.tokens == 0 && rl.skip == 0 {
-		rl.entry.rec.CountFirstToken(time.Since(call.rq.arrived))
-	}
-	if hasText {
-		call.sent.WriteString(text)
+	if ck.GetText() != "" {
+		if call.tokens == 0 && rl.skip == 0 {
+			rl.entry.rec.CountFirstToken(time.Since(call.rq.arrived))
+		}
+		call.sent.WriteString(ck.GetText())
 		call.tokens++
 	}
 	if rl.seq > rl.skip {
-		call.out.chunk(resumeToken{Agent: rl.address, Incarnation: rl.incarnation, Stream: rl.streamID, Seq: rl.seq}, event, text, hasText)
+		call.out.chunk(rl.eventID(), ck)
+	}
+}
+
+// eventID returns the id of the event that came last, by which the caller can resume.
+func (rl *relay) eventID() string {
+	if rl.idPrefix == "" {
+		rl.idPrefix = resumeToken{Agent: rl.address, Incarnation: rl.incarnation, Stream: rl.streamID}.prefix()
 	}
+	return rl.idPrefix + strconv.FormatUint(rl.seq, 10)
 }
 
 func (rl *relay) end(status *wire.Status, end *wire.End) {
--- a/io/entry/resume.go
+++ b/io/entry/resume.go
@@ -5,31 +5,40 @@
 	"encoding/base64"
 	"encoding/json"
 	"net/http"
+	"strconv"
+	"strings"
 
 	"github.com/julienschmidt/httprouter"
 
 	"shallotcleat/core/answer"
 )
 
-// resumeToken is the id of an SSE event: it names the agent that keeps the stream, so that any entry can go on.
+// resumeToken is what the id of an SSE event tells: the agent that keeps the stream, so that any entry can go on, and the
+// event's sequence number.
 type resumeToken struct {
 	Agent       string `json:"a"`
 	Incarnation uint64 `json:"i"`
 	Stream      string `json:"s"`
-	Seq         uint64 `json:"n"`
+
+	seq uint64
 }
 
-func (rt resumeToken) encode() string {
+// prefix returns the part of the ids that all events of the stream share; the sequence number follows it.
+func (rt resumeToken) prefix() string {
 	text, _ := json.Marshal(rt)
-	return base64.RawURLEncoding.EncodeToString(text)
+	return base64.RawURLEncoding.EncodeToString(text) + "."
 }
 
 func decodeToken(id string) (resumeToken, *answer.Error) {
 	var rt resumeToken
-	text, err := base64.RawURLEncoding.DecodeString(id)
+	prefix, number, _ := strings.Cut(id, ".")
+	text, err := base64.RawURLEncoding.DecodeString(prefix)
 	if err == nil {
 		err = json.Unmarshal(text, &rt)
 	}
+	if err == nil {
+		rt.seq, err = strconv.ParseUint(number, 10, 64)
+	}
 	if err != nil {
 		return rt, badRequest("Last-Event-ID is not the id of an event of this service")
 	}
@@ -70,7 +79,7 @@
 	if _, ok := en.board.Members().View().Server(rt.Agent); !ok {
 		return tryFinal, answer.NewError(answer.NotResumable, answer.Unknown, 0, "the stream's agent is not there any more")
 	}
-	rl := &relay{entry: en, call: call, address: rt.Agent, incarnation: rt.Incarnation, streamID: rt.Stream, skip: rt.Seq}
+	rl := &relay{entry: en, call: call, address: rt.Agent, incarnation: rt.Incarnation, streamID: rt.Stream, skip: rt.seq}
 	in, ok := rl.resume(ctx)
 	if !ok {
 		return tryFinal, answer.NewError(answer.NotResumable, answer.Unknown, 0, "the stream's agent does not answer")
--- a/io/server/model.go
+++ b/io/server/model.go
@@ -39,6 +39,14 @@
 	Output int64
 }
 
+// Event is one event of an engine's stream.
+type Event struct {
+	// Data is the event's JSON.
+	Data []byte
+	// Text is what the event adds to the answer, if it adds anything.
+	Text string
+}
+
 // State is what an engine reports of itself, with a lag.
 type State struct {
 	Incarnation uint64  `json:"incarnation"`
@@ -54,7 +62,7 @@
 type Model interface {
 	// Stream runs a completion and passes on the JSON of each event in order. It fails with an *UnreachedError, a
 	// *StatusError, or a *BrokenError if the engine did not end the stream.
-	Stream(ctx context.Context, call Completion, emit func(event []byte)) (Usage, error)
+	Stream(ctx context.Context, call Completion, emit func(ev Event)) (Usage, error)
 	// State returns what the engine reports.
 	State(ctx context.Context) (State, error)
 	// Load orders the engine to load weights; it fails with a *StatusError if the engine refuses the fencing number. It has
@@ -75,7 +83,7 @@
 }
 
 // Stream implements Model.
-func (hm *HTTPModel) Stream(ctx context.Context, call Completion, emit func(event []byte)) (Usage, error) {
+func (hm *HTTPModel) Stream(ctx context.Context, call Completion, emit func(ev Event)) (Usage, error) {
 	body, err := engineBody(call)
 	if err != nil {
 		return Usage{}, &UnreachedError{cause: err}
@@ -137,7 +145,7 @@
 	errNoEnd = errors.New("the stream has no end mark")
 )
 
-func readEvents(body io.Reader, emit func(event []byte)) (Usage, error) {
+func readEvents(body io.Reader, emit func(ev Event)) (Usage, error) {
 	var usage Usage
 	sc := bufio.NewScanner(body)
 	sc.Buffer(make([]byte, 0, 4096), maxEventBytes)
@@ -150,7 +158,7 @@
 			return usage, nil
 		}
 		usage = usageOf(data, usage)
-		emit(bytes.Clone(data))
+		emit(Event{Data: bytes.Clone(data), Text: textOf(data)})
 	}
 	if err := sc.Err(); err != nil {
 		return usage, &BrokenError{cause: err}
@@ -158,6 +166,24 @@
 	return usage, &BrokenError{cause: errNoEnd}
 }
 
+// eventText is the part of an event that holds text.
+type eventText struct {
+	Choices []struct {
+		Text  string `json:"text"`
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+}
+
+func textOf(data []byte) string {
+	var ev eventText
+	if err := json.Unmarshal(data, &ev); err != nil || len(ev.Choices) == 0 {
+		return ""
+	}
+	return ev.Choices[0].Text + ev.Choices[0].Delta.Content
+}
+
 func usageOf(data []byte, last Usage) Usage {
 	if !bytes.Contains(data, usageMark) {
 		return last
