Answers: what was sent and not answered is not called 'not run'

Cause, found by reading: a model call or lookup whose agent gave no answer ended with 'not run', also when the message had been sent; and the refusal of a last agent hid that an earlier one may have run the call. Change: only a connection that was not made proves it. A request keeps in mind that a sending of it may have run. Ruled out: asking the agent later, which may be gone; calls that may be repeated do not need it. Before: the new test, with the only agents frozen, got outcome not_run. After: unknown. Also: the word for loading weights stood in two packages.

--- a/core/member/server.go
+++ b/core/member/server.go
@@ -23,6 +23,9 @@
 	retryAt int64
 }
 
+// LoadingWeights is the version that an agent tells while its engine loads weights; no request asks for it.
+const LoadingWeights = "loading"
+
 // Status is what an agent says of itself and its backend server.
 type Status struct {
 	stamp       stamp.Stamp
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -279,15 +279,12 @@
 	ag.steerWeights(ctx, st)
 }
 
-// loadingWeights is what an agent says of its engine's weights while the engine loads others; no request asks for them.
-const loadingWeights = "loading"
-
 // status returns what goes with each reply.
 func (ag *Agent) status() *wire.Status {
 	st := ag.state.Load()
 	weights := st.Weights
 	if st.Loading {
-		weights = loadingWeights
+		weights = member.LoadingWeights
 	}
 	wait, rate := ag.gate.load(admit.Guide)
 	return wire.FromStatus(member.NewStatus(ag.rec.Stamp(), ag.incarnation, st.Incarnation, ag.board.Epoch(),
--- a/io/entry/lookup.go
+++ b/io/entry/lookup.go
@@ -47,7 +47,7 @@
 	}
 	reply, er := lk.run(ctx)
 	if er != nil {
-		return er
+		return call.rq.truth(er)
 	}
 	writePlain(wr, reply)
 	en.noteAnswer(call.rq, string(answer.Done))
@@ -71,6 +71,7 @@
 				return got.reply, nil
 			}
 			last = got.err
+			lk.call.rq.note(last)
 			if er := lk.prepareRetry(ctx, got); er != nil {
 				return nil, er
 			}
--- a/io/entry/model.go
+++ b/io/entry/model.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"net/http"
 	"slices"
@@ -15,9 +16,11 @@
 
 	"shallotcleat/core/answer"
 	"shallotcleat/core/config"
+	"shallotcleat/core/member"
 	"shallotcleat/core/piece"
 	"shallotcleat/core/place"
 	"shallotcleat/core/usage"
+	"shallotcleat/io/link"
 	"shallotcleat/io/trace"
 	"shallotcleat/io/wire"
 )
@@ -77,6 +80,7 @@
 
 // endModel tells the caller of a failure in the way that is still open: an error event once the stream has begun.
 func (en *Entry) endModel(ctx context.Context, call *modelCall, er *answer.Error) *answer.Error {
+	er = call.rq.truth(er)
 	en.billModel(call, er)
 	if er == nil {
 		en.noteAnswer(call.rq, string(answer.Done))
@@ -119,7 +123,7 @@
 	total := 0
 	for _, ms := range en.board.Members().View().Servers(sv.Name()) {
 		weights := ms.Status().Weights()
-		if ms.Known() && ms.Usable(now) && weights != loadingWeights {
+		if ms.Known() && ms.Usable(now) && weights != member.LoadingWeights {
 			counts[weights]++
 			total++
 		}
@@ -136,9 +140,6 @@
 	return sv.Weights()
 }
 
-// loadingWeights is what agents say while their engines load.
-const loadingWeights = "loading"
-
 // rebind moves a request of which nothing has run to the configuration that is in force now.
 func (en *Entry) rebind(rq *request) *answer.Error {
 	sn := en.board.Snapshot()
@@ -181,6 +182,7 @@
 		if vd == tryDone {
 			return nil
 		}
+		call.rq.note(er)
 		last = er
 		if vd == tryFinal || ctx.Err() != nil {
 			return last
@@ -279,8 +281,14 @@
 	}
 }
 
-// unreached returns the end of a try whose agent could not be asked.
+// unreached returns the end of a try whose agent gave no answer. Unless no connection was made, the agent may have the
+// message and run it.
 func (en *Entry) unreached(address string, err error) (verdict, *answer.Error) {
 	en.board.Members().Failed(time.Now(), address)
-	return tryRefused, answer.NewError(answer.AgentUnreached, answer.NotRun, refusedRetryAfter, "agent %s: %v", address, err)
+	outcome := answer.Unknown
+	var dial *link.DialError
+	if errors.As(err, &dial) {
+		outcome = answer.NotRun
+	}
+	return tryRefused, answer.NewError(answer.AgentUnreached, outcome, refusedRetryAfter, "agent %s: %v", address, err)
 }
--- a/io/entry/routes.go
+++ b/io/entry/routes.go
@@ -26,6 +26,22 @@
 	arrived   time.Time
 	deadline  time.Time
 	body      []byte
+	// mayHaveRun is set when a sending ended without a word on whether it ran.
+	mayHaveRun bool
+}
+
+// note keeps in mind that a sending which ended with an error may have run.
+func (rq *request) note(er *answer.Error) {
+	rq.mayHaveRun = rq.mayHaveRun || er.Outcome() == answer.Unknown
+}
+
+// truth returns the error that the caller may be told: a last refusal is no proof that nothing ran, if an earlier sending
+// of the same request may have.
+func (rq *request) truth(er *answer.Error) *answer.Error {
+	if er == nil || !rq.mayHaveRun || er.Outcome() != answer.NotRun {
+		return er
+	}
+	return answer.NewError(er.Code(), answer.Unknown, er.RetryAfter(), "%s", er.Message())
 }
 
 // handle serves a request whose caller is known.
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -54,11 +54,23 @@
 	return nil
 }
 
+// DialError says that no connection was made, so that no message can have arrived.
+type DialError struct {
+	address string
+	cause   error
+}
+
+// Error returns the address and the cause.
+func (de *DialError) Error() string { return fmt.Sprintf("dial %s: %v", de.address, de.cause) }
+
+// Unwrap returns the cause.
+func (de *DialError) Unwrap() error { return de.cause }
+
 func dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
 	dl := net.Dialer{Timeout: dialTimeout}
 	conn, err := dl.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, fmt.Errorf("dial %s: %w", address, err)
+		return nil, &DialError{address: address, cause: err}
 	}
 	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: ManagerOptions()}), nil
 }
--- a/io/local/freeze_test.go
+++ b/io/local/freeze_test.go
@@ -63,3 +63,22 @@
 	}
 	t.Logf("the slowest of 4 pairs took %v", slowest)
 }
+
+// A call whose only agent is frozen may still run there: its refusal must not say that it did not.
+func TestRefusalAfterSilenceIsNotCalledNotRun(t *testing.T) {
+	st := newSite(t, siteOptions{engines: 1, services: 1, entries: 1, preset: frozenPreset})
+	thaws := []func(){st.cutters[0].freeze(), st.serviceCutters[0].freeze()}
+	_, model, _ := st.caller(0).Complete(t.Context(), "dispatch", promptOf("silent"), 2)
+	lookup, err := st.caller(0).Do(t.Context(), http.MethodGet, "/services/stock/items/sand", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, thaw := range thaws {
+		thaw()
+	}
+	for _, rp := range []Reply{model, lookup} {
+		if rp.Status == http.StatusOK || rp.Outcome != "unknown" {
+			t.Errorf("status %d, outcome %q: %s", rp.Status, rp.Outcome, rp.Body)
+		}
+	}
+}
