Orders in disguise: what may run at most once is decided safely

Cause, found by reading: whether a call may be repeated was decided on its decoded path, compared to the letter, and the decoded path was forwarded. '/orders%3Fx', '/orders/' or '/./orders' passed for calls that may be repeated and would have been sent again after a failure; so would any POST that nobody had declared. Change: paths are compared in their shortest form; POST and PATCH run at most once unless declared repeatable; the path is forwarded as the caller escaped it, with its query, which is part of an order's digest now. Ruled out: refusing odd paths, since services may have such. Also: what is not called is gone, and a panic in an agent's call ends the process at once.

--- a/core/config/declare.go
+++ b/core/config/declare.go
@@ -1,6 +1,11 @@
 package config
 
-import "time"
+import (
+	"net/http"
+	"path"
+	"slices"
+	"time"
+)
 
 // Kind tells model engines from plain services.
 type Kind string
@@ -48,8 +53,10 @@
 	model   string
 	weights string
 	adapter string
-	once    []string
-	fencing bool
+	// once and repeatable are calls of plain services in the form "METHOD /path".
+	once       []string
+	repeatable []string
+	fencing    bool
 }
 
 // Name returns the service's name; callers name it as the model or in the path.
@@ -70,14 +77,14 @@
 // Fencing reports whether the engines refuse orders that carry an old fencing number.
 func (sv Service) Fencing() bool { return sv.fencing }
 
-// Once reports whether a call may run at most once; plain services declare such calls as "METHOD /path".
-func (sv Service) Once(method, path string) bool {
-	for _, call := range sv.once {
-		if call == method+" "+path {
-			return true
-		}
+// Once reports whether a call may run at most once: the declaration says so, or the method is POST or PATCH and the
+// declaration does not say that the call may be repeated. The path is compared in its shortest form, without a query.
+func (sv Service) Once(method, callPath string) bool {
+	call := method + " " + path.Clean(callPath)
+	if slices.Contains(sv.once, call) {
+		return true
 	}
-	return false
+	return (method == http.MethodPost || method == http.MethodPatch) && !slices.Contains(sv.repeatable, call)
 }
 
 // Preset is a set of prices and limits for one kind of day.
--- a/core/config/parse.go
+++ b/core/config/parse.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"path"
 	"regexp"
 	"strings"
 	"time"
@@ -39,6 +40,7 @@
 		Weights string   `yaml:"weights"`
 		Adapter string   `yaml:"adapter"`
 		Once    []string `yaml:"at-most-once"`
+		Repeat  []string `yaml:"repeatable"`
 		Fencing bool     `yaml:"fencing"`
 	}
 	presetShape struct {
@@ -182,16 +184,22 @@
 	if kind == Model && (sh.Model == "" || sh.Weights == "") {
 		ck.add(line, "service %q: a model service needs model and weights", sh.Name)
 	}
-	if kind == Model && len(sh.Once) > 0 {
-		ck.add(line, "service %q: at-most-once: allowed for plain services only", sh.Name)
+	if kind == Model && len(sh.Once)+len(sh.Repeat) > 0 {
+		ck.add(line, "service %q: at-most-once and repeatable: allowed for plain services only", sh.Name)
 	}
-	for _, call := range sh.Once {
-		method, path, ok := strings.Cut(call, " ")
-		if !ok || method != strings.ToUpper(method) || !strings.HasPrefix(path, "/") {
-			ck.add(line, "service %q: at-most-once %q: allowed is the form \"POST /path\"", sh.Name, call)
+	ck.calls(sh.Name, "at-most-once", sh.Once, line)
+	ck.calls(sh.Name, "repeatable", sh.Repeat, line)
+	return Service{name: sh.Name, kind: kind, model: sh.Model, weights: sh.Weights, adapter: sh.Adapter, once: sh.Once, repeatable: sh.Repeat, fencing: sh.Fencing}
+}
+
+// calls checks the form of a list of calls.
+func (ck *checker) calls(service, setting string, calls []string, line int) {
+	for _, call := range calls {
+		method, callPath, ok := strings.Cut(call, " ")
+		if !ok || method != strings.ToUpper(method) || !strings.HasPrefix(callPath, "/") || callPath != path.Clean(callPath) {
+			ck.add(line, "service %q: %s %q: allowed is the form \"POST /path\"", service, setting, call)
 		}
 	}
-	return Service{name: sh.Name, kind: kind, model: sh.Model, weights: sh.Weights, adapter: sh.Adapter, once: sh.Once, fencing: sh.Fencing}
 }
 
 func (ck *checker) workspace(sh workspaceShape, line int) Workspace {
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -80,21 +80,13 @@
 	return cs
 }
 
-// Learn notes the true number of cached tokens that a reply told: the server now holds the whole prompt, and what it
-// did not hold before was evicted from it.
+// Learn notes that a server has computed the request's prompt and so holds its pieces.
 func (cs *Chooser) Learn(now time.Time, rq Request, address string, engine uint64) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	cs.hints.learn(now, rq.keys, address, engine)
 }
 
-// Forget drops the belief that a server holds the request's prefixes.
-func (cs *Chooser) Forget(rq Request, address string) {
-	cs.mu.Lock()
-	defer cs.mu.Unlock()
-	cs.hints.forget(rq.keys, address)
-}
-
 // scratch is the memory of one placement.
 type scratch struct {
 	// servers are the usable ones; depths and levels belong to the server at the same place.
--- a/core/place/hints.go
+++ b/core/place/hints.go
@@ -72,15 +72,6 @@
 	}
 }
 
-// forget notes that a server does not hold the given pieces.
-func (hn *hints) forget(keys []piece.Key, address string) {
-	for _, key := range keys {
-		if ht, ok := hn.byKey.Peek(key); ok {
-			ht.holders = withoutHolder(ht.holders, address)
-		}
-	}
-}
-
 // withHolder returns the holders with one added or renewed in place of the one seen longest ago.
 func withHolder(holders []holder, added holder) []holder {
 	oldest := 0
@@ -99,14 +90,3 @@
 	holders[oldest] = added
 	return holders
 }
-
-func withoutHolder(holders []holder, address string) []holder {
-	for i := range holders {
-		if holders[i].address == address {
-			last := len(holders) - 1
-			holders[i] = holders[last]
-			return holders[:last]
-		}
-	}
-	return holders
-}
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -108,9 +108,7 @@
 	// retired is set while the configuration or the VM list says that the server leaves.
 	retired atomic.Bool
 	state   atomic.Pointer[server.State]
-	// work counts the calls that must end before the process may.
-	work conc.WaitGroup
-	done chan struct{}
+	done    chan struct{}
 }
 
 // New returns an agent that has not begun to serve.
--- a/io/agent/orders.go
+++ b/io/agent/orders.go
@@ -56,7 +56,7 @@
 	}
 	ag.rec.Note(rq.GetContext().GetRequestId(), trace.TicketUsed)
 	ended := make(chan order.Report, 1)
-	ag.work.Go(func() { ended <- ag.runOrder(rq, tk) })
+	go func() { ended <- ag.runOrder(rq, tk) }()
 	select {
 	case rp = <-ended:
 		return ag.report(rp), nil
--- a/io/agent/run.go
+++ b/io/agent/run.go
@@ -20,7 +20,9 @@
 	st := ag.streams.add(ps.workspace, cancel)
 	accepted := &wire.Accepted{StreamId: st.id, RequestId: rq.GetContext().GetRequestId(), TryId: ps.id}
 	st.append(&wire.Frame{Kind: &wire.Frame_Accepted{Accepted: accepted}, Status: ag.status()}, false)
-	ag.work.Go(func() {
+	// A plain goroutine, here and for orders: a panic is to end the process at once, not when a group is waited for. The
+	// gate counts the calls that a stop waits for.
+	go func() {
 		defer cancel()
 		began := time.Now()
 		defer func() { ag.gate.leave(ps.id, ps.class, time.Since(began)) }()
@@ -31,7 +33,7 @@
 		ag.keepUsage(rq, end.GetEnd().GetUsage(), end.GetFailed())
 		end.Status = ag.status()
 		st.append(end, true)
-	})
+	}()
 	return st
 }
 
--- a/io/agent/weights.go
+++ b/io/agent/weights.go
@@ -58,7 +58,7 @@
 		return ag.askHolder(ctx, ef.Holder())
 	case weight.SendOrder:
 		ag.rec.Note("", trace.LoadOrdered, "weights", ef.Weights(), "fence", strconv.FormatUint(ef.Fence(), 10))
-		ag.work.Go(func() { ag.feedLoader(ctx, ag.sendLoad(ctx, ef), limit) })
+		go func() { ag.feedLoader(ctx, ag.sendLoad(ctx, ef), limit) }()
 	}
 	return nil
 }
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -19,9 +21,10 @@
 
 // plainCall is one call of a plain service.
 type plainCall struct {
-	rq          *request
-	service     config.Service
-	method      string
+	rq      *request
+	service config.Service
+	method  string
+	// path is as the caller escaped it, with the query.
 	path        string
 	contentType string
 	key         string
@@ -34,24 +37,30 @@
 	if !ok || sv.Kind() != config.Plain || !rq.workspace.Allows(name) {
 		return answer.NewError(answer.NotFound, answer.NotRun, 0, "workspace %q has no service %q", rq.workspace.Name(), name)
 	}
-	path := pr.ByName("path")
 	call := &plainCall{
 		rq:          rq,
 		service:     sv,
 		method:      hr.Method,
-		path:        path,
+		path:        forwardPath(hr.URL, name),
 		contentType: hr.Header.Get("Content-Type"),
 		key:         hr.Header.Get("Idempotency-Key"),
 	}
-	if sv.Once(hr.Method, path) {
+	if sv.Once(hr.Method, pr.ByName("path")) {
 		return en.serveOrder(ctx, call, wr)
 	}
-	if hr.URL.RawQuery != "" {
-		call.path += "?" + hr.URL.RawQuery
-	}
 	return en.serveLookup(ctx, call, wr)
 }
 
+// forwardPath returns the path and query for the backend server as the caller escaped them: a path that is decoded here
+// could be another one there, and pass for a call that may be repeated.
+func forwardPath(called *url.URL, service string) string {
+	out := strings.TrimPrefix(called.EscapedPath(), "/services/"+service)
+	if called.RawQuery != "" {
+		out += "?" + called.RawQuery
+	}
+	return out
+}
+
 // choosePlain returns the agent of a plain service with the shortest wait.
 func (en *Entry) choosePlain(call *plainCall, refused map[string]bool) (string, bool) {
 	rq := place.NewRequest(call.service.Name(), nil, 0, 1, 0, "")
--- a/io/local/edge_test.go
+++ b/io/local/edge_test.go
@@ -54,6 +54,23 @@
 	}
 }
 
+// However its path is written, a call that may not be repeated needs a key; so does a POST that nobody has declared.
+func TestOrdersInDisguise(t *testing.T) {
+	st := newSite(t, siteOptions{services: 1, entries: 1})
+	for _, path := range []string{"/orders", "/orders/", "/orders%3Fx", "/orders?x=1", "/x/%2e%2e/orders", "/./orders", "/undeclared"} {
+		rp, err := st.caller(0).Do(t.Context(), http.MethodPost, "/services/stock"+path, []byte("{}"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if rp.Status/100 == 2 {
+			t.Errorf("%s: status %d", path, rp.Status)
+		}
+	}
+	if total := st.plain[0].Total(); total > 0 {
+		t.Errorf("%d orders ran without a key", total)
+	}
+}
+
 // Refused work has a time to come back.
 func TestOverloadTellsWhenToComeBack(t *testing.T) {
 	st := newSite(t, siteOptions{entries: 1})
