Start: a table or VM list that hangs holds no process up

Cause, found by reading: a starting process waited for the table's whole time limit of 1 s, and 2 s for the VM list, also when a peer had told it the configuration at once. A table that refuses was tested, one that hangs was not. Change: 200 ms after the first configuration is in force a process goes on; the first read of the list may take 300 ms. Before: at least 1 s by the code; not run.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -174,7 +174,7 @@
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	ag.readState(background)
-	ag.vms.Read(background)
+	ag.vms.First(background)
 	ag.watcher.Boot(background)
 	ag.rec.Note("", trace.Started, "role", "agent", "address", ag.address, "service", ag.service)
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -135,7 +135,7 @@
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	en.updateMembers()
-	en.vms.Read(background)
+	en.vms.First(background)
 	en.watcher.Boot(background)
 	en.warm(background)
 	en.greetFirst(background)
--- a/io/local/stop_test.go
+++ b/io/local/stop_test.go
@@ -98,10 +98,19 @@
 	}
 }
 
-// An entry that starts while the table is down gets the configuration from its peers and serves.
+// An entry that starts while the table is down, or hangs, gets the configuration from its peers and serves.
 func TestEntryStartsWhileTableIsDown(t *testing.T) {
+	t.Run("down", func(t *testing.T) {
+		startWithout(t, func(pf *Platform) { pf.Table().SetDown(true) })
+	})
+	t.Run("hangs", func(t *testing.T) {
+		startWithout(t, func(pf *Platform) { pf.Table().SetDelay(3 * time.Second) })
+	})
+}
+
+func startWithout(t *testing.T, breakTable func(*Platform)) {
 	st := newSite(t, siteOptions{engines: 1, services: 1, entries: 2})
-	st.platform.Table().SetDown(true)
+	breakTable(st.platform)
 	st.platform.Objects().SetDown(true)
 	began := time.Now()
 	st.addEntry()
--- a/io/watch/vms.go
+++ b/io/watch/vms.go
@@ -14,6 +14,8 @@
 const (
 	// listPeriod is the time between two reads of the list.
 	listPeriod = time.Second
+	// firstTimeout bounds the read at a process's start.
+	firstTimeout = 300 * time.Millisecond
 	// listBytes is how many bytes a second all reads together may take; after a long list the next reads are left out.
 	listBytes = 2000
 )
@@ -59,6 +61,13 @@
 	vs.notify()
 }
 
+// First reads the list at a process's start, which a list that hangs holds up for a short time only.
+func (vs *VMs) First(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, firstTimeout)
+	defer cancel()
+	vs.Read(ctx)
+}
+
 // readInTurn reads the list unless the last answer was so long that it has to last for some more periods.
 func (vs *VMs) readInTurn(ctx context.Context) {
 	vs.rest -= listPeriod
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -27,6 +27,8 @@
 	peerPeriod  = time.Second
 	callTimeout = time.Second
 	bootPeers   = 5
+	// bootGrace is how long a starting process waits for a later configuration than the first that it was told.
+	bootGrace = 200 * time.Millisecond
 	// asksPerRound bounds the peers that are asked in one round when messages are lost.
 	asksPerRound = 12
 	// tableReads is how many reads of the head all processes together make in a period; with more of them each one
@@ -86,17 +88,33 @@
 // Done is closed when Run has ended.
 func (wt *Watcher) Done() <-chan struct{} { return wt.done }
 
-// Boot asks the table and several peers at once and returns when the first configuration is in force and all that
-// were asked have answered or failed.
+// Boot asks the table and several peers at once. It returns when all have answered or failed, or soon after the first
+// configuration is in force: a table that hangs must not keep a process from serving that its peers have told.
 func (wt *Watcher) Boot(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	inForce := make(chan struct{})
+	signal := sync.OnceFunc(func() { close(inForce) })
+	wt.board.Subscribe(func(*config.Snapshot) { signal() })
+	answered := make(chan struct{})
 	var wg conc.WaitGroup
 	wg.Go(func() { wt.pollTable(ctx) })
 	for _, peer := range wt.pick(bootPeers) {
 		wg.Go(func() { _ = wt.Ask(ctx, peer) })
 	}
-	wg.Wait()
+	go func() {
+		defer close(answered)
+		wg.Wait()
+	}()
+	select {
+	case <-answered:
+		return
+	case <-inForce:
+	}
+	select {
+	case <-answered:
+	case <-time.After(bootGrace):
+	}
 }
 
 // Run keeps asking until the context ends.
