Ejection: a caller that leaves is no fault of the agent

Cause, found by reading: when callers left in the middle of their streams, the lost links counted as faults of the agent; two at once ejected a healthy server for a second, and with it its cache. And a question to a frozen agent that timed out was not counted at all. Change: a fault counts if the link broke, or the agent was silent, while the caller was still there.

--- a/io/entry/members.go
+++ b/io/entry/members.go
@@ -88,7 +88,7 @@
 	wg.Wait()
 }
 
-// heard notes the status in an agent's reply. An agent that knows a later configuration is asked for it.
+// heard notes the status in an agent's reply.
 func (en *Entry) heard(address string, st *wire.Status) {
 	if st == nil {
 		return
@@ -137,8 +137,8 @@
 	wg.Wait()
 }
 
-func (en *Entry) greetOne(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, greetTimeout)
+func (en *Entry) greetOne(parent context.Context, address string) {
+	ctx, cancel := context.WithTimeout(parent, greetTimeout)
 	defer cancel()
 	rq := &wire.ExchangeRequest{
 		Context:     &wire.Context{Stamp: uint64(en.rec.Stamp()), Epoch: en.board.Epoch()},
@@ -146,7 +146,7 @@
 	}
 	reply, err := en.pool.Agent(address).Exchange(ctx, rq)
 	if err != nil {
-		if ctx.Err() == nil {
+		if parent.Err() == nil {
 			en.board.Members().Failed(time.Now(), address)
 		}
 		return
--- a/io/entry/model.go
+++ b/io/entry/model.go
@@ -237,10 +237,10 @@
 	}
 	address := ch.Server().Address()
 	en.rec.Note(call.rq.id, trace.Placed, "agent", address, "expected_cached", itoa(ch.Cached()))
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	// A frozen agent takes the message and says nothing. A live one says at once that the call waits, or more.
-	silence := time.AfterFunc(firstFrameLimit, cancel)
+	silence := time.AfterFunc(firstFrameLimit, func() { cancel(errSilent) })
 	defer silence.Stop()
 	stream, err := en.pool.Agent(address).Submit(ctx, &wire.SubmitRequest{
 		Context:      en.contextOf(call.rq),
@@ -258,7 +258,7 @@
 		Begun:        call.tokens > 0,
 	})
 	if err != nil {
-		return en.unreached(address, err)
+		return en.unreached(ctx, address, err)
 	}
 	en.board.Members().Sent(address, ch.Work(call.place))
 	rl := &relay{entry: en, call: call, address: address, silence: silence}
@@ -281,10 +281,15 @@
 	}
 }
 
+// errSilent is the cause for which the context of a try ends when its agent says nothing.
+var errSilent = errors.New("the agent says nothing")
+
 // unreached returns the end of a try whose agent gave no answer. Unless no connection was made, the agent may have the
-// message and run it.
-func (en *Entry) unreached(address string, err error) (verdict, *answer.Error) {
-	en.board.Members().Failed(time.Now(), address)
+// message and run it. That the caller has left is no fault of the agent.
+func (en *Entry) unreached(ctx context.Context, address string, err error) (verdict, *answer.Error) {
+	if ctx.Err() == nil || errors.Is(context.Cause(ctx), errSilent) {
+		en.board.Members().Failed(time.Now(), address)
+	}
 	outcome := answer.Unknown
 	var dial *link.DialError
 	if errors.As(err, &dial) {
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -88,7 +88,7 @@
 		Share:       int32(call.rq.workspace.Share()),
 	})
 	if err != nil {
-		_, er := en.unreached(address, err)
+		_, er := en.unreached(ctx, address, err)
 		return nil, er
 	}
 	en.heard(address, reply.GetStatus())
--- a/io/entry/relay.go
+++ b/io/entry/relay.go
@@ -50,14 +50,14 @@
 		}
 		var ok bool
 		if in, ok = rl.resume(ctx); !ok {
-			return rl.unreached()
+			return rl.unreached(ctx)
 		}
 	}
 }
 
 // unreached ends a relay whose agent does not answer any more.
-func (rl *relay) unreached() (verdict, *answer.Error) {
-	vd, er := rl.entry.unreached(rl.address, rl.lastErr)
+func (rl *relay) unreached(ctx context.Context) (verdict, *answer.Error) {
+	vd, er := rl.entry.unreached(ctx, rl.address, rl.lastErr)
 	if rl.streamID == "" {
 		return vd, er
 	}
--- a/io/local/stream_test.go
+++ b/io/local/stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"testing"
 
 	"shallotcleat/io/trace"
@@ -168,6 +169,34 @@
 	checkWhole(t, "entry and engine gone", "both", sm)
 }
 
+// Callers who leave in the middle of their streams, several at once, are no fault of the agent: it is not ejected.
+func TestLeavingCallersEjectNobody(t *testing.T) {
+	const callers = 4
+	st := newSite(t, siteOptions{engines: 1, entries: 1})
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	begun := make(chan struct{}, callers)
+	for range callers {
+		wg.Go(func() {
+			first := true
+			_, _ = st.caller(0).Stream(ctx, http.MethodPost, "/v1/completions", streamBody("left", 1000), func(Event) bool {
+				if first {
+					begun <- struct{}{}
+				}
+				first = false
+				return true
+			})
+		})
+	}
+	for range callers {
+		<-begun
+	}
+	cancel()
+	wg.Wait()
+	st.waitFor("the entry's notice", func() bool { return count(st.entries[0], trace.Answered) == callers })
+	complete(t, st.caller(0), promptOf("stays"))
+}
+
 // Another workspace that learned an event's id gets nothing of the stream.
 func TestResumeOfAnotherWorkspace(t *testing.T) {
 	st := newSite(t, siteOptions{engines: 1, entries: 1})
