Orders go on without their callers

Cause, found by reading: an order's steps ended with its caller's connection. A call that broke off between the intent and the run left an accepted order undone until somebody asked again; a lost booking, if nobody did. Change: an order is driven to its end within the request's time limit, whoever listens. Ruled out: leaving it to the agents' own settling, which knows only orders that ran.

--- a/io/entry/orders.go
+++ b/io/entry/orders.go
@@ -44,7 +44,10 @@
 		rowKey:  rows.Key(call.rq.workspace.Name(), call.key),
 		attempt: order.NewAttempt(uuid.NewString(), call.rq.id, digestOf(call)),
 	}
-	fn := dr.run(ctx)
+	// An order goes on when its caller has left: a connection that breaks must not lose a booking half-way.
+	detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), call.rq.deadline)
+	defer cancel()
+	fn := dr.run(detached)
 	if fn.Err() != nil {
 		return fn.Err()
 	}
--- a/io/local/edge_test.go
+++ b/io/local/edge_test.go
@@ -1,9 +1,11 @@
 package local
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"shallotcleat/io/trace"
 )
@@ -111,6 +113,24 @@
 	}
 }
 
+// An order whose caller leaves at once, at any moment, is either not begun or carried to its end.
+func TestOrderGoesOnWithoutItsCaller(t *testing.T) {
+	st := newSite(t, siteOptions{services: 1, entries: 1, orderTime: 50_000_000})
+	for i := range 10 {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Duration(i+1)*2*time.Millisecond)
+		_, _ = st.caller(0).Order(ctx, "left-"+string(rune('a'+i)), "{}")
+		cancel()
+	}
+	st.waitFor("the end of all orders", func() bool {
+		return count(st.entries[0], trace.Received) == count(st.entries[0], trace.Answered)
+	})
+	for _, cell := range st.platform.Table().Scan("order/", 100) {
+		if !strings.Contains(string(cell.Value), `"state":"done"`) {
+			t.Errorf("%s was left as %s", cell.Key, cell.Value)
+		}
+	}
+}
+
 // A service that breaks off in an order leaves it unknown for good; it is never run again.
 func TestBrokenOrderStaysUnknown(t *testing.T) {
 	st := newSite(t, siteOptions{services: 1, entries: 1})
