Settings: missing ones are named beside the wrong ones

Cause: the parser ended at the first required flag that was missing, before the values were checked; all wrong settings are to be found at once. Each setting's own check now refuses an empty value. Shown by: the new test over seven commands.

--- a/io/cmds/agent.go
+++ b/io/cmds/agent.go
@@ -23,7 +23,7 @@
 type agentCommand struct {
 	processFlags
 	Listen  string `long:"listen" env:"SHALLOTCLEAT_LISTEN" description:"IP and port for entries, as they reach it; it is the agent's name" default:"127.0.0.1:7001"`
-	Service string `long:"service" env:"SHALLOTCLEAT_SERVICE" description:"name of the service that the backend server belongs to" required:"true"`
+	Service string `long:"service" env:"SHALLOTCLEAT_SERVICE" description:"name of the service that the backend server belongs to"`
 	Model   string `long:"model" env:"SHALLOTCLEAT_MODEL" description:"base URL of the model engine"`
 	Plain   string `long:"plain" env:"SHALLOTCLEAT_PLAIN" description:"base URL of the plain service"`
 	Fencing bool   `long:"fencing" env:"SHALLOTCLEAT_FENCING" description:"the engine refuses orders with old fencing numbers"`
--- a/io/cmds/apply.go
+++ b/io/cmds/apply.go
@@ -22,7 +22,7 @@
 // applyCommand holds the settings of a change of the declaration.
 type applyCommand struct {
 	platformFlags
-	File   string `long:"file" env:"SHALLOTCLEAT_FILE" description:"the declarations file" required:"true"`
+	File   string `long:"file" env:"SHALLOTCLEAT_FILE" description:"the declarations file"`
 	Preset string `long:"preset" env:"SHALLOTCLEAT_PRESET" description:"preset to put in force; without it the present one stays"`
 	DryRun bool   `long:"dry-run" env:"SHALLOTCLEAT_DRY_RUN" description:"only show the difference to what is in force"`
 }
--- a/io/cmds/check.go
+++ b/io/cmds/check.go
@@ -15,7 +15,7 @@
 
 // checkCommand holds the settings of a check.
 type checkCommand struct {
-	File string `long:"file" env:"SHALLOTCLEAT_FILE" description:"the declarations file" required:"true"`
+	File string `long:"file" env:"SHALLOTCLEAT_FILE" description:"the declarations file"`
 }
 
 func (cm *checkCommand) run(_ context.Context, out io.Writer) error {
--- a/io/cmds/platform.go
+++ b/io/cmds/platform.go
@@ -33,7 +33,7 @@
 	platformFlags
 	List     string `long:"vm-list" env:"SHALLOTCLEAT_VM_LIST" description:"base URL of the list of VMs" default:"http://127.0.0.1:9003"`
 	Seeds    string `long:"seeds" env:"SHALLOTCLEAT_SEEDS" description:"VMs to know before the list answers: entry/ZONE@IP:PORT,agent/ZONE/SERVICE@IP:PORT"`
-	Zone     string `long:"zone" env:"SHALLOTCLEAT_ZONE" description:"availability zone of this VM" required:"true"`
+	Zone     string `long:"zone" env:"SHALLOTCLEAT_ZONE" description:"availability zone of this VM"`
 	Admin    string `long:"admin" env:"SHALLOTCLEAT_ADMIN" description:"IP and port of the operators' interface: metrics, status, timeline" default:"127.0.0.1:7900"`
 	LogLevel string `long:"log-level" env:"SHALLOTCLEAT_LOG_LEVEL" description:"least level of log lines; debug adds each request's events" default:"info"`
 	StopTime string `long:"stop-timeout" env:"SHALLOTCLEAT_STOP_TIMEOUT" description:"how long a stop waits for running requests" default:"2m"`
--- a/io/cmds/preset.go
+++ b/io/cmds/preset.go
@@ -20,12 +20,13 @@
 // presetCommand holds the settings of a switch of the preset.
 type presetCommand struct {
 	platformFlags
-	Name string `long:"name" env:"SHALLOTCLEAT_PRESET" description:"preset to put in force" required:"true"`
+	Name string `long:"name" env:"SHALLOTCLEAT_PRESET" description:"preset to put in force"`
 }
 
 func (cm *presetCommand) run(ctx context.Context, out io.Writer) error {
 	var st settings
 	store, objects := cm.stores(&st)
+	st.word("name", cm.Name)
 	if err := st.err(); err != nil {
 		return err
 	}
--- a/io/cmds/run_test.go
+++ b/io/cmds/run_test.go
@@ -32,6 +32,24 @@
 	}
 }
 
+// A setting that is missing is named beside those that are wrong.
+func TestMissingSettings(t *testing.T) {
+	code, _, errOut := try(t, "agent", "--slots", "0", "--plain", "http://127.0.0.1:1")
+	if code != exitUsage {
+		t.Errorf("exit code %d", code)
+	}
+	for _, want := range []string{`--zone: ""`, `--service: ""`, `--slots: "0"`} {
+		if !strings.Contains(errOut, want+" is wrong; allowed: ") {
+			t.Errorf("%s is not named in:\n%s", want, errOut)
+		}
+	}
+	for _, command := range []string{"check", "apply", "preset", "status", "timeline", "server"} {
+		if code, _, errOut := try(t, command); code != exitUsage || !strings.Contains(errOut, "is wrong; allowed: ") {
+			t.Errorf("%s: exit code %d, %q", command, code, errOut)
+		}
+	}
+}
+
 func TestAgentNeedsOneServer(t *testing.T) {
 	code, _, errOut := try(t, "agent", "--zone", "ruai", "--service", "stock")
 	if code != exitUsage || !strings.Contains(errOut, "exactly one of --model and --plain") {
--- a/io/cmds/status.go
+++ b/io/cmds/status.go
@@ -18,7 +18,7 @@
 
 // adminFlags say which processes to ask.
 type adminFlags struct {
-	Admin string `long:"admin" env:"SHALLOTCLEAT_ADMINS" description:"addresses of the operators' interfaces, with commas between them" required:"true"`
+	Admin string `long:"admin" env:"SHALLOTCLEAT_ADMINS" description:"addresses of the operators' interfaces, with commas between them"`
 }
 
 func (af *adminFlags) addresses(st *settings) []string {
