One event queue in place of three

Cause: the timer service's virtual form, the benchmark and the order protocol's test world each had a heap of events. Change: the virtual form calls once after a time too, and all three use it. Two benchmarks share their set-up.

--- a/control_test.go
+++ b/control_test.go
@@ -26,16 +26,8 @@
 // memory, and the bytes of its control messages without framing. One agent process answers for all addresses of the
 // list, which are loopback addresses with the same port. Run it with -benchtime 1x.
 func BenchmarkEntryControl(b *testing.B) {
-	pf, err := local.NewPlatform()
-	if err != nil {
-		b.Fatal(err)
-	}
-	defer pf.Close()
-	if err := pf.Apply(b.Context(), []byte(declaration), "ordinary", "first"); err != nil {
-		b.Fatal(err)
-	}
-	sy := &system{t: b, platform: pf}
-	url, err := pf.Listen(stand.NewPlain(0))
+	sy := emptySystem(b)
+	url, err := sy.platform.Listen(stand.NewPlain(0))
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -46,7 +38,7 @@
 		address := fmt.Sprintf("127.1.%d.%d:%s", i/250, i%250+1, port)
 		list = append(list, vmlist.VM{Address: address, Zone: "ruai", Role: vmlist.Agent, Service: fmt.Sprintf("model-%d", i%controlModels)})
 	}
-	pf.SetVMs(list)
+	sy.platform.SetVMs(list)
 	entry := sy.entry()
 	if err := local.WaitReady(b.Context(), sy.callers[0], 20*time.Second); err != nil {
 		b.Fatal(err)
@@ -92,15 +84,7 @@
 // BenchmarkEntryTokens measures the processor time that an entry process and an agent process spend on each streamed
 // token, with an engine that generates without a pause. Run it with -benchtime 1x.
 func BenchmarkEntryTokens(b *testing.B) {
-	pf, err := local.NewPlatform()
-	if err != nil {
-		b.Fatal(err)
-	}
-	defer pf.Close()
-	if err := pf.Apply(b.Context(), []byte(declaration), "ordinary", "first"); err != nil {
-		b.Fatal(err)
-	}
-	sy := &system{t: b, platform: pf}
+	sy := emptySystem(b)
 	agent := sy.agent("dispatch", "--model", stand.NewEngine(stand.EngineSpeed{PrefillRate: 1e9, BlockTokens: 50, CacheBlocks: 100}, "v1", true))
 	entry := sy.entry()
 	if err := local.WaitReady(b.Context(), sy.callers[0], 20*time.Second); err != nil {
--- a/core/clock/clock.go
+++ b/core/clock/clock.go
@@ -13,7 +13,7 @@
 	Every(period time.Duration, call func()) (cancel func())
 }
 
-// Virtual is a Service whose time passes in Advance only. One goroutine owns it; subscribers run within Advance.
+// Virtual is a Service whose time passes in Advance and Drain only. One goroutine owns it; subscribers run within these.
 type Virtual struct {
 	now   time.Time
 	seq   int
@@ -23,7 +23,7 @@
 // NewVirtual returns a service that begins at a time.
 func NewVirtual(now time.Time) *Virtual { return &Virtual{now: now} }
 
-// timer is one coming call.
+// timer is one coming call, or a subscription if it has a period.
 type timer struct {
 	at        time.Time
 	seq       int
@@ -42,6 +42,11 @@
 	return func() { tm.cancelled = true }
 }
 
+// After calls a function once when a time has passed.
+func (vt *Virtual) After(delay time.Duration, call func()) {
+	vt.push(&timer{at: vt.now.Add(delay), call: call})
+}
+
 func (vt *Virtual) push(tm *timer) {
 	vt.seq++
 	tm.seq = vt.seq
@@ -52,16 +57,30 @@
 func (vt *Virtual) Advance(span time.Duration) {
 	end := vt.now.Add(span)
 	for len(vt.queue) > 0 && !vt.queue[0].at.After(end) {
-		tm := heap.Pop(&vt.queue).(*timer)
-		if tm.cancelled {
-			continue
-		}
-		vt.now = tm.at
-		tm.call()
+		vt.fire()
+	}
+	vt.now = end
+}
+
+// Drain lets time pass until no call is to come; there must be no subscription to Every.
+func (vt *Virtual) Drain() {
+	for len(vt.queue) > 0 {
+		vt.fire()
+	}
+}
+
+// fire makes the next call and schedules the one after it, if there is one.
+func (vt *Virtual) fire() {
+	tm := heap.Pop(&vt.queue).(*timer)
+	if tm.cancelled {
+		return
+	}
+	vt.now = tm.at
+	tm.call()
+	if tm.period > 0 {
 		tm.at = tm.at.Add(tm.period)
 		vt.push(tm)
 	}
-	vt.now = end
 }
 
 // timerHeap orders timers by time and then by subscription.
--- a/core/order/schedule_test.go
+++ b/core/order/schedule_test.go
@@ -59,7 +59,7 @@
 		case AskTicket:
 			rq.askTicket(rq.next())
 		case ReadRow:
-			wd.read(rq.key, rq.next(), func() { rq.lastRead = wd.now })
+			wd.read(rq.key, rq.next(), func() { rq.lastRead = wd.now() })
 		case WriteRow:
 			wd.write(rq.key, ef.Row(), rq.next())
 		case Redeem:
@@ -85,7 +85,7 @@
 	next = wd.once(next, NewDenied(time.Second))
 	ag := wd.agents[wd.rng.IntN(2)]
 	wd.call(ag, func(reply func(Event)) {
-		tk, ok := ag.ledger.Grant(wd.now)
+		tk, ok := ag.ledger.Grant(wd.now())
 		if !ok {
 			reply(NewDenied(time.Second))
 			return
@@ -99,7 +99,7 @@
 	next = wd.once(next, Unreached{})
 	ag := wd.agentOf(rd.Ticket())
 	wd.call(ag, func(reply func(Event)) {
-		run, rp := ag.ledger.Redeem(wd.now, wd.adapt(ag, rd.Ticket()), rq.key, rd.Intent())
+		run, rp := ag.ledger.Redeem(wd.now(), wd.adapt(ag, rd.Ticket()), rq.key, rd.Intent())
 		if !run {
 			reply(NewReported(rp))
 			return
--- a/core/order/world_test.go
+++ b/core/order/world_test.go
@@ -1,20 +1,18 @@
 package order
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"shallotcleat/core/answer"
+	"shallotcleat/core/clock"
 )
 
 // world runs the real attempts and ledgers in virtual time, with a table and services that fail by a seeded schedule.
 type world struct {
-	rng    *rand.Rand
-	now    time.Time
-	events eventQueue
-	seq    int
+	rng   *rand.Rand
+	clock *clock.Virtual
 
 	rows      map[string]Row
 	tableDown bool
@@ -47,29 +45,6 @@
 	pausedUntil time.Time
 }
 
-type simEvent struct {
-	at   time.Time
-	seq  int
-	call func()
-}
-
-type eventQueue []simEvent
-
-func (eq eventQueue) Len() int { return len(eq) }
-func (eq eventQueue) Less(left, right int) bool {
-	if eq[left].at.Equal(eq[right].at) {
-		return eq[left].seq < eq[right].seq
-	}
-	return eq[left].at.Before(eq[right].at)
-}
-func (eq eventQueue) Swap(left, right int) { eq[left], eq[right] = eq[right], eq[left] }
-func (eq *eventQueue) Push(value any)      { *eq = append(*eq, value.(simEvent)) }
-func (eq *eventQueue) Pop() any {
-	last := (*eq)[len(*eq)-1]
-	*eq = (*eq)[:len(*eq)-1]
-	return last
-}
-
 const (
 	simTicketLifetime = 2 * time.Second
 	simTicketLimit    = 3
@@ -82,7 +57,7 @@
 func newWorld(seed uint64) *world {
 	wd := &world{
 		rng:      rand.New(rand.NewPCG(seed, 0)),
-		now:      time.Unix(1_000_000, 0),
+		clock:    clock.NewVirtual(time.Unix(1_000_000, 0)),
 		rows:     make(map[string]Row),
 		runs:     make(map[string][]run),
 		accepted: make(map[string]bool),
@@ -102,21 +77,12 @@
 	ag.ledger = NewLedger(ag.name, ag.incarnation, simTicketLifetime, simTicketLimit)
 }
 
-func (wd *world) after(delay time.Duration, call func()) {
-	wd.seq++
-	heap.Push(&wd.events, simEvent{at: wd.now.Add(delay), seq: wd.seq, call: call})
-}
+func (wd *world) after(delay time.Duration, call func()) { wd.clock.After(delay, call) }
 
 // advance runs the world for a time.
-func (wd *world) advance(span time.Duration) {
-	end := wd.now.Add(span)
-	for len(wd.events) > 0 && !wd.events[0].at.After(end) {
-		ev := heap.Pop(&wd.events).(simEvent)
-		wd.now = ev.at
-		ev.call()
-	}
-	wd.now = end
-}
+func (wd *world) advance(span time.Duration) { wd.clock.Advance(span) }
+
+func (wd *world) now() time.Time { return wd.clock.Now() }
 
 func (wd *world) chance(percent int) bool { return !wd.calm && wd.rng.IntN(100) < percent }
 
@@ -148,7 +114,7 @@
 		wd.after(span, func() { wd.rebirth(ag) })
 	case 3:
 		ag := wd.agents[wd.rng.IntN(2)]
-		ag.pausedUntil = wd.now.Add(span)
+		ag.pausedUntil = wd.now().Add(span)
 	case 4:
 		at := wd.rng.IntN(2)
 		wd.entryDown[at] = true
@@ -160,11 +126,11 @@
 // settleLoop is the agent's own settling of rows, as package agent does it.
 func (wd *world) settleLoop(ag *simAgent) {
 	wd.after(simSettlePeriod, func() { wd.settleLoop(ag) })
-	if ag.down || wd.now.Before(ag.pausedUntil) {
+	if ag.down || wd.now().Before(ag.pausedUntil) {
 		return
 	}
 	ledger := ag.ledger
-	for _, us := range ledger.Unsettled(wd.now.Add(-simSettlePeriod)) {
+	for _, us := range ledger.Unsettled(wd.now().Add(-simSettlePeriod)) {
 		wd.write(us.Key(), us.Row(), func(ev Event) {
 			if _, failed := ev.(WriteFailed); !failed && ag.ledger == ledger {
 				ledger.Confirm(us.Ticket())
@@ -240,8 +206,8 @@
 		return
 	}
 	arrive := wd.delay()
-	if ag.pausedUntil.After(wd.now) {
-		arrive += ag.pausedUntil.Sub(wd.now)
+	if ag.pausedUntil.After(wd.now()) {
+		arrive += ag.pausedUntil.Sub(wd.now())
 	}
 	wd.after(arrive, func() {
 		if ag.down {
@@ -271,7 +237,7 @@
 		if ag.ledger != ledger {
 			return
 		}
-		ledger.Finish(wd.now, rd.Ticket(), rp)
+		ledger.Finish(wd.now(), rd.Ticket(), rp)
 		wd.ended(ag, rd.Ticket())
 		reply(NewReported(rp))
 	}
@@ -282,7 +248,7 @@
 	took := time.Duration(wd.rng.IntN(400)) * time.Millisecond
 	wd.after(wd.delay(), func() {
 		if !wd.chance(4) {
-			wd.runs[key] = append(wd.runs[key], run{attempt: rd.Intent().Attempt(), digest: rd.Intent().Digest(), at: wd.now})
+			wd.runs[key] = append(wd.runs[key], run{attempt: rd.Intent().Attempt(), digest: rd.Intent().Digest(), at: wd.now()})
 		}
 		broken := wd.chance(8)
 		wd.after(took, func() {
--- a/core/trial/run.go
+++ b/core/trial/run.go
@@ -1,11 +1,12 @@
 package trial
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"shallotcleat/core/clock"
 )
 
 // Times of a run.
@@ -32,9 +33,7 @@
 	opts    Options
 	rng     *rand.Rand
 	loader  *loader
-	now     time.Duration
-	queue   timeQueue
-	seq     int
+	clock   *clock.Virtual
 	engines []*engine
 	routers []router
 	result  Result
@@ -46,17 +45,14 @@
 	rn.after(0, rn.arrive)
 	rn.after(greetPeriod, rn.greet)
 	rn.after(opts.Length/2, rn.disturb)
-	for len(rn.queue) > 0 {
-		ev := heap.Pop(&rn.queue).(timedEvent)
-		rn.now = ev.at
-		ev.call()
-	}
+	rn.clock.Drain()
 	return rn.result
 }
 
 func newRunner(opts Options) *runner {
 	rn := &runner{
 		opts:   opts,
+		clock:  clock.NewVirtual(epochTime),
 		rng:    rand.New(rand.NewPCG(opts.Seed, 11)),
 		loader: newLoader(opts.Seed, opts.Deployment, opts.Condition),
 		result: Result{
@@ -79,41 +75,41 @@
 		rt := newRouter(rn.opts.Policy, rn.opts.Deployment, entry)
 		for server, en := range rn.engines {
 			if en.alive {
-				rt.replied(rn.now, server, en)
+				rt.replied(rn.now(), server, en)
 				continue
 			}
-			rt.failed(rn.now, server)
-			rt.failed(rn.now, server)
+			rt.failed(rn.now(), server)
+			rt.failed(rn.now(), server)
 		}
 		rn.routers = append(rn.routers, rt)
 	}
 }
 
-func (rn *runner) after(delay time.Duration, call func()) {
-	rn.seq++
-	heap.Push(&rn.queue, timedEvent{at: rn.now + delay, seq: rn.seq, call: call})
-}
+func (rn *runner) after(delay time.Duration, call func()) { rn.clock.After(delay, call) }
+
+// now returns the time since the run began.
+func (rn *runner) now() time.Duration { return rn.clock.Now().Sub(epochTime) }
 
 // arrive sends one call and schedules the next one.
 func (rn *runner) arrive() {
-	if rn.now >= rn.opts.Length {
+	if rn.now() >= rn.opts.Length {
 		return
 	}
 	rate := rn.opts.Deployment.rate(rn.opts.Load)
-	if third := rn.opts.Length / 3; rn.now > third && rn.now < 2*third {
+	if third := rn.opts.Length / 3; rn.now() > third && rn.now() < 2*third {
 		rate *= rn.opts.Condition.surge
 	}
-	if rn.now < warmUp {
-		rate *= 0.1 + 0.9*float64(rn.now)/float64(warmUp)
+	if rn.now() < warmUp {
+		rate *= 0.1 + 0.9*float64(rn.now())/float64(warmUp)
 	}
 	rn.after(seconds(rn.rng.ExpFloat64()/rate), rn.arrive)
-	rn.send(rn.loader.next(rn.now))
+	rn.send(rn.loader.next(rn.now()))
 }
 
 func (rn *runner) send(cl *call) {
 	rt := rn.routers[cl.entry]
-	server, cached := rt.choose(rn.now, cl)
-	rn.result.sent[server] = append(rn.result.sent[server], rn.now)
+	server, cached := rt.choose(rn.now(), cl)
+	rn.result.sent[server] = append(rn.result.sent[server], rn.now())
 	jb := &job{call: cl, server: server, guess: cached}
 	rn.after(oneWayDelay, func() { rn.deliver(jb) })
 }
@@ -121,18 +117,18 @@
 func (rn *runner) deliver(jb *job) {
 	en := rn.engines[jb.server]
 	if !en.alive {
-		rn.routers[jb.call.entry].failed(rn.now, jb.server)
+		rn.routers[jb.call.entry].failed(rn.now(), jb.server)
 		rn.send(jb.call)
 		return
 	}
-	jb.arrived = rn.now
+	jb.arrived = rn.now()
 	en.put(jb)
 	rn.reply(jb.call.entry, jb.server)
 	rn.compute(en)
 }
 
 func (rn *runner) reply(entry, server int) {
-	rn.after(oneWayDelay, func() { rn.routers[entry].replied(rn.now, server, rn.engines[server]) })
+	rn.after(oneWayDelay, func() { rn.routers[entry].replied(rn.now(), server, rn.engines[server]) })
 }
 
 // compute begins the next prompt if the engine is free.
@@ -156,16 +152,16 @@
 	}
 	en.computing = nil
 	en.pending -= jb.guess
-	en.rate.Measure(epochTime.Add(rn.now), jb.ahead, rn.now-jb.arrived)
+	en.rate.Measure(epochTime.Add(rn.now()), jb.ahead, rn.now()-jb.arrived)
 	rn.compute(en)
 	rn.after(oneWayDelay, func() {
 		rt := rn.routers[jb.call.entry]
-		rt.replied(rn.now, jb.server, en)
-		rt.first(rn.now, jb, en)
+		rt.replied(rn.now(), jb.server, en)
+		rt.first(rn.now(), jb, en)
 		rn.count(jb)
 	})
 	rn.after(oneWayDelay+time.Duration(jb.call.output)*tokenTime, func() {
-		rn.routers[jb.call.entry].replied(rn.now, jb.server, en)
+		rn.routers[jb.call.entry].replied(rn.now(), jb.server, en)
 	})
 }
 
@@ -177,7 +173,7 @@
 	rs.prompt += jb.call.tokens
 	rs.cached += jb.cached
 	rs.bound += jb.call.bound
-	elapsed := (rn.now - jb.call.at).Microseconds()
+	elapsed := (rn.now() - jb.call.at).Microseconds()
 	_ = rs.firstAll.RecordValue(elapsed)
 	if jb.call.check {
 		_ = rs.firstChk.RecordValue(elapsed)
@@ -186,7 +182,7 @@
 
 // greet lets each entry hear of each engine once a period, as entries do with idle servers.
 func (rn *runner) greet() {
-	if rn.now >= rn.opts.Length {
+	if rn.now() >= rn.opts.Length {
 		return
 	}
 	rn.after(greetPeriod, rn.greet)
@@ -221,8 +217,8 @@
 		jobs = append(jobs, en.computing)
 	}
 	for _, rt := range rn.routers {
-		rt.failed(rn.now, server)
-		rt.failed(rn.now, server)
+		rt.failed(rn.now(), server)
+		rt.failed(rn.now(), server)
 	}
 	for _, jb := range jobs {
 		rn.send(jb.call)
--- a/core/weight/fleet_test.go
+++ b/core/weight/fleet_test.go
@@ -81,11 +81,7 @@
 
 // later calls a function once after a time.
 func (fl *fleet) later(delay time.Duration, call func()) {
-	var cancel func()
-	cancel = fl.clock.Every(max(delay, time.Millisecond), func() {
-		cancel()
-		call()
-	})
+	fl.clock.After(max(delay, time.Millisecond), call)
 }
 
 // look is the agent's look at its engine.
--- a/process_test.go
+++ b/process_test.go
@@ -56,17 +56,23 @@
 	admins  []string
 }
 
-func newSystem(t *testing.T) *system {
+// emptySystem returns a platform with a declaration in force and no process.
+func emptySystem(t testing.TB) *system {
 	t.Helper()
 	pf, err := local.NewPlatform()
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(pf.Close)
-	sy := &system{t: t, platform: pf}
 	if err := pf.Apply(t.Context(), []byte(declaration), "ordinary", "first"); err != nil {
 		t.Fatal(err)
 	}
+	return &system{t: t, platform: pf}
+}
+
+func newSystem(t *testing.T) *system {
+	t.Helper()
+	sy := emptySystem(t)
 	for range 2 {
 		engine := stand.NewEngine(stand.EngineSpeed{PrefillRate: 1e5, TokenTime: 5 * time.Millisecond, BlockTokens: 50, CacheBlocks: 500}, "v1", true)
 		sy.models = append(sy.models, sy.agent("dispatch", "--model", engine))
