One answer to whether a VM exists; one choice among servers

Cause, found by reading the whole change: entries and agents each decided whether an agent that does not answer is gone, and the two differed. The agents' check knew only the VM list, not the servers that operators have added; a paused holder of a slot that was added so would have counted as gone, and its slot would have passed on while it was held. Change: watch.VMs.Shows serves both; what entries decide is as before. The choice of the best server that has not refused stood twice in the entry; it is one function. core/config no longer imports net/http for two words. Shown by: the new test of Shows. The slot of an added, paused holder was not run. Checks: vet, linter, the packages touched and the tests over loopback that use them, with the race detector.

--- a/core/config/declare.go
+++ b/core/config/declare.go
@@ -1,7 +1,6 @@
 package config
 
 import (
-	"net/http"
 	"path"
 	"slices"
 	"time"
@@ -84,7 +83,7 @@
 	if slices.Contains(sv.once, call) {
 		return true
 	}
-	return (method == http.MethodPost || method == http.MethodPatch) && !slices.Contains(sv.repeatable, call)
+	return (method == "POST" || method == "PATCH") && !slices.Contains(sv.repeatable, call)
 }
 
 // Preset is a set of prices and limits for one kind of day.
--- a/io/agent/weights.go
+++ b/io/agent/weights.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"strconv"
 	"time"
 
@@ -12,7 +11,6 @@
 	"shallotcleat/io/rows"
 	"shallotcleat/io/server"
 	"shallotcleat/io/trace"
-	"shallotcleat/io/vmlist"
 	"shallotcleat/io/wire"
 )
 
@@ -73,7 +71,7 @@
 	return weight.Ordered{}
 }
 
-// askHolder asks the holder of a slot. One that does not answer keeps it, unless its VM is gone from the list.
+// askHolder asks the holder of a slot. One that does not answer keeps it, unless its VM is gone.
 func (ag *Agent) askHolder(ctx context.Context, holder weight.Holder) weight.Event {
 	if holder.Agent() == ag.address {
 		return ag.usesSlot(holder)
@@ -85,8 +83,7 @@
 		Incarnation: holder.Incarnation(),
 		Fence:       holder.Fence(),
 	})
-	isListed := slices.ContainsFunc(ag.vms.Latest(), func(vm vmlist.VM) bool { return vm.Address == holder.Agent() })
-	if err != nil && isListed || err == nil && reply.GetInUse() {
+	if err != nil && ag.vms.Shows(holder.Agent(), ag.board.Snapshot()) || err == nil && reply.GetInUse() {
 		return weight.InUse{}
 	}
 	return weight.Unused{}
--- a/io/entry/members.go
+++ b/io/entry/members.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -48,17 +47,6 @@
 	en.board.Members().Replace(servers)
 }
 
-// isListed reports whether the VM list, or an operator's change, shows an agent's address.
-func (en *Entry) isListed(address string) bool {
-	for _, vm := range en.vms.Latest() {
-		if vm.Address == address {
-			return true
-		}
-	}
-	sn := en.board.Snapshot()
-	return sn != nil && slices.ContainsFunc(sn.Head().Added(), func(mb config.Member) bool { return mb.Address() == address })
-}
-
 // peers returns the other entries.
 func (en *Entry) peers() []watch.Exchanger {
 	var peers []watch.Exchanger
--- a/io/entry/model.go
+++ b/io/entry/model.go
@@ -174,7 +174,7 @@
 		if try > 0 && !en.budget.Take() {
 			return last
 		}
-		ch, ok := en.choose(call)
+		ch, ok := en.choose(call.place, call.refused)
 		if !ok {
 			return last
 		}
@@ -214,11 +214,11 @@
 	return nil
 }
 
-// choose returns the cheapest server that has not refused the call.
-func (en *Entry) choose(call *modelCall) (place.Choice, bool) {
+// choose returns the cheapest server that has not refused a request.
+func (en *Entry) choose(rq place.Request, refused map[string]bool) (place.Choice, bool) {
 	view := en.board.Members().View()
-	for _, ch := range en.chooser.Rank(time.Now(), view, call.place, len(call.refused)+1) {
-		if !call.refused[ch.Server().Address()] {
+	for _, ch := range en.chooser.Rank(time.Now(), view, rq, len(refused)+1) {
+		if !refused[ch.Server().Address()] {
 			return ch, true
 		}
 	}
--- a/io/entry/orders.go
+++ b/io/entry/orders.go
@@ -248,7 +248,7 @@
 // unreached tells an agent that may answer later from one whose VM is gone for good. If the list is wrong about that,
 // the order ends as unknown although it may have run, which is what the caller is told.
 func (dr *orderDriver) unreached(address string) order.Event {
-	if dr.entry.isListed(address) {
+	if dr.entry.vms.Shows(address, dr.entry.board.Snapshot()) {
 		return order.Unreached{}
 	}
 	return order.Gone{}
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -63,14 +63,11 @@
 
 // choosePlain returns the agent of a plain service with the shortest wait.
 func (en *Entry) choosePlain(call *plainCall, refused map[string]bool) (string, bool) {
-	rq := place.NewRequest(call.service.Name(), nil, 0, 1, 0, "")
-	view := en.board.Members().View()
-	for _, ch := range en.chooser.Rank(time.Now(), view, rq, len(refused)+1) {
-		if address := ch.Server().Address(); !refused[address] {
-			return address, true
-		}
+	ch, ok := en.choose(place.NewRequest(call.service.Name(), nil, 0, 1, 0, ""), refused)
+	if !ok {
+		return "", false
 	}
-	return "", false
+	return ch.Server().Address(), true
 }
 
 // tryLookup sends a lookup to one agent.
--- a/io/watch/vms.go
+++ b/io/watch/vms.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"shallotcleat/core/clock"
+	"shallotcleat/core/config"
 	"shallotcleat/io/trace"
 	"shallotcleat/io/vmlist"
 )
@@ -42,6 +44,15 @@
 // Latest returns the VMs of the last successful read; the slice must not be changed.
 func (vs *VMs) Latest() []vmlist.VM { return *vs.latest.Load() }
 
+// Shows reports whether a VM exists: the platform lists its process's address, or an operator has added it. An agent that
+// does not answer may come back as long as it is shown.
+func (vs *VMs) Shows(address string, sn *config.Snapshot) bool {
+	if slices.ContainsFunc(vs.Latest(), func(vm vmlist.VM) bool { return vm.Address == address }) {
+		return true
+	}
+	return sn != nil && slices.ContainsFunc(sn.Head().Added(), func(mb config.Member) bool { return mb.Address() == address })
+}
+
 // Done is closed when Run has ended.
 func (vs *VMs) Done() <-chan struct{} { return vs.done }
 
--- a/io/watch/vms_test.go
+++ b/io/watch/vms_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"shallotcleat/core/clock"
+	"shallotcleat/core/config"
 	"shallotcleat/io/logs"
 	"shallotcleat/io/trace"
 	"shallotcleat/io/vmlist"
@@ -50,3 +51,23 @@
 		}
 	}
 }
+
+// A server that only an operator has added is shown like one of the list; a stranger is not.
+func TestShows(t *testing.T) {
+	text := declarationOf(0)
+	hd := config.NewHead(1, config.Hash(text), "ordinary", "change")
+	hd = hd.WithServers(nil, []config.Member{config.NewMember("127.0.0.1:2", "ruai", "dispatch")})
+	sn, err := config.NewSnapshot(hd, text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	vs := NewVMs(nil, []vmlist.VM{{Address: "127.0.0.1:1"}}, nil, nil, nil)
+	for address, want := range map[string]bool{"127.0.0.1:1": true, "127.0.0.1:2": true, "127.0.0.1:3": false} {
+		if got := vs.Shows(address, sn); got != want {
+			t.Errorf("%s is shown: %t", address, got)
+		}
+	}
+	if vs.Shows("127.0.0.1:2", nil) {
+		t.Error("a server is shown without a configuration")
+	}
+}
