--- a/Makefile
+++ b/Makefile
@@ -28,4 +28,4 @@
 
 # protoc, protoc-gen-go and protoc-gen-go-drpc are needed for this target only; its output is committed.
 generate:
-	protoc --go_out=. --go_opt=module=shallotcleat --go-drpc_out=. --go-drpc_opt=module=shallotcleat io/wire/wire.proto
+	protoc --go_out=. --go_opt=module=shallotcleat --go-drpc_out=. --go-drpc_opt=module=shallotcleat io/wire/wire.proto io/wire/node.proto
--- /dev/null
+++ b/core/fleet/list.go
@@ -0,0 +1,113 @@
+package fleet
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// returnGrace is how long an entry that vanished during an outage of the directory is believed after its end. Servers that
+// live write their entries anew within about two seconds.
+const returnGrace = 2200 * time.Millisecond
+
+// View is the set of servers at one moment; it is immutable.
+type View struct {
+	byService map[string][]*Server
+	byID      map[string]*Server
+}
+
+// Servers returns the servers of a service sorted by id, draining ones too; the slice must not be changed.
+func (vw *View) Servers(service string) []*Server { return vw.byService[service] }
+
+// Server returns the server with an id, or nil.
+func (vw *View) Server(id string) *Server { return vw.byID[id] }
+
+// At returns the server at an address, or nil; of two it is the one that was born last.
+func (vw *View) At(address string) *Server {
+	var found *Server
+	for _, sv := range vw.byID {
+		if sv.address == address && (found == nil || sv.born > found.born) {
+			found = sv
+		}
+	}
+	return found
+}
+
+// List keeps the servers; one goroutine owns it.
+type List struct {
+	known map[string]*Server
+	// lapsed holds the entries that vanished while the directory could not be trusted, with the time at which they are dropped.
+	lapsed map[string]time.Time
+	// trusted is the time from which on a vanished entry means that the server has left.
+	trusted time.Time
+}
+
+// NewList returns an empty list.
+func NewList() *List {
+	return &List{known: make(map[string]*Server), lapsed: make(map[string]time.Time)}
+}
+
+// Outage notes that the directory did not answer at a time, or refused to.
+func (ls *List) Outage(now time.Time) {
+	ls.trusted = now.Add(returnGrace)
+	for id := range ls.lapsed {
+		ls.lapsed[id] = ls.trusted
+	}
+}
+
+// Put takes the present entry of a server.
+func (ls *List) Put(sv *Server) {
+	ls.known[sv.id] = sv
+	delete(ls.lapsed, sv.id)
+}
+
+// Drop takes note that the entry of a server has vanished.
+func (ls *List) Drop(now time.Time, id string) {
+	sv, ok := ls.known[id]
+	if !ok {
+		return
+	}
+	if sv.draining || !now.Before(ls.trusted) {
+		delete(ls.known, id)
+		delete(ls.lapsed, id)
+		return
+	}
+	if _, ok := ls.lapsed[id]; !ok {
+		ls.lapsed[id] = ls.trusted
+	}
+}
+
+// Keep drops the servers that are not among the ids of a whole reading of the directory.
+func (ls *List) Keep(now time.Time, ids map[string]bool) {
+	for id := range ls.known {
+		if !ids[id] {
+			ls.Drop(now, id)
+		}
+	}
+}
+
+// Expire drops the vanished servers whose grace has passed, and reports whether there were any.
+func (ls *List) Expire(now time.Time) bool {
+	dropped := false
+	for id, until := range ls.lapsed {
+		if !now.Before(until) {
+			delete(ls.known, id)
+			delete(ls.lapsed, id)
+			dropped = true
+		}
+	}
+	return dropped
+}
+
+// View returns the servers that are believed to be there.
+func (ls *List) View() *View {
+	vw := &View{byService: make(map[string][]*Server), byID: make(map[string]*Server, len(ls.known))}
+	for id, sv := range ls.known {
+		vw.byID[id] = sv
+		vw.byService[sv.service] = append(vw.byService[sv.service], sv)
+	}
+	for _, servers := range vw.byService {
+		slices.SortFunc(servers, func(one, other *Server) int { return strings.Compare(one.id, other.id) })
+	}
+	return vw
+}
--- /dev/null
+++ b/core/pick/picker.go
@@ -0,0 +1,276 @@
+package pick
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"shallotcleat/core/fleet"
+)
+
+// Costs and rates of a choice.
+const (
+	// prefillRate is how many prompt tokens an engine reads in a second unless its own rate is known.
+	prefillRate = 120_000
+	// runningCost is what each running call adds to the time of the next one.
+	runningCost = time.Millisecond
+	// otherZoneCost is the price of a hop to another availability zone; bytes between zones are paid for.
+	otherZoneCost = 12 * time.Millisecond
+	// oldWeightsCost is the price of an answer from older weights once newer ones are due.
+	oldWeightsCost = 150 * time.Millisecond
+	// failingCost is the price of a server that fails all its calls.
+	failingCost = 400 * time.Millisecond
+	// pausedCost puts servers that do not answer behind all others.
+	pausedCost = 10 * time.Second
+	// probeCost is the price of a server whose pause has ended and that has not answered since; calls that may run at
+	// most once avoid it more.
+	probeCost     = 5 * time.Millisecond
+	onceProbeCost = 300 * time.Millisecond
+	// cacheLife is how long a prompt is expected to stay in an engine's cache after its last use.
+	cacheLife = 8 * time.Second
+	// recentLimit bounds the prompts that are remembered for one server.
+	recentLimit = 4096
+	// loadingLimit is how long a server is believed to load weights without another word.
+	loadingLimit = 6 * time.Second
+)
+
+// Grace of older weights after newer ones were named.
+const (
+	// freeGrace is how long answers from older weights are as good as others.
+	freeGrace = 1200 * time.Millisecond
+	// limitSlack is how long before the limit the last call may begin on older weights.
+	limitSlack = 800 * time.Millisecond
+)
+
+// wanted is the newest version of a model's weights that was named, and when this process learned it.
+type wanted struct {
+	version uint64
+	since   time.Time
+}
+
+// Picker chooses servers; its methods may be called from any goroutine.
+type Picker struct {
+	zone string
+	// oldLimit is how long after newer weights were named a call may begin on older ones.
+	oldLimit time.Duration
+
+	// mu guards the fields below.
+	mu     sync.Mutex
+	view   *fleet.View
+	states map[string]*state
+	wanted map[string]wanted
+}
+
+// New returns a picker for a process in an availability zone. After oldLimit no call begins on older weights.
+func New(zone string, oldLimit time.Duration) *Picker {
+	return &Picker{
+		zone:     zone,
+		oldLimit: oldLimit,
+		view:     fleet.NewList().View(),
+		states:   make(map[string]*state),
+		wanted:   make(map[string]wanted),
+	}
+}
+
+// SetView takes the present servers.
+func (pk *Picker) SetView(vw *fleet.View) {
+	pk.mu.Lock()
+	defer pk.mu.Unlock()
+	pk.view = vw
+	for id := range pk.states {
+		if vw.Server(id) == nil {
+			delete(pk.states, id)
+		}
+	}
+}
+
+// View returns the present servers.
+func (pk *Picker) View() *fleet.View {
+	pk.mu.Lock()
+	defer pk.mu.Unlock()
+	return pk.view
+}
+
+// Want notes the newest version of a model's weights; older news are ignored.
+func (pk *Picker) Want(now time.Time, model string, version uint64) {
+	pk.mu.Lock()
+	defer pk.mu.Unlock()
+	if version > pk.wanted[model].version {
+		pk.wanted[model] = wanted{version: version, since: now}
+	}
+}
+
+// Weights notes which version of a model's weights a server has. While it loads others it gets no calls of the model.
+func (pk *Picker) Weights(now time.Time, id, model string, version uint64, loading bool) {
+	pk.mu.Lock()
+	defer pk.mu.Unlock()
+	st := pk.state(id)
+	if version < st.weights[model].version {
+		return
+	}
+	st.weights[model] = news{version: version, loading: loading, until: now.Add(loadingLimit)}
+}
+
+// Reported notes how busy a server's tender saw it.
+func (pk *Picker) Reported(id string, wk Work) {
+	pk.mu.Lock()
+	defer pk.mu.Unlock()
+	pk.state(id).reported = wk
+}
+
+// state returns the state of a server; the caller holds mu.
+func (pk *Picker) state(id string) *state {
+	st, ok := pk.states[id]
+	if !ok {
+		st = newState()
+		pk.states[id] = st
+	}
+	return st
+}
+
+// version returns the version of a model's weights at a server and whether it is loading; the caller holds mu.
+func (pk *Picker) version(now time.Time, sv *fleet.Server, model string) (uint64, bool) {
+	ns := pk.state(sv.ID()).weights[model]
+	told := sv.Weights(model)
+	if told > ns.version {
+		return told, false
+	}
+	return ns.version, ns.loading && now.Before(ns.until)
+}
+
+// Choose returns the cheapest server of a call that is not excluded, and false if there is none.
+func (pk *Picker) Choose(now time.Time, cl Call, excluded map[string]bool) (Choice, bool) {
+	pk.mu.Lock()
+	defer pk.mu.Unlock()
+	servers := pk.view.Servers(cl.service)
+	home := pk.home(now, cl, servers, pk.zone)
+	var best Choice
+	for _, sv := range servers {
+		if sv.Draining() || excluded[sv.ID()] {
+			continue
+		}
+		version, loading := pk.version(now, sv, cl.model)
+		penalty, ok := pk.weightsCost(now, cl, version)
+		if loading || !ok {
+			continue
+		}
+		cost := penalty + pk.cost(now, cl, sv, version, sv == home)
+		if best.server == nil || cost < best.cost {
+			best = Choice{server: sv, version: version, cost: cost}
+		}
+	}
+	if best.server == nil {
+		return Choice{}, false
+	}
+	best.source = pk.source(now, cl, servers, best)
+	return best, true
+}
+
+// weightsCost returns the price of a version of the weights, and false if no call may begin on it; the caller holds mu.
+func (pk *Picker) weightsCost(now time.Time, cl Call, version uint64) (time.Duration, bool) {
+	wt, ok := pk.wanted[cl.model]
+	if cl.model == "" || !ok || version >= wt.version {
+		return 0, true
+	}
+	age := now.Sub(wt.since)
+	if age > pk.oldLimit-limitSlack {
+		return 0, false
+	}
+	if age > freeGrace {
+		return oldWeightsCost, true
+	}
+	return 0, true
+}
+
+// cost returns the expected time until a server's answer begins, with the price of its zone and its failures; the
+// caller holds mu.
+func (pk *Picker) cost(now time.Time, cl Call, sv *fleet.Server, version uint64, home bool) time.Duration {
+	st := pk.state(sv.ID())
+	cost := time.Duration(st.running) * runningCost
+	cost += readTime(st.backlog)
+	if len(cl.parts) > 0 && !home && !pk.holds(now, st, cl, version) {
+		cost += readTime(cl.shared())
+	}
+	if sv.Zone() != pk.zone {
+		cost += otherZoneCost
+	}
+	cost += time.Duration(st.failures * float64(failingCost))
+	switch {
+	case st.isPaused(now):
+		cost += pausedCost
+	case st.inRow > 0 && cl.once:
+		cost += onceProbeCost
+	case st.inRow > 0:
+		cost += probeCost
+	}
+	return cost
+}
+
+func readTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / prefillRate * float64(time.Second))
+}
+
+func (pk *Picker) holds(now time.Time, st *state, cl Call, version uint64) bool {
+	at, ok := st.recent[recentKey{home: cl.home, version: version}]
+	return ok && now.Sub(at) < cacheLife
+}
+
+// home returns the server of a zone where calls with the same shared parts meet, by rendezvous hashing; the caller holds mu.
+func (pk *Picker) home(now time.Time, cl Call, servers []*fleet.Server, zone string) *fleet.Server {
+	if len(cl.parts) == 0 {
+		return nil
+	}
+	var best *fleet.Server
+	var bestScore uint64
+	for _, sv := range servers {
+		if sv.Zone() != zone || sv.Draining() || pk.state(sv.ID()).isPaused(now) {
+			continue
+		}
+		if score := mix(cl.home ^ sv.Hash()); best == nil || score > bestScore {
+			best, bestScore = sv, score
+		}
+	}
+	return best
+}
+
+// mix spreads the bits of a number.
+func mix(number uint64) uint64 {
+	var bytes [8]byte
+	for i := range bytes {
+		bytes[i] = byte(number >> (8 * i))
+	}
+	return xxhash.Sum64(bytes[:])
+}
+
+// source returns a server that probably holds the shared parts which the chosen one lacks: the home of its own zone, or
+// that of another one; the caller holds mu.
+func (pk *Picker) source(now time.Time, cl Call, servers []*fleet.Server, ch Choice) *fleet.Server {
+	if len(cl.parts) < 2 || ch.version == 0 || pk.holds(now, pk.state(ch.server.ID()), cl, ch.version) {
+		return nil
+	}
+	var best *fleet.Server
+	var bestScore uint64
+	seen := make(map[string]bool)
+	for _, sv := range servers {
+		if seen[sv.Zone()] {
+			continue
+		}
+		seen[sv.Zone()] = true
+		home := pk.home(now, cl, servers, sv.Zone())
+		if home == nil || home == ch.server {
+			continue
+		}
+		if version, loading := pk.version(now, home, cl.model); version != ch.version || loading {
+			continue
+		}
+		score := mix(cl.home ^ home.Hash())
+		if home.Zone() == ch.server.Zone() {
+			return home
+		}
+		if best == nil || score > bestScore {
+			best, bestScore = home, score
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/core/pick/sent.go
@@ -0,0 +1,123 @@
+package pick
+
+import "time"
+
+// Sent is a call on its way at one server; one goroutine owns it.
+type Sent struct {
+	picker *Picker
+	id     string
+	tokens int
+	begun  bool
+	ended  bool
+}
+
+// Outcome tells how a sending ended, as far as the server's health goes.
+type Outcome int
+
+// The outcomes of a sending.
+const (
+	// Served means that the server answered as it should.
+	Served Outcome = iota
+	// Rejected means that the server said that it did not run the call.
+	Rejected
+	// Failed means that the server's answer was a failure or broken.
+	Failed
+	// Silent means that the server did not answer or could not be reached.
+	Silent
+	// Abandoned means that the sending ended for a reason that says nothing of the server.
+	Abandoned
+)
+
+// Send notes that a call goes to its chosen server. End must be called.
+func (pk *Picker) Send(now time.Time, cl Call, ch Choice) *Sent {
+	pk.mu.Lock()
+	defer pk.mu.Unlock()
+	st := pk.state(ch.server.ID())
+	tokens := cl.tokens
+	if len(cl.parts) > 0 {
+		if pk.holds(now, st, cl, ch.version) {
+			tokens -= min(cl.shared(), tokens)
+		}
+		st.remember(now, recentKey{home: cl.home, version: ch.version})
+	}
+	st.running++
+	st.backlog += tokens
+	return &Sent{picker: pk, id: ch.server.ID(), tokens: tokens}
+}
+
+// remember notes a prompt; when too many are remembered, those that are likely evicted are forgotten.
+func (st *state) remember(now time.Time, key recentKey) {
+	if len(st.recent) >= recentLimit {
+		for old, at := range st.recent {
+			if now.Sub(at) >= cacheLife || len(st.recent) >= 2*recentLimit {
+				delete(st.recent, old)
+			}
+		}
+	}
+	st.recent[key] = now
+}
+
+// Begin notes that the answer has begun: the prompt is read.
+func (se *Sent) Begin() {
+	if se.begun {
+		return
+	}
+	se.begun = true
+	se.picker.mu.Lock()
+	defer se.picker.mu.Unlock()
+	if st, ok := se.picker.states[se.id]; ok {
+		st.backlog = max(st.backlog-se.tokens, 0)
+	}
+}
+
+// End notes how the sending ended; only the first call counts.
+func (se *Sent) End(now time.Time, oc Outcome) {
+	if se.ended {
+		return
+	}
+	se.Begin()
+	se.ended = true
+	se.picker.mu.Lock()
+	defer se.picker.mu.Unlock()
+	st, ok := se.picker.states[se.id]
+	if !ok {
+		return
+	}
+	st.running = max(st.running-1, 0)
+	switch oc {
+	case Served:
+		st.succeeded()
+	case Failed:
+		st.failed()
+	case Silent:
+		st.broke(now)
+	case Rejected, Abandoned:
+	}
+}
+
+// Paused returns the servers that do not answer and whose pause ends before a time, with their addresses by id.
+func (pk *Picker) Paused(before time.Time) map[string]string {
+	pk.mu.Lock()
+	defer pk.mu.Unlock()
+	paused := make(map[string]string)
+	for id, st := range pk.states {
+		if st.inRow > 0 && st.pausedUntil.Before(before) {
+			if sv := pk.view.Server(id); sv != nil {
+				paused[id] = sv.Address()
+			}
+		}
+	}
+	return paused
+}
+
+// Unreached notes that a server could not be reached.
+func (pk *Picker) Unreached(now time.Time, id string) {
+	pk.mu.Lock()
+	defer pk.mu.Unlock()
+	if st, ok := pk.states[id]; ok {
+		st.broke(now)
+	}
+}
+
+// Suspect notes that a server is late with an answer: other calls go elsewhere for a while.
+func (pk *Picker) Suspect(now time.Time, id string) { pk.Unreached(now, id) }
--- /dev/null
+++ b/core/pick/state.go
@@ -0,0 +1,70 @@
+package pick
+
+import "time"
+
+// Limits of the time for which a failing server gets no calls.
+const (
+	firstPause = 500 * time.Millisecond
+	longPause  = 4 * time.Second
+)
+
+// failureWeight is the part of the failure rate that one more call makes up.
+const failureWeight = 0.1
+
+// news is what is known of a model's weights at one server.
+type news struct {
+	version uint64
+	// loading is set while the server loads other weights; until bounds how long that is believed.
+	loading bool
+	until   time.Time
+}
+
+// state is what this process has seen of one server.
+type state struct {
+	running int
+	// backlog is the number of prompt tokens of running calls that have not answered yet.
+	backlog int
+	weights map[string]news
+	// failures is the moving rate of calls that failed, from 0 to 1.
+	failures float64
+	// inRow counts failures of the connection since the last answer; pausedUntil ends the time without calls.
+	inRow       int
+	pausedUntil time.Time
+	// recent holds when this process last sent a prompt with a home hash here.
+	recent map[recentKey]time.Time
+	// reported is what the server's tender told of its work.
+	reported Work
+}
+
+type recentKey struct {
+	home    uint64
+	version uint64
+}
+
+// Work is how busy an engine was when its tender looked.
+type Work struct {
+	Running int
+	Queued  int
+	At      time.Time
+}
+
+func newState() *state {
+	return &state{weights: make(map[string]news), recent: make(map[recentKey]time.Time)}
+}
+
+func (st *state) isPaused(now time.Time) bool { return now.Before(st.pausedUntil) }
+
+func (st *state) broke(now time.Time) {
+	st.inRow++
+	pause := min(firstPause<<min(st.inRow-1, 4), longPause)
+	st.pausedUntil = now.Add(pause)
+	st.failures += (1 - st.failures) * failureWeight
+}
+
+func (st *state) failed() { st.failures += (1 - st.failures) * failureWeight }
+
+func (st *state) succeeded() {
+	st.inRow = 0
+	st.pausedUntil = time.Time{}
+	st.failures -= st.failures * failureWeight
+}
--- /dev/null
+++ b/core/retry/window.go
@@ -0,0 +1,74 @@
+package retry
+
+import (
+	"sync"
+	"time"
+)
+
+// windowCells is how many cells a window is counted in.
+const windowCells = 20
+
+// Window grants repeats of calls within a budget over a sliding time: a part of the first tries and a fixed allowance. Its
+// methods may be called from any goroutine.
+type Window struct {
+	ratio     float64
+	allowance float64
+	cell      time.Duration
+
+	// mu guards the fields below.
+	mu      sync.Mutex
+	cells   [windowCells]windowCell
+	current int64
+	// begin is the time of the first call; spans are counted from it by the steady clock.
+	begin time.Time
+}
+
+type windowCell struct {
+	first   int
+	repeats int
+}
+
+// NewWindow returns a budget of ratio x the first tries within a span, and the allowance beside them.
+func NewWindow(span time.Duration, ratio, allowance float64) *Window {
+	return &Window{ratio: ratio, allowance: allowance, cell: max(span/windowCells, 1)}
+}
+
+// First notes a first try.
+func (wd *Window) First(now time.Time) {
+	wd.mu.Lock()
+	defer wd.mu.Unlock()
+	wd.advance(now)
+	wd.cells[wd.current%windowCells].first++
+}
+
+// Take reports whether a repeat may be sent, and counts it.
+func (wd *Window) Take(now time.Time) bool {
+	wd.mu.Lock()
+	defer wd.mu.Unlock()
+	wd.advance(now)
+	var first, repeats int
+	for _, wc := range wd.cells {
+		first += wc.first
+		repeats += wc.repeats
+	}
+	if float64(repeats+1) > wd.ratio*float64(first)+wd.allowance {
+		return false
+	}
+	wd.cells[wd.current%windowCells].repeats++
+	return true
+}
+
+// advance clears the cells that have left the window; the caller holds mu.
+func (wd *Window) advance(now time.Time) {
+	if wd.begin.IsZero() {
+		wd.begin = now
+	}
+	at := int64(now.Sub(wd.begin) / wd.cell)
+	if at <= wd.current {
+		return
+	}
+	for i := max(wd.current+1, at-windowCells+1); i <= at; i++ {
+		wd.cells[i%windowCells] = windowCell{}
+	}
+	wd.current = at
+}
--- /dev/null
+++ b/io/call/call.go
@@ -0,0 +1,251 @@
+package call
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// asyncBody is the length from which a body is sent beside the reading of the answer, since a server may answer before it has
+// read a long body.
+const asyncBody = 8 << 10
+
+// freshUse is how lately a kept connection must have been used for a call that may run at most once: the server may close a
+// connection as the call is sent, and it would not be known whether the call has run.
+const freshUse = 1500 * time.Millisecond
+
+// Request is a call as it goes to the server.
+type Request struct {
+	Method string
+	// Target is the path with its query, as the caller wrote it.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Once says that the call may run at most once.
+	Once bool
+	// Belongs reports whether an answer with these headers is that of the call.
+	Belongs func(http.Header) bool
+	// FirstByte bounds the time until the answer's header has come; zero leaves that to the context.
+	FirstByte time.Duration
+}
+
+// SilentError says that no answer came in time.
+type SilentError struct{ address string }
+
+// Error returns the address.
+func (se *SilentError) Error() string { return "no answer from " + se.address + " in time" }
+
+// BrokenError says that the connection or the answer was broken after the call was sent; the call may have run.
+type BrokenError struct {
+	address string
+	cause   error
+}
+
+// Error returns the address and the cause.
+func (be *BrokenError) Error() string {
+	return fmt.Sprintf("answer of %s broken: %v", be.address, be.cause)
+}
+
+// Unwrap returns the cause.
+func (be *BrokenError) Unwrap() error { return be.cause }
+
+// Answer is the answer to a call; Close must be called.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Framed says that the answer tells its own end, so that a closed connection does not look like one.
+	Framed bool
+
+	pool    *Pool
+	conn    *conn
+	body    io.ReadCloser
+	reader  *bufio.Reader
+	whole   bool
+	reuse   bool
+	release func() bool
+	written <-chan error
+}
+
+// Do sends a call once and returns the answer as soon as its header has come. It fails with *DialError, *SilentError or
+// *BrokenError. The answer's body ends with an error when the context does.
+func (pl *Pool) Do(ctx context.Context, address string, rq *Request) (*Answer, error) {
+	usedAfter := time.Time{}
+	if rq.Once {
+		usedAfter = time.Now().Add(-freshUse)
+	}
+	cn := pl.take(address, usedAfter)
+	if cn == nil {
+		var err error
+		if cn, err = dial(ctx, address); err != nil {
+			return nil, err
+		}
+	}
+	// The past deadline ends reads and writes that are under way.
+	release := context.AfterFunc(ctx, func() { _ = cn.net.SetDeadline(time.Unix(1, 0)) })
+	an, err := pl.exchange(ctx, cn, rq)
+	if err != nil {
+		release()
+		cn.close()
+		return nil, err
+	}
+	an.release = release
+	return an, nil
+}
+
+func (pl *Pool) exchange(ctx context.Context, cn *conn, rq *Request) (*Answer, error) {
+	if rq.FirstByte > 0 {
+		tm := time.AfterFunc(rq.FirstByte, func() { _ = cn.net.SetReadDeadline(time.Unix(1, 0)) })
+		defer func() {
+			if !tm.Stop() && ctx.Err() == nil {
+				_ = cn.net.SetReadDeadline(time.Time{})
+			}
+		}()
+	}
+	written := make(chan error, 1)
+	if len(rq.Body) > asyncBody {
+		go func() { written <- rq.write(cn) }()
+	} else if err := rq.write(cn); err != nil {
+		return nil, &BrokenError{address: cn.address, cause: err}
+	} else {
+		written <- nil
+	}
+	for {
+		rs, err := http.ReadResponse(cn.reader, &http.Request{Method: rq.Method})
+		if err != nil {
+			if isTimeout(err) && ctx.Err() == nil {
+				return nil, &SilentError{address: cn.address}
+			}
+			return nil, &BrokenError{address: cn.address, cause: err}
+		}
+		if rs.StatusCode < 200 {
+			continue
+		}
+		if rq.Belongs != nil && !rq.Belongs(rs.Header) {
+			// A late second answer to an earlier call; this call's own one follows.
+			if _, err := io.Copy(io.Discard, io.LimitReader(rs.Body, skipLimit)); err != nil || rs.Close {
+				return nil, &BrokenError{address: cn.address, cause: errOtherAnswer}
+			}
+			cn.calls++
+			if cn.calls > maxSkipped+1 {
+				return nil, &BrokenError{address: cn.address, cause: errOtherAnswer}
+			}
+			continue
+		}
+		cn.calls = 0
+		cn.noteIdle(rs.Header)
+		return &Answer{
+			Status:  rs.StatusCode,
+			Header:  rs.Header,
+			Framed:  rs.ContentLength >= 0 || len(rs.TransferEncoding) > 0,
+			pool:    pl,
+			conn:    cn,
+			body:    rs.Body,
+			reuse:   !rs.Close,
+			written: written,
+		}, nil
+	}
+}
+
+// Limits of answers to other calls that are passed over.
+const (
+	skipLimit  = 1 << 20
+	maxSkipped = 2
+)
+
+var errOtherAnswer = errors.New("the answer belongs to another call")
+
+func isTimeout(err error) bool {
+	var te interface{ Timeout() bool }
+	return errors.As(err, &te) && te.Timeout()
+}
+
+// write sends the call in one piece, so that a small one leaves in one packet.
+func (rq *Request) write(cn *conn) error {
+	var head strings.Builder
+	head.Grow(512)
+	head.WriteString(rq.Method + " " + rq.Target + " HTTP/1.1\r\nHost: " + rq.Host + "\r\n")
+	if len(rq.Body) > 0 || (rq.Method != http.MethodGet && rq.Method != http.MethodHead) {
+		head.WriteString("Content-Length: " + strconv.Itoa(len(rq.Body)) + "\r\n")
+	}
+	if err := rq.Header.Write(&head); err != nil {
+		return fmt.Errorf("write header: %w", err)
+	}
+	head.WriteString("\r\n")
+	message := append([]byte(head.String()), rq.Body...)
+	if _, err := cn.net.Write(message); err != nil {
+		return fmt.Errorf("write call: %w", err)
+	}
+	return nil
+}
+
+// noteIdle takes the server's word on how long it keeps an unused connection.
+func (cn *conn) noteIdle(hd http.Header) {
+	for _, item := range strings.Split(hd.Get("Keep-Alive"), ",") {
+		value, ok := strings.CutPrefix(strings.TrimSpace(item), "timeout=")
+		if !ok {
+			continue
+		}
+		seconds, err := strconv.Atoi(strings.TrimSpace(value))
+		if err != nil || seconds < 0 {
+			continue
+		}
+		cn.idle = max(min(idleLimit, time.Duration(seconds)*time.Second-idleMargin), 0)
+	}
+}
+
+// Read reads the answer's body; it ends with io.EOF only if the body is complete.
+func (an *Answer) Read(buffer []byte) (int, error) {
+	count, err := an.body.Read(buffer)
+	if err == io.EOF {
+		an.whole = true
+		return count, io.EOF
+	}
+	if err != nil {
+		return count, &BrokenError{address: an.conn.address, cause: err}
+	}
+	return count, nil
+}
+
+// Events returns a reader of the body that is meant for its lines.
+func (an *Answer) Events() *bufio.Reader {
+	if an.reader == nil {
+		an.reader = bufio.NewReaderSize(an, bufferSize)
+	}
+	return an.reader
+}
+
+// ReadAll returns the whole body, of a length that is bounded.
+func (an *Answer) ReadAll(limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(an, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) > limit {
+		return nil, &BrokenError{address: an.conn.address, cause: errors.New("the body is too long")}
+	}
+	return body, nil
+}
+
+// Close keeps the connection for the next call if the answer was read whole and nothing else came, and closes it otherwise;
+// a server that still works on the call notices that.
+func (an *Answer) Close() {
+	live := an.release()
+	sent := false
+	select {
+	case err := <-an.written:
+		sent = err == nil
+	default:
+	}
+	if !live || !an.whole || !an.reuse || !an.Framed || !sent || an.conn.reader.Buffered() > 0 {
+		an.conn.close()
+		return
+	}
+	an.pool.keep(an.conn)
+}
--- a/io/cmds/run.go
+++ b/io/cmds/run.go
@@ -38,6 +38,8 @@
 	return []listing{
 		{"entry", "Serve callers on an entry VM", entryHelp, &entryCommand{}},
 		{"agent", "Serve one backend server from the slot beside it", agentHelp, &agentCommand{}},
+		{"gate", "Forward callers' requests by routes", gateHelp, &gateCommand{}},
+		{"tender", "Keep the weights of the engine beside it", tenderHelp, &tenderCommand{}},
 		{"check", "Check a declarations file", checkHelp, &checkCommand{}},
 		{"apply", "Put a declarations file in force", applyHelp, &applyCommand{}},
 		{"preset", "Put a preset in force", presetHelp, &presetCommand{}},
--- a/io/cmds/settings.go
+++ b/io/cmds/settings.go
@@ -49,6 +49,15 @@
 	return got
 }
 
+// fraction returns a number within bounds.
+func (st *settings) fraction(flag, value string, low, high float64) float64 {
+	got, err := strconv.ParseFloat(value, 64)
+	if err != nil || got < low || got > high {
+		st.wrong(flag, value, fmt.Sprintf("numbers from %g to %g", low, high))
+	}
+	return got
+}
+
 // duration returns a time within bounds.
 func (st *settings) duration(flag, value string, low, high time.Duration) time.Duration {
 	got, err := time.ParseDuration(value)
--- /dev/null
+++ b/io/cmds/tender.go
@@ -0,0 +1,49 @@
+package cmds
+
+import (
+	"context"
+	"io"
+
+	"shallotcleat/io/link"
+	"shallotcleat/io/tend"
+	"shallotcleat/io/timer"
+	"shallotcleat/platform"
+)
+
+const tenderHelp = `Brings the model engine beside it to the newest weights and tells the gates. No request passes through it.
+
+Example:
+  shallotcleat tender --name tender-1 --zone ruai --engine 10.0.1.4:8785 --service dispatch --store 10.0.0.5:8784`
+
+// tenderCommand holds the settings of a tender.
+type tenderCommand struct {
+	routedFlags
+	Engine  string `long:"engine" env:"SHALLOTCLEAT_ENGINE" description:"IP and port of the model engine on this VM"`
+	Service string `long:"service" env:"SHALLOTCLEAT_SERVICE" description:"name of the engine's service"`
+}
+
+func (cm *tenderCommand) run(ctx context.Context, _ io.Writer) error {
+	var st settings
+	st.address("engine", cm.Engine)
+	st.word("service", cm.Service)
+	rd, err := cm.check(&st, "tender")
+	if err != nil {
+		return err
+	}
+	store := platform.NewStore(cm.Store)
+	td := tend.New(tend.Options{
+		Name:    cm.Name,
+		Zone:    cm.Zone,
+		Service: cm.Service,
+		Address: cm.Engine,
+		Seeds:   rd.gates,
+		Dialect: platform.Dialect{},
+		Source:  store,
+		Store:   store,
+		Links:   link.NewPool(),
+		Engine:  platform.NewEngine(cm.Engine),
+		Log:     rd.rec.Log(),
+		Timer:   timer.New(),
+	})
+	return rd.serve(ctx, td.Serve)
+}
--- /dev/null
+++ b/io/feed/follow.go
@@ -0,0 +1,111 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Limits of following a table.
+const (
+	// watchWait bounds one watch. A connection that went silent is noticed soon after, well within the time in which a
+	// configuration comes in force.
+	watchWait = 1200 * time.Millisecond
+	// answerLimit bounds what a call may take beside the wait.
+	answerLimit = 700 * time.Millisecond
+	// readLimit bounds the reading of a whole table.
+	readLimit = 2 * time.Second
+	// firstPause and longPause bound the time between calls that fail.
+	firstPause = 100 * time.Millisecond
+	longPause  = 500 * time.Millisecond
+)
+
+// Follower keeps a copy up to date.
+type Follower struct {
+	copy   *Copy
+	source Source
+	log    *logrus.Entry
+	// wait is how long one watch may last.
+	wait time.Duration
+	// outage is called at each call that fails.
+	outage func()
+	// stale is set while the source does not answer.
+	stale atomic.Bool
+	done  chan struct{}
+}
+
+// NewFollower returns a follower that has not begun; outage is called at each call of the source that fails.
+func NewFollower(cp *Copy, src Source, lg *logrus.Entry, outage func()) *Follower {
+	return &Follower{copy: cp, source: src, log: lg.WithField("table", cp.table), wait: watchWait, outage: outage, done: make(chan struct{})}
+}
+
+// Stale reports whether the source does not answer at present.
+func (fw *Follower) Stale() bool { return fw.stale.Load() }
+
+// Done is closed when Run has ended.
+func (fw *Follower) Done() <-chan struct{} { return fw.done }
+
+// Run follows the table until the context ends.
+func (fw *Follower) Run(ctx context.Context) {
+	defer close(fw.done)
+	pause := firstPause
+	whole := true
+	for ctx.Err() == nil {
+		err := fw.step(ctx, whole)
+		switch {
+		case err == nil:
+			whole = false
+			pause = firstPause
+			if fw.stale.Swap(false) {
+				fw.log.WithField("revision", fw.copy.Revision()).Info("dependency regained: the store answers again")
+			}
+			continue
+		case ctx.Err() != nil:
+			return
+		case errors.Is(err, ErrCompacted):
+			whole = true
+			fw.log.WithField("revision", fw.copy.Revision()).Info("the store has dropped its history; the table is read anew")
+			continue
+		}
+		if !fw.stale.Swap(true) {
+			fw.log.WithError(err).WithField("revision", fw.copy.Revision()).Warn("dependency lost: the store does not answer")
+		}
+		fw.outage()
+		sleep(ctx, pause)
+		pause = min(2*pause, longPause)
+	}
+}
+
+func (fw *Follower) step(ctx context.Context, whole bool) error {
+	if whole {
+		ctx, cancel := context.WithTimeout(ctx, readLimit)
+		defer cancel()
+		rows, revision, err := fw.source.Read(ctx, fw.copy.table)
+		if err != nil {
+			return err
+		}
+		fw.copy.Replace(rows, revision)
+		return nil
+	}
+	after := fw.copy.Revision()
+	ctx, cancel := context.WithTimeout(ctx, fw.wait+answerLimit)
+	defer cancel()
+	rows, revision, err := fw.source.Watch(ctx, fw.copy.table, after, fw.wait)
+	if err != nil {
+		return err
+	}
+	fw.copy.Apply(rows, after, revision)
+	return nil
+}
+
+func sleep(ctx context.Context, pause time.Duration) {
+	tm := time.NewTimer(pause)
+	defer tm.Stop()
+	select {
+	case <-ctx.Done():
+	case <-tm.C:
+	}
+}
--- /dev/null
+++ b/io/gate/budget.go
@@ -0,0 +1,44 @@
+package gate
+
+import (
+	"sync"
+	"time"
+
+	"shallotcleat/core/retry"
+)
+
+// budgetShare is the part of the agreed budget that gates use, since they count in windows of their own.
+const budgetShare = 0.7
+
+// budgets holds the budget of repeats for each service; its methods may be called from any goroutine.
+type budgets struct {
+	opts BudgetOptions
+	// gates returns how many gates share the allowance.
+	gates func() int
+
+	// mu guards windows.
+	mu      sync.Mutex
+	windows map[string]*retry.Window
+}
+
+func newBudgets(opts BudgetOptions, gates func() int) *budgets {
+	return &budgets{opts: opts, gates: gates, windows: make(map[string]*retry.Window)}
+}
+
+// First notes the first try of a request.
+func (bg *budgets) First(now time.Time, service string) { bg.window(service).First(now) }
+
+// Take reports whether a request may be sent once more, and counts it.
+func (bg *budgets) Take(now time.Time, service string) bool { return bg.window(service).Take(now) }
+
+func (bg *budgets) window(service string) *retry.Window {
+	bg.mu.Lock()
+	defer bg.mu.Unlock()
+	wd, ok := bg.windows[service]
+	if !ok {
+		allowance := bg.opts.Allowance / float64(max(bg.gates(), 1))
+		wd = retry.NewWindow(bg.opts.Span, budgetShare*bg.opts.Ratio, budgetShare*allowance)
+		bg.windows[service] = wd
+	}
+	return wd
+}
--- /dev/null
+++ b/io/gate/gate.go
@@ -0,0 +1,205 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"shallotcleat/core/clock"
+	"shallotcleat/core/pick"
+	"shallotcleat/core/route"
+	"shallotcleat/io/call"
+	"shallotcleat/io/feed"
+	"shallotcleat/io/link"
+	"shallotcleat/io/table"
+	"shallotcleat/io/trace"
+	"shallotcleat/io/wire"
+)
+
+// Limits of what callers may send, beside those of the configuration.
+const (
+	headerLimit   = 64 << 10
+	headerTimeout = 10 * time.Second
+	// idleTimeout is how long an unused connection of a caller stays; callers reuse connections up to the configured limit.
+	idleTimeout = 2 * time.Minute
+	// bodyLimit bounds a body while the configuration says nothing.
+	bodyLimit = 4 << 20
+)
+
+// Periods of a gate's own work.
+const (
+	sweepPeriod = 500 * time.Millisecond
+	probePeriod = 250 * time.Millisecond
+)
+
+// Options are the settings and dependencies of a gate.
+type Options struct {
+	// Name is the process's name for others, Zone its availability zone.
+	Name string
+	Zone string
+	// PeerAddress is where other processes reach the gate; Seeds are such addresses of other gates.
+	PeerAddress string
+	Seeds       []string
+	Dialect     Dialect
+	Source      feed.Source
+	Store       table.Committer
+	Links       *link.Pool
+	Recorder    *trace.Recorder
+	Timer       clock.Service
+	// Budget bounds repeats: a part of the first tries of a service within a span, and an allowance that all gates share.
+	Budget BudgetOptions
+	// OldWeights is how long after newer weights were named a request may begin on older ones.
+	OldWeights time.Duration
+	// Stop is how long a graceful stop may take, and BalancerLag how much of it callers may still arrive.
+	Stop        time.Duration
+	BalancerLag time.Duration
+}
+
+// BudgetOptions are the settings of the budget of repeats.
+type BudgetOptions struct {
+	Span      time.Duration
+	Ratio     float64
+	Allowance float64
+}
+
+// Gate is one process that callers connect to.
+type Gate struct {
+	opts   Options
+	log    *logrus.Entry
+	picker *pick.Picker
+	calls  *call.Pool
+	table  atomic.Pointer[route.Table]
+	// leaving is set when the stop has begun, lastCalls when answers ask callers to close their connection.
+	leaving   atomic.Bool
+	lastCalls atomic.Bool
+	budgets   *budgets
+
+	operators *feed.Copy
+	servers   *feed.Copy
+	nodes     *feed.Copy
+	shelf     *feed.Shelf
+	directory *directory
+	done      chan struct{}
+}
+
+// New returns a gate that has not begun.
+func New(opts Options) *Gate {
+	tables := opts.Dialect.Tables()
+	gt := &Gate{
+		opts:      opts,
+		log:       opts.Recorder.Log(),
+		picker:    pick.New(opts.Zone, opts.OldWeights),
+		calls:     call.NewPool(),
+		operators: feed.NewCopy(tables.Operators),
+		servers:   feed.NewCopy(tables.Servers),
+		nodes:     feed.NewCopy(tables.Nodes),
+		done:      make(chan struct{}),
+	}
+	gt.budgets = newBudgets(opts.Budget, gt.gateCount)
+	gt.shelf = feed.NewShelf(gt.operators, gt.servers, gt.nodes)
+	gt.directory = newDirectory(gt)
+	return gt
+}
+
+// Done is closed when Serve has ended.
+func (gt *Gate) Done() <-chan struct{} { return gt.done }
+
+// Serve answers callers, the balancer's questions and peers until the context ends, and then stops gracefully.
+func (gt *Gate) Serve(ctx context.Context, callers, ready, peers net.Listener) error {
+	defer close(gt.done)
+	// The work goes on through the graceful stop.
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	gt.follow(work, &wg)
+	wg.Go(func() { gt.servePeers(work, peers) })
+	readiness := &http.Server{Handler: http.HandlerFunc(gt.serveReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	wg.Go(func() { gt.serveHTTP(readiness, ready) })
+	srv := &http.Server{
+		Handler:           http.HandlerFunc(gt.handle),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    headerLimit,
+		ErrorLog:          nil,
+	}
+	wg.Go(func() { gt.serveHTTP(srv, callers) })
+	cancelSweep := gt.opts.Timer.Every(sweepPeriod, func() { gt.calls.Sweep(time.Now()) })
+	defer cancelSweep()
+	cancelProbe := gt.opts.Timer.Every(probePeriod, func() { gt.probePaused(work) })
+	defer cancelProbe()
+	<-ctx.Done()
+	gt.stop(srv)
+	_ = readiness.Close()
+	return nil
+}
+
+func (gt *Gate) serveHTTP(srv *http.Server, lis net.Listener) {
+	if err := srv.Serve(lis); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		gt.log.WithError(err).Error("serving ended")
+	}
+}
+
+// stop ends the service without cutting off a request: the balancer is told first, then callers are asked to close their
+// connections, and at last what still runs is waited for.
+func (gt *Gate) stop(srv *http.Server) {
+	gt.leaving.Store(true)
+	gt.log.WithField("event", string(trace.LeavingBegan)).Info("graceful stop began")
+	end := time.Now().Add(gt.opts.Stop)
+	time.Sleep(min(gt.opts.BalancerLag, gt.opts.Stop/2))
+	gt.lastCalls.Store(true)
+	time.Sleep(max(time.Until(end)-lastCallsSpan, 0))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	if err := srv.Shutdown(ctx); err != nil {
+		gt.log.WithError(err).Warn("requests were still running at the end of the stop")
+		_ = srv.Close()
+	}
+}
+
+// lastCallsSpan is the end of a graceful stop in which no connection is taken any more.
+const lastCallsSpan = 1500 * time.Millisecond
+
+func (gt *Gate) serveReady(wr http.ResponseWriter, _ *http.Request) {
+	switch {
+	case gt.leaving.Load():
+		http.Error(wr, "leaving", http.StatusServiceUnavailable)
+	case gt.table.Load() == nil:
+		http.Error(wr, "no configuration yet", http.StatusServiceUnavailable)
+	}
+}
+
+// servePeers serves what gates offer to other processes of the system.
+func (gt *Gate) servePeers(ctx context.Context, lis net.Listener) {
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterNode(mux, &nodeHandler{gate: gt}); err != nil {
+		gt.log.WithError(err).Error("peers can't be served")
+		return
+	}
+	srv := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: link.ManagerOptions()})
+	if err := srv.Serve(ctx, lis); err != nil && ctx.Err() == nil {
+		gt.log.WithError(err).Error("serving peers ended")
+	}
+}
+
+// probePaused looks whether servers that did not answer can be reached again.
+func (gt *Gate) probePaused(ctx context.Context) {
+	var wg conc.WaitGroup
+	for id, address := range gt.picker.Paused(time.Now().Add(probePeriod)) {
+		wg.Go(func() {
+			if !call.Probe(ctx, address) && ctx.Err() == nil {
+				gt.picker.Unreached(time.Now(), id)
+			}
+		})
+	}
+	wg.Wait()
+}
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -46,6 +46,11 @@
 	return wire.NewDRPCPeerClient(pl.pool.Get(context.Background(), address, dial))
 }
 
+// Node returns a client of the gate whose peer address is given; it dials when it is used.
+func (pl *Pool) Node(address string) wire.DRPCNodeClient {
+	return wire.NewDRPCNodeClient(pl.pool.Get(context.Background(), address, dial))
+}
+
 // Close closes the idle connections.
 func (pl *Pool) Close() error {
 	if err := pl.pool.Close(); err != nil {
--- a/io/table/store.go
+++ b/io/table/store.go
@@ -19,11 +19,16 @@
 	Expect uint64 `json:"expect"`
 }
 
-// Store is a table with conditional transactions over several rows.
-type Store interface {
+// Committer makes conditional transactions over several rows.
+type Committer interface {
 	// Commit makes all writes or none and returns the new versions in their order. It fails with a *ConflictError if
 	// a version is not the expected one, and with a *LostError if it is not known whether the writes were made.
 	Commit(ctx context.Context, writes []Write) ([]uint64, error)
+}
+
+// Store is a table with conditional transactions over several rows.
+type Store interface {
+	Committer
 	// Read returns the values that there are of some keys; it fails with a *LostError if the table does not answer.
 	Read(ctx context.Context, keys []string) ([]Cell, error)
 	// Scan returns the values whose keys begin with a prefix, sorted by key, at most limit of them.
@@ -58,6 +63,9 @@
 	cause error
 }
 
+// NewLostError returns the error with its cause.
+func NewLostError(cause error) *LostError { return &LostError{cause: cause} }
+
 // Error returns the cause.
 func (le *LostError) Error() string { return "table: no answer: " + le.cause.Error() }
 
--- /dev/null
+++ b/io/tend/engine.go
@@ -0,0 +1,57 @@
+package tend
+
+import (
+	"context"
+
+	"shallotcleat/core/weight"
+)
+
+// Seen is what a tender sees of its engine.
+type Seen struct {
+	// ServerID is the engine's id, or empty if the engine did not tell it.
+	ServerID string
+	// Born is the start of the engine in milliseconds since 1970.
+	Born  int64
+	Model string
+	Look  weight.Look
+	// Version is that of the model's weights.
+	Version uint64
+	Running int
+	Queued  int
+}
+
+// Order is an order to load weights.
+type Order struct {
+	ServerID string
+	Model    string
+	Version  uint64
+	// Holder and Fence name who may give orders; Sequence is how many orders the engine must have accepted.
+	Holder   string
+	Fence    uint64
+	Sequence uint64
+}
+
+// Verdict is an engine's answer to an order.
+type Verdict int
+
+// The answers to an order.
+const (
+	// Accepted means that the order is carried out, or holds already.
+	Accepted Verdict = iota
+	// Busy means that another order is under way, or that more orders were accepted than expected.
+	Busy
+	// Fenced means that the engine has seen a later fencing number.
+	Fenced
+	// Refused means that the engine can't carry the order out.
+	Refused
+)
+
+// Engine is the model engine beside a tender.
+type Engine interface {
+	// See returns the engine's state.
+	See(ctx context.Context) (Seen, error)
+	// Identify returns the engine's id.
+	Identify(ctx context.Context) (string, error)
+	// Load gives an order. After an error it is not known whether the engine has it.
+	Load(ctx context.Context, od Order) (Verdict, error)
+}
--- /dev/null
+++ b/io/tend/tender.go
@@ -0,0 +1,277 @@
+package tend
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"shallotcleat/core/clock"
+	"shallotcleat/core/weight"
+	"shallotcleat/io/feed"
+	"shallotcleat/io/gate"
+	"shallotcleat/io/link"
+	"shallotcleat/io/table"
+	"shallotcleat/io/wire"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Periods and limits of a tender.
+const (
+	// busyPeriod is the time between looks at the engine while it is behind, idlePeriod otherwise.
+	busyPeriod = 20 * time.Millisecond
+	idlePeriod = 150 * time.Millisecond
+	seeLimit   = 500 * time.Millisecond
+	orderLimit = 400 * time.Millisecond
+	tellLimit  = 60 * time.Millisecond
+	// tellPeriod is the time after which the gates are told again, since a new gate knows nothing.
+	tellPeriod = 3 * time.Second
+	pullWait   = 8 * time.Second
+	pullPause  = 100 * time.Millisecond
+	claimPause = 500 * time.Millisecond
+	storeLimit = 2 * time.Second
+)
+
+// Options are the settings and dependencies of a tender.
+type Options struct {
+	// Name is the holder's name in orders.
+	Name string
+	Zone string
+	// Service is that of the engine, Address where callers reach the engine.
+	Service string
+	Address string
+	// Seeds are peer addresses of gates.
+	Seeds   []string
+	Dialect gate.Dialect
+	Source  feed.Source
+	Store   table.Committer
+	Links   *link.Pool
+	Engine  Engine
+	Log     *logrus.Entry
+	Timer   clock.Service
+}
+
+// Tender is the process beside one engine.
+type Tender struct {
+	opts      Options
+	log       *logrus.Entry
+	operators *feed.Copy
+	nodes     *feed.Copy
+	done      chan struct{}
+
+	// mu guards the fields below.
+	mu      sync.Mutex
+	keeper  *weight.Keeper
+	wanted  map[string]uint64
+	rank    int
+	engines int
+	fence   uint64
+}
+
+// New returns a tender that has not begun.
+func New(opts Options) *Tender {
+	tables := opts.Dialect.Tables()
+	td := &Tender{
+		opts:      opts,
+		log:       opts.Log,
+		operators: feed.NewCopy(tables.Operators),
+		nodes:     feed.NewCopy(tables.Nodes),
+		done:      make(chan struct{}),
+		keeper:    weight.NewKeeper(),
+		wanted:    make(map[string]uint64),
+		engines:   1,
+	}
+	td.operators.Listen(td.operatorsChanged)
+	td.nodes.Listen(td.nodesChanged)
+	return td
+}
+
+// Done is closed when Serve has ended.
+func (td *Tender) Done() <-chan struct{} { return td.done }
+
+// Serve tends the engine until the context ends.
+func (td *Tender) Serve(ctx context.Context) error {
+	defer close(td.done)
+	var wg conc.WaitGroup
+	wg.Go(func() { td.register(ctx) })
+	wg.Go(func() { td.claim(ctx) })
+	wg.Go(func() { td.pull(ctx) })
+	wg.Go(func() { td.tend(ctx) })
+	wg.Wait()
+	return nil
+}
+
+// operatorsChanged takes the newest versions of weights.
+func (td *Tender) operatorsChanged(ch feed.Change) {
+	td.mu.Lock()
+	defer td.mu.Unlock()
+	for _, rw := range ch.Rows {
+		if rw.Gone() {
+			continue
+		}
+		model, version, ok, err := td.opts.Dialect.Weights(rw)
+		if err != nil {
+			td.log.WithError(err).WithField("row", rw.Key()).Warn("a version of weights can't be read; it is passed over")
+			continue
+		}
+		if ok && version > td.wanted[model] {
+			td.wanted[model] = version
+			td.log.WithFields(logrus.Fields{"model": model, "version": version}).Info("weights wanted")
+		}
+	}
+}
+
+// nodesChanged finds this engine's rank among those of its service. Neighbours in rank stand in different zones, so that
+// no zone loses all its engines at once.
+func (td *Tender) nodesChanged(feedChange feed.Change) {
+	byZone := make(map[string][]string)
+	for _, rw := range feedChange.Rows {
+		nd, ok := gate.ParseNode(rw)
+		if ok && nd.Role == gate.RoleTender && nd.Service == td.opts.Service {
+			byZone[nd.Zone] = append(byZone[nd.Zone], nd.Address)
+		}
+	}
+	type place struct {
+		address string
+		turn    int
+		hash    uint64
+	}
+	var places []place
+	for _, addresses := range byZone {
+		slices.SortFunc(addresses, func(one, other string) int {
+			return cmp.Compare(xxhash.Sum64String(one), xxhash.Sum64String(other))
+		})
+		for turn, address := range addresses {
+			places = append(places, place{address: address, turn: turn, hash: xxhash.Sum64String(address)})
+		}
+	}
+	slices.SortFunc(places, func(one, other place) int {
+		return cmp.Or(cmp.Compare(one.turn, other.turn), cmp.Compare(one.hash, other.hash))
+	})
+	td.mu.Lock()
+	defer td.mu.Unlock()
+	td.engines = max(len(places), 1)
+	td.rank = max(slices.IndexFunc(places, func(pl place) bool { return pl.address == td.opts.Address }), 0)
+}
+
+// register writes this tender's entry into the nodes' table.
+func (td *Tender) register(ctx context.Context) {
+	nd := gate.Node{Role: gate.RoleTender, Address: td.opts.Address, Zone: td.opts.Zone, Service: td.opts.Service}
+	for ctx.Err() == nil {
+		err := gate.WriteNode(ctx, td.opts.Store, td.nodes.Table(), nd)
+		if err == nil {
+			return
+		}
+		td.log.WithError(err).Info("the tender's entry can't be written yet")
+		pause(ctx, claimPause)
+	}
+}
+
+// pull keeps the copies up to date from a gate, one of the own zone first; the store is read if no gate answers.
+func (td *Tender) pull(ctx context.Context) {
+	wants := []feed.Interest{
+		feed.NewInterest(td.operators, td.opts.Dialect.Tables().WeightsPrefix),
+		feed.NewInterest(td.nodes, ""),
+	}
+	failures := 0
+	for ctx.Err() == nil {
+		gates := td.gates()
+		if len(gates) == 0 || failures > len(gates) {
+			td.readStore(ctx)
+			failures = 0
+			pause(ctx, claimPause)
+			continue
+		}
+		address := gates[failures%len(gates)]
+		_, err := feed.Pull(ctx, td.opts.Links, address, wants, pullWait)
+		if err == nil {
+			failures = 0
+			continue
+		}
+		if ctx.Err() == nil {
+			failures++
+			td.log.WithError(err).WithField("gate", address).Info("dependency lost: a gate does not answer; another one is asked")
+			pause(ctx, pullPause)
+		}
+	}
+}
+
+func (td *Tender) readStore(parent context.Context) {
+	ctx, cancel := context.WithTimeout(parent, storeLimit)
+	defer cancel()
+	for _, cp := range []*feed.Copy{td.operators, td.nodes} {
+		rows, revision, err := td.opts.Source.Read(ctx, cp.Table())
+		if err != nil {
+			td.log.WithError(err).Info("neither a gate nor the store answers")
+			return
+		}
+		cp.Replace(rows, revision)
+	}
+}
+
+// gates returns the peer addresses of the gates, those of the own zone first, each group in an order of this tender's own.
+func (td *Tender) gates() []string {
+	rows, _ := td.nodes.Rows("")
+	var near, far []string
+	for _, rw := range rows {
+		nd, ok := gate.ParseNode(rw)
+		switch {
+		case !ok || nd.Role != gate.RoleGate:
+		case nd.Zone == td.opts.Zone:
+			near = append(near, nd.Address)
+		default:
+			far = append(far, nd.Address)
+		}
+	}
+	order := func(one, other string) int {
+		return cmp.Compare(xxhash.Sum64String(one+td.opts.Address), xxhash.Sum64String(other+td.opts.Address))
+	}
+	slices.SortFunc(near, order)
+	slices.SortFunc(far, order)
+	gates := append(near, far...)
+	for _, seed := range td.opts.Seeds {
+		if seed != "" && !slices.Contains(gates, seed) {
+			gates = append(gates, seed)
+		}
+	}
+	return gates
+}
+
+func pause(ctx context.Context, span time.Duration) {
+	tm := time.NewTimer(span)
+	defer tm.Stop()
+	select {
+	case <-ctx.Done():
+	case <-tm.C:
+	}
+}
+
+// jitter spreads periodic work of many tenders.
+func jitter(span time.Duration) time.Duration {
+	return span + time.Duration(rand.Int64N(int64(span)/4+1))
+}
+
+// tellAll tells all gates at once and waits a short time for them.
+func (td *Tender) tellAll(ctx context.Context, ns *wire.EngineNews) {
+	ctx, cancel := context.WithTimeout(ctx, tellLimit)
+	defer cancel()
+	var wg conc.WaitGroup
+	for _, address := range td.gates() {
+		wg.Go(func() {
+			if _, err := td.opts.Links.Node(address).Tell(ctx, ns); err != nil {
+				td.log.WithError(err).WithField("gate", address).Debug("a gate was not told; answers tell it the weights")
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// holderName returns the name under which the tender gives orders.
+func (td *Tender) holderName() string { return strings.TrimSpace(td.opts.Name) }
