--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -21,7 +21,7 @@
 	oldWeightsCost = 150 * time.Millisecond
 	// failingCost is the price of a server that fails all its calls.
 	failingCost = 400 * time.Millisecond
-	// pausedCost puts servers that do not answer behind all others.
+	// pausedCost puts servers that do not answer behind all senders.
 	pausedCost = 10 * time.Second
 	// probeCost is the price of a server whose pause has ended and that has not answered since; calls that may run at
 	// most once avoid it more.
@@ -37,7 +37,7 @@
 
 // Grace of older weights after newer ones were named.
 const (
-	// freeGrace is how long answers from older weights are as good as others.
+	// freeGrace is how long answers from older weights are as good as senders.
 	freeGrace = 1200 * time.Millisecond
 	// limitSlack is how long before the limit the last call may begin on older weights.
 	limitSlack = 800 * time.Millisecond
@@ -56,15 +56,18 @@
 	oldLimit time.Duration
 
 	// mu guards the fields below.
-	mu     sync.Mutex
-	view   *fleet.View
-	states map[string]*state
-	wanted map[string]wanted
+	mu   sync.Mutex
+	view *fleet.View
+	// senders is how many processes are taken to send to a server as this one does.
+	senders int
+	states  map[string]*state
+	wanted  map[string]wanted
 }
 
 // New returns a picker for a process in an availability zone. After oldLimit no call begins on older weights.
 func New(zone string, oldLimit time.Duration) *Picker {
 	return &Picker{
+		senders:  1,
 		zone:     zone,
 		oldLimit: oldLimit,
 		view:     fleet.NewList().View(),
@@ -85,6 +88,13 @@
 	}
 }
 
+// SetSenders notes how many processes send calls to the same servers.
+func (pk *Picker) SetSenders(count int) {
+	pk.mu.Lock()
+	defer pk.mu.Unlock()
+	pk.senders = max(count, 1)
+}
+
 // View returns the present servers.
 func (pk *Picker) View() *fleet.View {
 	pk.mu.Lock()
@@ -101,12 +111,14 @@
 	}
 }
 
-// Weights notes which version of a model's weights a server has. While it loads others it gets no calls of the model.
+// Weights notes which version of a model's weights a server has; it only grows. While the server loads senders it gets no
+// calls of the model.
 func (pk *Picker) Weights(now time.Time, id, model string, version uint64, loading bool) {
 	pk.mu.Lock()
 	defer pk.mu.Unlock()
 	st := pk.state(id)
 	if version < st.weights[model].version {
+		// A word from before the last load, which came late.
 		return
 	}
 	st.weights[model] = news{version: version, loading: loading, until: now.Add(loadingLimit)}
@@ -187,8 +199,8 @@
 // caller holds mu.
 func (pk *Picker) cost(now time.Time, cl Call, sv *fleet.Server, version uint64, home bool) time.Duration {
 	st := pk.state(sv.ID())
-	cost := time.Duration(st.running) * runningCost
-	cost += readTime(st.backlog)
+	cost := time.Duration(st.running*pk.senders) * runningCost
+	cost += readTime(st.backlog * pk.senders)
 	if len(cl.parts) > 0 && !home && !pk.holds(now, st, cl, version) {
 		cost += readTime(cl.shared())
 	}
--- a/core/weight/keeper.go
+++ b/core/weight/keeper.go
@@ -2,15 +2,8 @@
 
 import "time"
 
-// Times of a keeper's orders.
-const (
-	// answerWait is how long the effect of an order that got no answer is waited for.
-	answerWait = 700 * time.Millisecond
-	// firstLoad is how long a load is taken to last before one was seen.
-	firstLoad = 600 * time.Millisecond
-	// loadWeight is the part of the moving mean of loads that one more makes up.
-	loadWeight = 0.3
-)
+// answerWait is how long the effect of an order that got no answer is waited for.
+const answerWait = 700 * time.Millisecond
 
 // Look is what an engine tells of itself at one moment.
 type Look struct {
@@ -25,12 +18,18 @@
 	return Look{version: version, busy: busy, sequence: sequence}
 }
 
+// Busy reports whether an order was under way.
+func (lk Look) Busy() bool { return lk.busy }
+
 // Step is what a keeper does next.
 type Step interface{ isStep() }
 
 // Rest means that there is nothing to do now.
 type Rest struct{}
 
+// AskDesk asks a desk whether the engine may load now.
+type AskDesk struct{}
+
 // LoadNow orders the engine to load weights, if it has accepted as many orders as told.
 type LoadNow struct {
 	version  uint64
@@ -44,65 +43,47 @@
 func (ln LoadNow) Sequence() uint64 { return ln.sequence }
 
 func (Rest) isStep()    {}
+func (AskDesk) isStep() {}
 func (LoadNow) isStep() {}
 
 // Keeper brings one engine to the newest weights; its owner serialises the calls.
 type Keeper struct {
-	turns  Turns
 	wanted uint64
-	// behind is when the engine was first seen with older weights than wanted.
-	behind time.Time
-	// ordered is when the last order was sent, and at which sequence.
+	// ordered is when the last order was sent, sequence the number of orders that the engine had accepted then.
 	ordered  time.Time
 	sequence uint64
-	load     time.Duration
+	last     Look
 }
 
 // NewKeeper returns a keeper that knows of no weights.
-func NewKeeper() *Keeper { return &Keeper{load: firstLoad} }
+func NewKeeper() *Keeper { return &Keeper{} }
 
-// Want notes the newest weights; rank is that of this engine among the engines of its service.
-func (kp *Keeper) Want(now time.Time, version uint64, engines int) {
-	if version <= kp.wanted {
-		return
-	}
-	kp.wanted = version
-	kp.turns.Named(now, engines, kp.load)
-}
+// Want notes the newest weights; older ones are ignored.
+func (kp *Keeper) Want(version uint64) { kp.wanted = max(kp.wanted, version) }
 
 // Wanted returns the newest version that was named, or zero.
 func (kp *Keeper) Wanted() uint64 { return kp.wanted }
 
 // Next returns what to do after a look at the engine.
-func (kp *Keeper) Next(now time.Time, lk Look, rank, engines int) Step {
-	if lk.version >= kp.wanted {
-		kp.settle(now)
-		return Rest{}
-	}
-	if kp.behind.IsZero() {
-		kp.behind = now
-	}
+func (kp *Keeper) Next(now time.Time, lk Look) Step {
+	kp.last = lk
 	switch {
+	case lk.version >= kp.wanted:
+		kp.ordered = time.Time{}
+		return Rest{}
 	case lk.busy:
 		return Rest{}
 	case !kp.ordered.IsZero() && kp.sequence == lk.sequence && now.Sub(kp.ordered) < answerWait:
-		return Rest{}
-	case now.Before(kp.turns.Window(rank, engines, kp.load, kp.behind)):
+		// The order may still be on its way, or may be carried out late; the engine refuses it once it has accepted another.
 		return Rest{}
 	}
-	kp.ordered, kp.sequence = now, lk.sequence
-	return LoadNow{version: kp.wanted, sequence: lk.sequence}
+	return AskDesk{}
 }
 
-// settle learns how long the load took that has ended.
-func (kp *Keeper) settle(now time.Time) {
-	kp.behind = time.Time{}
-	if kp.ordered.IsZero() {
-		return
-	}
-	took := now.Sub(kp.ordered)
-	kp.load += time.Duration(loadWeight * float64(took-kp.load))
-	kp.ordered = time.Time{}
+// Granted returns the order to send after the desk has let the engine load.
+func (kp *Keeper) Granted(now time.Time) LoadNow {
+	kp.ordered, kp.sequence = now, kp.last.sequence
+	return LoadNow{version: kp.wanted, sequence: kp.last.sequence}
 }
 
 // Again lets the last order be sent once more at once, since the engine has refused it.
--- a/io/cmds/gate.go
+++ b/io/cmds/gate.go
@@ -37,7 +37,7 @@
 
 // balancerLag is how long callers may still arrive after readiness has failed: the balancer asks once a second and gives up
 // after two misses.
-const balancerLag = 2500 * time.Millisecond
+const balancerLag = 3 * time.Second
 
 func (cm *gateCommand) run(ctx context.Context, _ io.Writer) error {
 	var st settings
--- a/io/gate/directory.go
+++ b/io/gate/directory.go
@@ -38,6 +38,7 @@
 	dr := &directory{gate: gt, list: fleet.NewList()}
 	gt.operators.Listen(dr.operatorsChanged)
 	gt.servers.Listen(dr.serversChanged)
+	gt.nodes.Listen(dr.nodesChanged)
 	return dr
 }
 
@@ -75,6 +76,17 @@
 	dr.gate.log.WithField("event", "epoch_adopted").WithField("version", sp.Version).WithField("routes", len(sp.Routes)).Info("configuration in force")
 }
 
+// nodesChanged counts the gates whose callers are as near to the servers of a zone as those of this one.
+func (dr *directory) nodesChanged(ch feed.Change) {
+	count := 0
+	for _, rw := range ch.Rows {
+		if nd, ok := ParseNode(rw); ok && nd.Role == RoleGate && nd.Zone == dr.gate.opts.Zone {
+			count++
+		}
+	}
+	dr.gate.picker.SetSenders(count)
+}
+
 func (dr *directory) serversChanged(ch feed.Change) {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -16,6 +16,7 @@
 	"shallotcleat/core/clock"
 	"shallotcleat/core/pick"
 	"shallotcleat/core/route"
+	"shallotcleat/core/weight"
 	"shallotcleat/io/call"
 	"shallotcleat/io/feed"
 	"shallotcleat/io/link"
@@ -87,6 +88,7 @@
 	nodes     *feed.Copy
 	shelf     *feed.Shelf
 	directory *directory
+	desk      desk
 	done      chan struct{}
 }
 
@@ -101,6 +103,7 @@
 		operators: feed.NewCopy(tables.Operators),
 		servers:   feed.NewCopy(tables.Servers),
 		nodes:     feed.NewCopy(tables.Nodes),
+		desk:      desk{desk: weight.NewDesk()},
 		done:      make(chan struct{}),
 	}
 	gt.budgets = newBudgets(opts.Budget, gt.gateCount)
@@ -155,9 +158,9 @@
 	gt.leaving.Store(true)
 	gt.log.WithField("event", string(trace.LeavingBegan)).Info("graceful stop began")
 	end := time.Now().Add(gt.opts.Stop)
-	time.Sleep(min(gt.opts.BalancerLag, gt.opts.Stop/2))
+	time.Sleep(gt.opts.BalancerLag / 3)
 	gt.lastCalls.Store(true)
-	time.Sleep(max(time.Until(end)-lastCallsSpan, 0))
+	time.Sleep(gt.opts.BalancerLag - gt.opts.BalancerLag/3)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := srv.Shutdown(ctx); err != nil {
@@ -166,9 +169,6 @@
 	}
 }
 
-// lastCallsSpan is the end of a graceful stop in which no connection is taken any more.
-const lastCallsSpan = 1500 * time.Millisecond
-
 func (gt *Gate) serveReady(wr http.ResponseWriter, _ *http.Request) {
 	switch {
 	case gt.leaving.Load():
--- a/io/gate/node.go
+++ b/io/gate/node.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"shallotcleat/core/pick"
+	"shallotcleat/core/weight"
 	"shallotcleat/io/wire"
 )
 
@@ -16,10 +18,40 @@
 	return nh.gate.shelf.Serve(ctx, rq), nil
 }
 
-// Tell takes what a tender knows of its engine.
+// Tell takes what a tender knows of its engine, and says whether the engine may load newer weights if that is asked.
 func (nh *nodeHandler) Tell(_ context.Context, ns *wire.EngineNews) (*wire.Received, error) {
+	gt := nh.gate
 	now := time.Now()
-	nh.gate.picker.Weights(now, ns.GetServerId(), ns.GetModel(), ns.GetVersion(), ns.GetLoading())
-	nh.gate.picker.Reported(ns.GetServerId(), pick.Work{Running: int(ns.GetRunning()), Queued: int(ns.GetQueued()), At: now})
+	ask := weight.NewAsk(ns.GetServerId(), ns.GetService(), ns.GetZone(), ns.GetVersion())
+	if ns.GetAsk() {
+		granted := gt.desk.grant(now, ask, len(gt.picker.View().Servers(ns.GetService())))
+		return &wire.Received{Granted: granted}, nil
+	}
+	gt.desk.note(now, ask, ns.GetLoading())
+	gt.picker.Weights(now, ns.GetServerId(), ns.GetModel(), ns.GetVersion(), ns.GetLoading())
+	gt.picker.Reported(ns.GetServerId(), pick.Work{Running: int(ns.GetRunning()), Queued: int(ns.GetQueued()), At: now})
 	return &wire.Received{}, nil
 }
+
+// desk is a weight.Desk that may be called from any goroutine.
+type desk struct {
+	// mu guards desk.
+	mu   sync.Mutex
+	desk *weight.Desk
+}
+
+func (dk *desk) grant(now time.Time, ask weight.Ask, engines int) bool {
+	dk.mu.Lock()
+	defer dk.mu.Unlock()
+	return dk.desk.Grant(now, ask, engines)
+}
+
+func (dk *desk) note(now time.Time, ask weight.Ask, loading bool) {
+	dk.mu.Lock()
+	defer dk.mu.Unlock()
+	if loading {
+		dk.desk.Loading(now, ask)
+	} else {
+		dk.desk.Loaded(ask.Engine())
+	}
+}
--- a/io/tend/tender.go
+++ b/io/tend/tender.go
@@ -30,6 +30,7 @@
 	idlePeriod = 150 * time.Millisecond
 	seeLimit   = 500 * time.Millisecond
 	orderLimit = 400 * time.Millisecond
+	askLimit   = 80 * time.Millisecond
 	tellLimit  = 60 * time.Millisecond
 	// tellPeriod is the time after which the gates are told again, since a new gate knows nothing.
 	tellPeriod = 3 * time.Second
@@ -67,12 +68,10 @@
 	done      chan struct{}
 
 	// mu guards the fields below.
-	mu      sync.Mutex
-	keeper  *weight.Keeper
-	wanted  map[string]uint64
-	rank    int
-	engines int
-	fence   uint64
+	mu     sync.Mutex
+	keeper *weight.Keeper
+	wanted map[string]uint64
+	fence  uint64
 }
 
 // New returns a tender that has not begun.
@@ -86,10 +85,8 @@
 		done:      make(chan struct{}),
 		keeper:    weight.NewKeeper(),
 		wanted:    make(map[string]uint64),
-		engines:   1,
 	}
 	td.operators.Listen(td.operatorsChanged)
-	td.nodes.Listen(td.nodesChanged)
 	return td
 }
 
@@ -128,39 +125,6 @@
 	}
 }
 
-// nodesChanged finds this engine's rank among those of its service. Neighbours in rank stand in different zones, so that
-// no zone loses all its engines at once.
-func (td *Tender) nodesChanged(feedChange feed.Change) {
-	byZone := make(map[string][]string)
-	for _, rw := range feedChange.Rows {
-		nd, ok := gate.ParseNode(rw)
-		if ok && nd.Role == gate.RoleTender && nd.Service == td.opts.Service {
-			byZone[nd.Zone] = append(byZone[nd.Zone], nd.Address)
-		}
-	}
-	type place struct {
-		address string
-		turn    int
-		hash    uint64
-	}
-	var places []place
-	for _, addresses := range byZone {
-		slices.SortFunc(addresses, func(one, other string) int {
-			return cmp.Compare(xxhash.Sum64String(one), xxhash.Sum64String(other))
-		})
-		for turn, address := range addresses {
-			places = append(places, place{address: address, turn: turn, hash: xxhash.Sum64String(address)})
-		}
-	}
-	slices.SortFunc(places, func(one, other place) int {
-		return cmp.Or(cmp.Compare(one.turn, other.turn), cmp.Compare(one.hash, other.hash))
-	})
-	td.mu.Lock()
-	defer td.mu.Unlock()
-	td.engines = max(len(places), 1)
-	td.rank = max(slices.IndexFunc(places, func(pl place) bool { return pl.address == td.opts.Address }), 0)
-}
-
 // register writes this tender's entry into the nodes' table.
 func (td *Tender) register(ctx context.Context) {
 	nd := gate.Node{Role: gate.RoleTender, Address: td.opts.Address, Zone: td.opts.Zone, Service: td.opts.Service}
@@ -273,5 +237,28 @@
 	wg.Wait()
 }
 
+// ask asks a gate whether the engine may load now. All tenders of a service ask the same one, unless it does not answer. If no
+// gate answers at all, the engine may load: nobody sends it requests then.
+func (td *Tender) ask(ctx context.Context, ns *wire.EngineNews) bool {
+	gates := td.gates()
+	slices.SortFunc(gates, func(one, other string) int {
+		return cmp.Compare(xxhash.Sum64String(one+td.opts.Service), xxhash.Sum64String(other+td.opts.Service))
+	})
+	for _, address := range gates {
+		reply, err := td.askOne(ctx, address, ns)
+		if err == nil {
+			return reply.GetGranted()
+		}
+		td.log.WithError(err).WithField("gate", address).Info("dependency lost: a gate does not answer; another one is asked")
+	}
+	return true
+}
+
+func (td *Tender) askOne(parent context.Context, address string, ns *wire.EngineNews) (*wire.Received, error) {
+	ctx, cancel := context.WithTimeout(parent, askLimit)
+	defer cancel()
+	return td.opts.Links.Node(address).Tell(ctx, ns)
+}
+
 // holderName returns the name under which the tender gives orders.
 func (td *Tender) holderName() string { return strings.TrimSpace(td.opts.Name) }
--- a/io/tend/weights.go
+++ b/io/tend/weights.go
@@ -67,8 +67,14 @@
 	born   int64
 	lost   bool
 	told   time.Time
-	// said is the version that the gates were told last.
-	said uint64
+	// said is what the gates were told last.
+	said word
+}
+
+// word is what the gates must know of the engine at once.
+type word struct {
+	version uint64
+	loading bool
 }
 
 // step makes one look and reports whether the next one is due soon.
@@ -79,19 +85,24 @@
 	}
 	now := time.Now()
 	td.mu.Lock()
-	td.keeper.Want(now, td.wanted[wt.seen.Model], td.engines)
-	step := td.keeper.Next(now, wt.seen.Look, td.rank, td.engines)
+	td.keeper.Want(td.wanted[wt.seen.Model])
+	step := td.keeper.Next(now, wt.seen.Look)
 	fence, wanted := td.fence, td.keeper.Wanted()
 	td.mu.Unlock()
-	if ln, ok := step.(weight.LoadNow); ok && fence > 0 {
-		wt.order(ctx, ln, fence)
-		return true
+	loading := wt.seen.Look.Busy()
+	if wt.said.loading && !loading {
+		td.log.WithFields(logrus.Fields{"event": "weights_loaded", "server": wt.id, "version": wt.seen.Version}).Info("the engine takes calls again")
 	}
-	behind := wt.seen.Version < wanted
-	if wt.said != wt.seen.Version && !behind || now.Sub(wt.told) > tellPeriod && !behind {
-		wt.tell(ctx, wt.seen.Version, false)
+	if wt.said != (word{wt.seen.Version, loading}) || now.Sub(wt.told) > tellPeriod {
+		wt.tell(ctx, loading)
 	}
-	return behind
+	if _, ok := step.(weight.AskDesk); ok {
+		if fence > 0 && td.ask(ctx, wt.news(false, true)) {
+			wt.order(ctx, fence)
+		}
+		return true
+	}
+	return wt.seen.Version < wanted
 }
 
 // look sees the engine, and learns its id after each of its starts.
@@ -122,15 +133,18 @@
 			return false
 		}
 	}
-	wt.id, wt.born, wt.said = id, seen.Born, 0
+	wt.id, wt.born, wt.said = id, seen.Born, word{}
 	td.log.WithFields(logrus.Fields{"server": id, "weights": seen.Version}).Info("engine found")
 	return true
 }
 
 // order tells the gates that the engine takes no calls for a while, and gives the order.
-func (wt *watcher) order(parent context.Context, ln weight.LoadNow, fence uint64) {
+func (wt *watcher) order(parent context.Context, fence uint64) {
 	td := wt.tender
-	wt.tell(parent, ln.Version(), true)
+	td.mu.Lock()
+	ln := td.keeper.Granted(time.Now())
+	td.mu.Unlock()
+	wt.tell(parent, true)
 	ctx, cancel := context.WithTimeout(parent, orderLimit)
 	defer cancel()
 	vd, err := td.opts.Engine.Load(ctx, Order{
@@ -160,18 +174,23 @@
 	td.claim(parent)
 }
 
-func (wt *watcher) tell(ctx context.Context, version uint64, loading bool) {
+func (wt *watcher) tell(ctx context.Context, loading bool) {
 	wt.told = time.Now()
-	wt.said = version
-	if loading {
-		wt.said = 0
-	}
-	wt.tender.tellAll(ctx, &wire.EngineNews{
+	wt.said = word{wt.seen.Version, loading}
+	wt.tender.tellAll(ctx, wt.news(loading, false))
+}
+
+// news returns what the gates are told.
+func (wt *watcher) news(loading, ask bool) *wire.EngineNews {
+	return &wire.EngineNews{
 		ServerId: wt.id,
 		Model:    wt.seen.Model,
-		Version:  version,
+		Version:  wt.seen.Version,
 		Loading:  loading,
 		Running:  int32(wt.seen.Running),
 		Queued:   int32(wt.seen.Queued),
-	})
+		Service:  wt.tender.opts.Service,
+		Zone:     wt.tender.opts.Zone,
+		Ask:      ask,
+	}
 }
