--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -43,12 +43,15 @@
 	limitSlack = 800 * time.Millisecond
 )
 
-// wanted is the newest version of a model's weights that was named, and when this process learned it.
-type wanted struct {
+// named is a version of a model's weights, and when this process learned that it was named.
+type named struct {
 	version uint64
 	since   time.Time
 }
 
+// namedLimit bounds the versions that are remembered for one model.
+const namedLimit = 32
+
 // Picker chooses servers; its methods may be called from any goroutine.
 type Picker struct {
 	zone string
@@ -61,7 +64,7 @@
 	// senders is how many processes are taken to send to a server as this one does.
 	senders int
 	states  map[string]*state
-	wanted  map[string]wanted
+	wanted  map[string][]named
 }
 
 // New returns a picker for a process in an availability zone. After oldLimit no call begins on older weights.
@@ -72,7 +75,7 @@
 		oldLimit: oldLimit,
 		view:     fleet.NewList().View(),
 		states:   make(map[string]*state),
-		wanted:   make(map[string]wanted),
+		wanted:   make(map[string][]named),
 	}
 }
 
@@ -106,9 +109,14 @@
 func (pk *Picker) Want(now time.Time, model string, version uint64) {
 	pk.mu.Lock()
 	defer pk.mu.Unlock()
-	if version > pk.wanted[model].version {
-		pk.wanted[model] = wanted{version: version, since: now}
+	versions := pk.wanted[model]
+	if len(versions) > 0 && version <= versions[len(versions)-1].version {
+		return
+	}
+	if len(versions) == namedLimit {
+		versions = versions[1:]
 	}
+	pk.wanted[model] = append(versions, named{version: version, since: now})
 }
 
 // Weights notes which version of a model's weights a server has; it only grows. While the server loads senders it gets no
@@ -181,17 +189,20 @@
 
 // weightsCost returns the price of a version of the weights, and false if no call may begin on it; the caller holds mu.
 func (pk *Picker) weightsCost(now time.Time, cl Call, version uint64) (time.Duration, bool) {
-	wt, ok := pk.wanted[cl.model]
-	if cl.model == "" || !ok || version >= wt.version {
+	for _, nm := range pk.wanted[cl.model] {
+		if nm.version <= version {
+			continue
+		}
+		// The first version that the server lacks decides, whatever was named since.
+		age := now.Sub(nm.since)
+		if age > pk.oldLimit-limitSlack {
+			return 0, false
+		}
+		if age > freeGrace {
+			return oldWeightsCost, true
+		}
 		return 0, true
 	}
-	age := now.Sub(wt.since)
-	if age > pk.oldLimit-limitSlack {
-		return 0, false
-	}
-	if age > freeGrace {
-		return oldWeightsCost, true
-	}
 	return 0, true
 }
 
