Gates tell each other which engines have read which prompts

Ruled out: the kept store for all parts (private parts would go there too: more than its link carries); one home for all zones (bytes between zones cost more than copies).

--- a/core/fleet/list.go
+++ b/core/fleet/list.go
@@ -14,6 +14,7 @@
 type View struct {
 	byService map[string][]*Server
 	byID      map[string]*Server
+	byHash    map[uint64]*Server
 }
 
 // Servers returns the servers of a service sorted by id, draining ones too; the slice must not be changed.
@@ -22,6 +23,9 @@
 // Server returns the server with an id, or nil.
 func (vw *View) Server(id string) *Server { return vw.byID[id] }
 
+// ByHash returns the server whose id has a hash, or nil.
+func (vw *View) ByHash(hash uint64) *Server { return vw.byHash[hash] }
+
 // At returns the server at an address, or nil; of two it is the one that was born last.
 func (vw *View) At(address string) *Server {
 	var found *Server
@@ -101,9 +105,10 @@
 
 // View returns the servers that are believed to be there.
 func (ls *List) View() *View {
-	vw := &View{byService: make(map[string][]*Server), byID: make(map[string]*Server, len(ls.known))}
+	vw := &View{byService: make(map[string][]*Server), byID: make(map[string]*Server, len(ls.known)), byHash: make(map[uint64]*Server, len(ls.known))}
 	for id, sv := range ls.known {
 		vw.byID[id] = sv
+		vw.byHash[sv.hash] = sv
 		vw.byService[sv.service] = append(vw.byService[sv.service], sv)
 	}
 	for _, servers := range vw.byService {
--- a/core/pick/call.go
+++ b/core/pick/call.go
@@ -21,19 +21,23 @@
 type Call struct {
 	service string
 	model   string
-	parts   []Part
 	tokens  int
 	once    bool
-	// home is the hash of the last part that other calls share, or zero for calls without a prompt.
-	home uint64
+	// keys are hashes of the prompt up to the end of each part that other calls may share; sizes are the tokens of these
+	// parts. The last part belongs to the call itself or its conversation, and has none.
+	keys  []uint64
+	sizes []int
 }
 
-// NewCall returns a call of a service; calls without a model have no parts. Tokens is the length of the prompt, and once
-// says that the call may run at most once. The last part belongs to the call itself or its conversation.
-func NewCall(service, model string, parts []Part, tokens int, once bool) Call {
-	cl := Call{service: service, model: model, parts: parts, tokens: tokens, once: once}
-	if len(parts) > 0 {
-		cl.home = xxhash.Sum64String(parts[max(len(parts)-2, 0)].id)
+// NewCall returns a call of a service; calls without a model have no parts. Tokens is the length of the prompt, and once says
+// that the call may run at most once. Calls share cached parts with others of the same wall only; most have an empty one.
+func NewCall(service, model, wall string, parts []Part, tokens int, once bool) Call {
+	cl := Call{service: service, model: model, tokens: tokens, once: once}
+	chain := model + "/" + wall
+	for _, pt := range parts[:max(len(parts)-1, 0)] {
+		chain += "/" + pt.id
+		cl.keys = append(cl.keys, xxhash.Sum64String(chain))
+		cl.sizes = append(cl.sizes, pt.tokens)
 	}
 	return cl
 }
@@ -41,11 +45,19 @@
 // Model returns the model of a call, or nothing for calls of plain services.
 func (cl Call) Model() string { return cl.model }
 
-// shared returns the tokens of the parts that other calls may share.
-func (cl Call) shared() int {
+// home returns the hash by which calls with the same shared parts find the same server.
+func (cl Call) home() uint64 {
+	if len(cl.keys) == 0 {
+		return 0
+	}
+	return cl.keys[len(cl.keys)-1]
+}
+
+// tokensAfter returns the shared tokens behind the first parts, as many as depth.
+func (cl Call) tokensAfter(depth int) int {
 	total := 0
-	for i := 0; i+1 < len(cl.parts); i++ {
-		total += cl.parts[i].tokens
+	for _, size := range cl.sizes[depth:] {
+		total += size
 	}
 	return total
 }
--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -27,10 +27,6 @@
 	// most once avoid it more.
 	probeCost     = 5 * time.Millisecond
 	onceProbeCost = 300 * time.Millisecond
-	// cacheLife is how long a prompt is expected to stay in an engine's cache after its last use.
-	cacheLife = 8 * time.Second
-	// recentLimit bounds the prompts that are remembered for one server.
-	recentLimit = 4096
 	// loadingLimit is how long a server is believed to load weights without another word.
 	loadingLimit = 6 * time.Second
 )
@@ -65,6 +61,8 @@
 	senders int
 	states  map[string]*state
 	wanted  map[string][]named
+	// hints are what others should be told.
+	hints []Hint
 }
 
 // New returns a picker for a process in an availability zone. After oldLimit no call begins on older weights.
@@ -212,8 +210,8 @@
 	st := pk.state(sv.ID())
 	cost := time.Duration(st.running*pk.senders) * runningCost
 	cost += readTime(st.backlog * pk.senders)
-	if len(cl.parts) > 0 && !home && !pk.holds(now, st, cl, version) {
-		cost += readTime(cl.shared())
+	if !home {
+		cost += readTime(cl.tokensAfter(st.depth(now, cl, version)))
 	}
 	if sv.Zone() != pk.zone {
 		cost += otherZoneCost
@@ -234,14 +232,9 @@
 	return time.Duration(float64(tokens) / prefillRate * float64(time.Second))
 }
 
-func (pk *Picker) holds(now time.Time, st *state, cl Call, version uint64) bool {
-	at, ok := st.recent[recentKey{home: cl.home, version: version}]
-	return ok && now.Sub(at) < cacheLife
-}
-
 // home returns the server of a zone where calls with the same shared parts meet, by rendezvous hashing; the caller holds mu.
 func (pk *Picker) home(now time.Time, cl Call, servers []*fleet.Server, zone string) *fleet.Server {
-	if len(cl.parts) == 0 {
+	if len(cl.keys) == 0 {
 		return nil
 	}
 	var best *fleet.Server
@@ -250,7 +243,7 @@
 		if sv.Zone() != zone || sv.Draining() || pk.state(sv.ID()).isPaused(now) {
 			continue
 		}
-		if score := mix(cl.home ^ sv.Hash()); best == nil || score > bestScore {
+		if score := mix(cl.home() ^ sv.Hash()); best == nil || score > bestScore {
 			best, bestScore = sv, score
 		}
 	}
@@ -266,33 +259,30 @@
 	return xxhash.Sum64(bytes[:])
 }
 
-// source returns a server that probably holds the shared parts which the chosen one lacks: the home of its own zone, or
-// that of another one; the caller holds mu.
+// source returns a server that holds more of the shared parts than the chosen one, as far as it is known; one in the same
+// zone is preferred, and of several the one that was used last. The caller holds mu.
 func (pk *Picker) source(now time.Time, cl Call, servers []*fleet.Server, ch Choice) *fleet.Server {
-	if len(cl.parts) < 2 || ch.version == 0 || pk.holds(now, pk.state(ch.server.ID()), cl, ch.version) {
+	if len(cl.keys) == 0 || ch.version == 0 {
 		return nil
 	}
+	held := pk.state(ch.server.ID()).depth(now, cl, ch.version)
 	var best *fleet.Server
-	var bestScore uint64
-	seen := make(map[string]bool)
+	var bestDepth int
 	for _, sv := range servers {
-		if seen[sv.Zone()] {
+		st := pk.state(sv.ID())
+		if sv == ch.server || st.inRow > 0 {
 			continue
 		}
-		seen[sv.Zone()] = true
-		home := pk.home(now, cl, servers, sv.Zone())
-		if home == nil || home == ch.server {
+		if version, loading := pk.version(now, sv, cl.model); version != ch.version || loading {
 			continue
 		}
-		if version, loading := pk.version(now, home, cl.model); version != ch.version || loading {
+		depth := st.depth(now, cl, ch.version)
+		if depth <= held {
 			continue
 		}
-		score := mix(cl.home ^ home.Hash())
-		if home.Zone() == ch.server.Zone() {
-			return home
-		}
-		if best == nil || score > bestScore {
-			best, bestScore = home, score
+		near := best != nil && sv.Zone() == ch.server.Zone() && best.Zone() != ch.server.Zone()
+		if best == nil || depth > bestDepth || depth == bestDepth && near {
+			best, bestDepth = sv, depth
 		}
 	}
 	return best
--- a/core/pick/picker_test.go
+++ b/core/pick/picker_test.go
@@ -21,7 +21,7 @@
 }
 
 func promptCall(subject string, once bool) Call {
-	return NewCall("chat", testModel, []Part{NewPart("system", 500), NewPart(subject, 5000), NewPart("own", 1000)}, 6500, once)
+	return NewCall("chat", testModel, "", []Part{NewPart("system", 500), NewPart(subject, 5000), NewPart("own", 1000)}, 6500, once)
 }
 
 // A version that is named while an older one is still rolled out must not extend the time of engines that lack both.
@@ -75,33 +75,47 @@
 	}
 }
 
-// Calls about one subject meet at one engine of the zone, and other zones copy from there.
+// Calls about one subject meet at one engine of the zone, and the engine of another zone copies from there.
 func TestSubjectsHaveHomes(t *testing.T) {
 	now := time.Unix(1000, 0)
 	vw := viewOf("a", "a", "a", "b", "b", "b")
-	first := make(map[string]string)
-	for _, zone := range []string{"a", "b"} {
-		pk := New(zone, time.Minute)
-		pk.SetView(vw)
-		for i := range 30 {
-			subject := fmt.Sprint("s", i)
-			ch, _ := pk.Choose(now, promptCall(subject, true), nil)
-			if ch.Server().Zone() != zone {
-				t.Fatalf("zone %s: subject %s went to zone %s", zone, subject, ch.Server().Zone())
-			}
-			again, _ := pk.Choose(now, promptCall(subject, true), nil)
-			if again.Server() != ch.Server() {
-				t.Errorf("subject %s has two homes in zone %s", subject, zone)
-			}
-			if ch.Source() == nil || ch.Source().Zone() == zone {
-				t.Errorf("subject %s: the source of zone %s is %v", subject, zone, ch.Source())
-			}
-			if zone == "a" {
-				first[subject] = ch.Server().ID()
-			} else if ch.Source().ID() != first[subject] {
-				t.Errorf("subject %s is copied from %s, its home is %s", subject, ch.Source().ID(), first[subject])
-			}
+	near, far := New("a", time.Minute), New("b", time.Minute)
+	near.SetView(vw)
+	far.SetView(vw)
+	for i := range 30 {
+		cl := promptCall(fmt.Sprint("s", i), true)
+		first, _ := near.Choose(now, cl, nil)
+		if first.Server().Zone() != "a" {
+			t.Fatalf("call %d went to zone %s", i, first.Server().Zone())
 		}
+		near.Send(now, cl, first).End(now, Served)
+		if again, _ := near.Choose(now, cl, nil); again.Server() != first.Server() || again.Source() != nil {
+			t.Errorf("call %d is not sent where it was sent before", i)
+		}
+		far.Hear(now, near.TakeHints())
+		other, _ := far.Choose(now, cl, nil)
+		if other.Server().Zone() != "b" || other.Source() != first.Server() {
+			t.Errorf("call %d of zone b: server %s, source %v", i, other.Server().ID(), other.Source())
+		}
+	}
+}
+
+// A part that is shared by all subjects is copied also if the subject itself was never read.
+func TestSharedBeginningIsCopied(t *testing.T) {
+	now := time.Unix(1000, 0)
+	pk := New("a", time.Minute)
+	pk.SetView(viewOf("a", "b"))
+	cl := promptCall("one", true)
+	first, _ := pk.Choose(now, cl, map[string]bool{"server-0": true})
+	pk.Send(now, cl, first).End(now, Served)
+	other, _ := pk.Choose(now, promptCall("other", true), map[string]bool{"server-1": true})
+	if other.Source() != first.Server() {
+		t.Errorf("the source is %v", other.Source())
+	}
+	pk.Weights(now, "server-0", testModel, 2, false)
+	other, _ = pk.Choose(now, promptCall("other", true), map[string]bool{"server-1": true})
+	if other.Source() != nil {
+		t.Errorf("an engine with other weights copies from %s", other.Source().ID())
 	}
 }
 
--- a/core/pick/sent.go
+++ b/core/pick/sent.go
@@ -33,30 +33,15 @@
 	pk.mu.Lock()
 	defer pk.mu.Unlock()
 	st := pk.state(ch.server.ID())
-	tokens := cl.tokens
-	if len(cl.parts) > 0 {
-		if pk.holds(now, st, cl, ch.version) {
-			tokens -= min(cl.shared(), tokens)
-		}
-		st.remember(now, recentKey{home: cl.home, version: ch.version})
+	tokens := max(cl.tokens-cl.tokensAfter(0)+cl.tokensAfter(st.depth(now, cl, ch.version)), 0)
+	for _, key := range cl.keys {
+		pk.learn(now, ch.server, recentKey{key: key, version: ch.version})
 	}
 	st.running++
 	st.backlog += tokens
 	return &Sent{picker: pk, id: ch.server.ID(), tokens: tokens}
 }
 
-// remember notes a prompt; when too many are remembered, those that are likely evicted are forgotten.
-func (st *state) remember(now time.Time, key recentKey) {
-	if len(st.recent) >= recentLimit {
-		for old, at := range st.recent {
-			if now.Sub(at) >= cacheLife || len(st.recent) >= 2*recentLimit {
-				delete(st.recent, old)
-			}
-		}
-	}
-	st.recent[key] = now
-}
-
 // Begin notes that the answer has begun: the prompt is read.
 func (se *Sent) Begin() {
 	if se.begun {
--- a/core/pick/state.go
+++ b/core/pick/state.go
@@ -30,14 +30,15 @@
 	// inRow counts failures of the connection since the last answer; pausedUntil ends the time without calls.
 	inRow       int
 	pausedUntil time.Time
-	// recent holds when this process last sent a prompt with a home hash here.
+	// recent holds when a prompt with a key was last sent here, by this process or by another one that told it.
 	recent map[recentKey]time.Time
 	// reported is what the server's tender told of its work.
 	reported Work
 }
 
+// recentKey is the key of a prompt's beginning with the version of the weights under which it was read.
 type recentKey struct {
-	home    uint64
+	key     uint64
 	version uint64
 }
 
--- a/io/gate/directory.go
+++ b/io/gate/directory.go
@@ -143,6 +143,7 @@
 		wg.Go(func() { <-ctx.Done(); cancel() })
 	}
 	every(expirePeriod, gt.directory.expire)
+	every(hintPeriod, func() { gt.tellHints(ctx) })
 	every(pullPeriod, func() {
 		if operators.Stale() || servers.Stale() || gt.operators.Revision() == 0 {
 			gt.pullFromPeer(ctx)
--- a/io/gate/handle.go
+++ b/io/gate/handle.go
@@ -134,7 +134,15 @@
 	if rq.service.IsEngine() {
 		model = rq.asked.Model
 	}
-	rq.call = pick.NewCall(rq.service.Name(), model, rq.asked.Parts, rq.asked.Tokens, rq.route.Once())
+	rq.call = pick.NewCall(rq.service.Name(), model, wall(rq.workspace), rq.asked.Parts, rq.asked.Tokens, rq.route.Once())
 	rq.excluded = make(map[string]bool)
 	return nil
 }
+
+// wall returns what keeps the cached parts of an isolated workspace apart from those of others.
+func wall(ws *route.Workspace) string {
+	if ws.Isolated() {
+		return ws.Name()
+	}
+	return ""
+}
--- /dev/null
+++ b/io/gate/hint.go
@@ -0,0 +1,53 @@
+package gate
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"shallotcleat/core/pick"
+	"shallotcleat/io/wire"
+)
+
+// Limits of the exchange of hints. A lost hint costs no more than a prompt that is read again.
+const (
+	hintPeriod = 40 * time.Millisecond
+	hintLimit  = 300 * time.Millisecond
+)
+
+// tellHints tells the other gates which prompts this one has sent where.
+func (gt *Gate) tellHints(ctx context.Context) {
+	hints := gt.picker.TakeHints()
+	if len(hints) == 0 {
+		return
+	}
+	message := &wire.CacheHints{}
+	for _, hn := range hints {
+		message.Servers = append(message.Servers, hn.Server())
+		message.Keys = append(message.Keys, hn.Key())
+		message.Versions = append(message.Versions, hn.Version())
+	}
+	ctx, cancel := context.WithTimeout(ctx, hintLimit)
+	defer cancel()
+	var wg conc.WaitGroup
+	for _, address := range gt.peers() {
+		wg.Go(func() {
+			if _, err := gt.opts.Links.Node(address).Hint(ctx, message); err != nil {
+				gt.log.WithError(err).WithField("peer", address).Debug("a peer got no hints")
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// Hint takes what another gate knows of the engines' caches.
+func (nh *nodeHandler) Hint(_ context.Context, ch *wire.CacheHints) (*wire.Received, error) {
+	count := min(len(ch.GetServers()), len(ch.GetKeys()), len(ch.GetVersions()))
+	hints := make([]pick.Hint, 0, count)
+	for i := range count {
+		hints = append(hints, pick.NewHint(ch.GetServers()[i], ch.GetKeys()[i], ch.GetVersions()[i]))
+	}
+	nh.gate.picker.Hear(time.Now(), hints)
+	return &wire.Received{}, nil
+}
--- a/io/gate/run.go
+++ b/io/gate/run.go
@@ -158,8 +158,8 @@
 	if version == 0 {
 		salt = "r" + rq.asked.ID
 	}
-	if rq.workspace.Isolated() {
-		salt += "/" + rq.workspace.Name()
+	if wl := wall(rq.workspace); wl != "" {
+		salt += "/" + wl
 	}
 	return salt
 }
