--- a/core/fleet/list.go
+++ b/core/fleet/list.go
@@ -10,6 +10,9 @@
 // live write their entries anew within about two seconds.
 const returnGrace = 2200 * time.Millisecond
 
+// foundLife is how long a server that is not listed yet is believed without another word of it.
+const foundLife = 5 * time.Second
+
 // View is the set of servers at one moment; it is immutable.
 type View struct {
 	byService map[string][]*Server
@@ -42,13 +45,15 @@
 	known map[string]*Server
 	// lapsed holds the entries that vanished while the directory could not be trusted, with the time at which they are dropped.
 	lapsed map[string]time.Time
+	// found holds the servers that the directory does not list yet, with the time until which they are believed.
+	found map[string]time.Time
 	// trusted is the time from which on a vanished entry means that the server has left.
 	trusted time.Time
 }
 
 // NewList returns an empty list.
 func NewList() *List {
-	return &List{known: make(map[string]*Server), lapsed: make(map[string]time.Time)}
+	return &List{known: make(map[string]*Server), lapsed: make(map[string]time.Time), found: make(map[string]time.Time)}
 }
 
 // Outage notes that the directory did not answer at a time, or refused to.
@@ -63,12 +68,32 @@
 func (ls *List) Put(sv *Server) {
 	ls.known[sv.id] = sv
 	delete(ls.lapsed, sv.id)
+	delete(ls.found, sv.id)
+}
+
+// Found takes the word of a process beside a server that the server has started anew under another id. It is taken only if the
+// one before is still listed at the address: a server that has left is not brought back. It reports whether the server is new.
+func (ls *List) Found(now time.Time, id, address string, weights map[string]uint64) bool {
+	if _, ok := ls.known[id]; ok {
+		if _, ok := ls.found[id]; ok {
+			ls.found[id] = now.Add(foundLife)
+		}
+		return false
+	}
+	for _, sv := range ls.known {
+		if sv.address == address && !sv.draining {
+			ls.known[id] = NewServer(id, address, sv.zone, sv.service, sv.slots, false, 0, weights)
+			ls.found[id] = now.Add(foundLife)
+			return true
+		}
+	}
+	return false
 }
 
 // Drop takes note that the entry of a server has vanished.
 func (ls *List) Drop(now time.Time, id string) {
 	sv, ok := ls.known[id]
-	if !ok {
+	if _, unlisted := ls.found[id]; !ok || unlisted {
 		return
 	}
 	if sv.draining || !now.Before(ls.trusted) {
@@ -100,6 +125,13 @@
 			dropped = true
 		}
 	}
+	for id, until := range ls.found {
+		if !now.Before(until) {
+			delete(ls.known, id)
+			delete(ls.found, id)
+			dropped = true
+		}
+	}
 	return dropped
 }
 
--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -82,13 +82,25 @@
 	pk.mu.Lock()
 	defer pk.mu.Unlock()
 	pk.view = vw
-	for id := range pk.states {
-		if vw.Server(id) == nil {
+	for id, st := range pk.states {
+		sv := vw.Server(id)
+		switch {
+		case sv == nil:
 			delete(pk.states, id)
+		case sv.Born() != st.born:
+			// The server has started anew under its id: it holds nothing of before.
+			pk.states[id] = newState(sv)
 		}
 	}
 }
 
+// Replaced notes that another server has answered at a server's address: the server has ended, though it is still listed.
+func (pk *Picker) Replaced(id string) {
+	pk.mu.Lock()
+	defer pk.mu.Unlock()
+	pk.state(id).replaced = true
+}
+
 // SetSenders notes how many processes send calls to the same servers.
 func (pk *Picker) SetSenders(count int) {
 	pk.mu.Lock()
@@ -103,7 +115,16 @@
 	return pk.view
 }
 
-// Want notes the newest version of a model's weights; older news are ignored.
+// unknownAge is how much of the limit for older weights is left after a start, when it is not known how long ago newer ones
+// were named. The bounds on a VM that has just started hold again after three seconds.
+const unknownAge = 2 * time.Second
+
+// WantOld notes the newest version of a model's weights that a process finds at its start.
+func (pk *Picker) WantOld(now time.Time, model string, version uint64) {
+	pk.Want(now.Add(limitSlack+unknownAge-pk.oldLimit), model, version)
+}
+
+// Want notes the newest version of a model's weights as it is named; older news are ignored.
 func (pk *Picker) Want(now time.Time, model string, version uint64) {
 	pk.mu.Lock()
 	defer pk.mu.Unlock()
@@ -141,7 +162,7 @@
 func (pk *Picker) state(id string) *state {
 	st, ok := pk.states[id]
 	if !ok {
-		st = newState()
+		st = newState(pk.view.Server(id))
 		pk.states[id] = st
 	}
 	return st
@@ -165,7 +186,7 @@
 	home := pk.home(now, cl, servers, pk.zone)
 	var best Choice
 	for _, sv := range servers {
-		if sv.Draining() || excluded[sv.ID()] {
+		if sv.Draining() || excluded[sv.ID()] || pk.state(sv.ID()).replaced {
 			continue
 		}
 		version, loading := pk.version(now, sv, cl.model)
@@ -240,7 +261,7 @@
 	var best *fleet.Server
 	var bestScore uint64
 	for _, sv := range servers {
-		if sv.Zone() != zone || sv.Draining() || pk.state(sv.ID()).isPaused(now) {
+		if st := pk.state(sv.ID()); sv.Zone() != zone || sv.Draining() || st.replaced || st.isPaused(now) {
 			continue
 		}
 		if score := mix(cl.home() ^ sv.Hash()); best == nil || score > bestScore {
@@ -270,7 +291,7 @@
 	var bestDepth int
 	for _, sv := range servers {
 		st := pk.state(sv.ID())
-		if sv == ch.server || st.inRow > 0 {
+		if sv == ch.server || st.inRow > 0 || st.replaced {
 			continue
 		}
 		if version, loading := pk.version(now, sv, cl.model); version != ch.version || loading {
--- a/core/pick/picker_test.go
+++ b/core/pick/picker_test.go
@@ -41,6 +41,20 @@
 	}
 }
 
+// A process that has just started does not know how long ago weights were named; it soon takes older ones for too old.
+func TestOldWeightsEndSoonAfterAStart(t *testing.T) {
+	now := time.Unix(1000, 0)
+	pk := New("a", 12*time.Second)
+	pk.SetView(viewOf("a"))
+	pk.WantOld(now, testModel, 2)
+	if _, ok := pk.Choose(now.Add(time.Second), promptCall("s", true), nil); !ok {
+		t.Error("no server just after the start")
+	}
+	if _, ok := pk.Choose(now.Add(3*time.Second), promptCall("s", true), nil); ok {
+		t.Error("older weights are used 3 s after the start")
+	}
+}
+
 // Of two engines the one with the newest weights is chosen once the older ones are no longer as good.
 func TestNewestWeightsAreChosen(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/core/pick/state.go
+++ b/core/pick/state.go
@@ -1,6 +1,10 @@
 package pick
 
-import "time"
+import (
+	"time"
+
+	"shallotcleat/core/fleet"
+)
 
 // Limits of the time for which a failing server gets no calls.
 const (
@@ -34,6 +38,9 @@
 	recent map[recentKey]time.Time
 	// reported is what the server's tender told of its work.
 	reported Work
+	// replaced is set when another server has answered at the address; it holds for the server's start at born.
+	replaced bool
+	born     int64
 }
 
 // recentKey is the key of a prompt's beginning with the version of the weights under which it was read.
@@ -49,8 +56,13 @@
 	At      time.Time
 }
 
-func newState() *state {
-	return &state{weights: make(map[string]news), recent: make(map[recentKey]time.Time)}
+// newState returns the state of a server of which nothing was seen; the server may be nil.
+func newState(sv *fleet.Server) *state {
+	st := &state{weights: make(map[string]news), recent: make(map[recentKey]time.Time)}
+	if sv != nil {
+		st.born = sv.Born()
+	}
+	return st
 }
 
 func (st *state) isPaused(now time.Time) bool { return now.Before(st.pausedUntil) }
--- a/io/gate/dialect.go
+++ b/io/gate/dialect.go
@@ -52,8 +52,8 @@
 	NotRun bool
 	// Sealed says that the answer bears a server's signature.
 	Sealed bool
-	// Moved says that another server than the expected one has answered, or one with other weights.
-	Moved bool
+	// Server is the id of the server that answered, if it told.
+	Server string
 	// Version is that of the weights, or zero.
 	Version uint64
 }
--- a/io/gate/directory.go
+++ b/io/gate/directory.go
@@ -8,12 +8,14 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
 	"shallotcleat/core/fleet"
 	"shallotcleat/core/route"
 	"shallotcleat/io/feed"
 	"shallotcleat/io/table"
+	"shallotcleat/io/wire"
 )
 
 // Periods of the directory's work.
@@ -45,6 +47,7 @@
 // operatorsChanged takes configurations and versions of weights. Older ones than those in force are passed over.
 func (dr *directory) operatorsChanged(ch feed.Change) {
 	gt := dr.gate
+	atStart := gt.table.Load() == nil
 	for _, rw := range ch.Rows {
 		if rw.Gone() {
 			continue
@@ -52,7 +55,11 @@
 		if model, version, ok, err := gt.opts.Dialect.Weights(rw); err != nil {
 			gt.log.WithError(err).WithField("row", rw.Key()).Warn("a version of weights can't be read; it is passed over")
 		} else if ok {
-			gt.picker.Want(time.Now(), model, version)
+			if atStart {
+				gt.picker.WantOld(time.Now(), model, version)
+			} else {
+				gt.picker.Want(time.Now(), model, version)
+			}
 			gt.log.WithField("model", model).WithField("version", version).Info("weights wanted")
 		}
 		sp, ok, err := gt.opts.Dialect.Configuration(rw)
@@ -112,6 +119,18 @@
 	dr.publish()
 }
 
+// found takes an engine that has started anew and is not listed yet.
+func (dr *directory) found(now time.Time, ns *wire.EngineNews) {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	weights := map[string]uint64{ns.GetModel(): ns.GetVersion()}
+	if !dr.list.Found(now, ns.GetServerId(), ns.GetAddress(), weights) {
+		return
+	}
+	dr.publish()
+	dr.gate.log.WithFields(logrus.Fields{"server": ns.GetServerId(), "address": ns.GetAddress()}).Info("an engine started anew and is not listed yet")
+}
+
 // publish hands the servers to the picker; the caller holds mu.
 func (dr *directory) publish() { dr.gate.picker.SetView(dr.list.View()) }
 
--- a/io/gate/node.go
+++ b/io/gate/node.go
@@ -27,6 +27,7 @@
 		granted := gt.desk.grant(now, ask, len(gt.picker.View().Servers(ns.GetService())))
 		return &wire.Received{Granted: granted}, nil
 	}
+	gt.directory.found(now, ns)
 	gt.desk.note(now, ask, ns.GetLoading())
 	gt.picker.Weights(now, ns.GetServerId(), ns.GetModel(), ns.GetVersion(), ns.GetLoading())
 	gt.picker.Reported(ns.GetServerId(), pick.Work{Running: int(ns.GetRunning()), Queued: int(ns.GetQueued()), At: now})
--- a/io/gate/sending.go
+++ b/io/gate/sending.go
@@ -68,8 +68,11 @@
 		se.gate.log.WithError(err).Debug("the body of a rejection is broken")
 	}
 	se.sent.End(time.Now(), pick.Rejected)
-	if told.Moved && told.Version > 0 {
-		se.gate.picker.Weights(time.Now(), se.choice.Server().ID(), se.rq.call.Model(), told.Version, false)
+	switch id := se.choice.Server().ID(); {
+	case told.Server != "" && told.Server != id:
+		se.gate.picker.Replaced(id)
+	case told.Version > 0:
+		se.gate.picker.Weights(time.Now(), id, se.rq.call.Model(), told.Version, false)
 	}
 	return notRun, answer.NewError(answer.Overloaded, answer.NotRun, busyRetryAfter, "server %s answered %d and did not run the request", se.choice.Server().ID(), an.Status)
 }
--- a/io/tend/weights.go
+++ b/io/tend/weights.go
@@ -192,5 +192,6 @@
 		Service:  wt.tender.opts.Service,
 		Zone:     wt.tender.opts.Zone,
 		Ask:      ask,
+		Address:  wt.tender.opts.Address,
 	}
 }
