Engines end their calls ahead of their load; gates log what a choice knew of caches

Cause: a load waited up to 3 s for the engine's own calls while its place among the loading ones stayed taken.

--- a/core/pick/call.go
+++ b/core/pick/call.go
@@ -45,6 +45,9 @@
 // Model returns the model of a call, or nothing for calls of plain services.
 func (cl Call) Model() string { return cl.model }
 
+// Key returns the hash of the prompt up to its last shared part, or zero if there is none.
+func (cl Call) Key() uint64 { return cl.home() }
+
 // home returns the hash by which calls with the same shared parts find the same server.
 func (cl Call) home() uint64 {
 	if len(cl.keys) == 0 {
@@ -67,6 +70,7 @@
 	server  *fleet.Server
 	version uint64
 	source  *fleet.Server
+	held    int
 	cost    time.Duration
 }
 
@@ -79,5 +83,8 @@
 // Source returns a server from which the chosen one may copy the shared parts of the prompt, or nil.
 func (ch Choice) Source() *fleet.Server { return ch.source }
 
+// Held returns how many shared parts of the prompt the server is believed to hold.
+func (ch Choice) Held() int { return ch.held }
+
 // Cost returns the expected time to the answer's beginning, with the penalties that the choice weighed.
 func (ch Choice) Cost() time.Duration { return ch.cost }
--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -202,6 +202,7 @@
 	if best.server == nil {
 		return Choice{}, false
 	}
+	best.held = pk.state(best.server.ID()).depth(now, cl, best.version)
 	best.source = pk.source(now, cl, servers, best)
 	return best, true
 }
@@ -286,7 +287,6 @@
 	if len(cl.keys) == 0 || ch.version == 0 {
 		return nil
 	}
-	held := pk.state(ch.server.ID()).depth(now, cl, ch.version)
 	var best *fleet.Server
 	var bestDepth int
 	for _, sv := range servers {
@@ -298,7 +298,7 @@
 			continue
 		}
 		depth := st.depth(now, cl, ch.version)
-		if depth <= held {
+		if depth <= ch.held {
 			continue
 		}
 		near := best != nil && sv.Zone() == ch.server.Zone() && best.Zone() != ch.server.Zone()
--- a/core/weight/desk.go
+++ b/core/weight/desk.go
@@ -11,6 +11,10 @@
 	// loadsPart is the divisor that gives the part of a service's engines that load at the same time.
 	loadsPart = 5
 	leastLoad = 2
+	// outPart is the divisor that gives the part of the engines that are out of service, loading or ending their calls.
+	outPart = 3
+	// drainLimit is how long an engine ends its calls before it loads; what still runs then is ended by the engine itself.
+	drainLimit = 1200 * time.Millisecond
 	// askLife is how long an engine that asks counts as waiting; it asks again sooner.
 	askLife = 150 * time.Millisecond
 	// loadLife bounds how long a load counts without another word of it.
@@ -23,85 +27,144 @@
 	service string
 	zone    string
 	version uint64
+	running int
 }
 
-// NewAsk returns the wish of an engine of a service in an availability zone that has a version of the weights.
-func NewAsk(engine, service, zone string, version uint64) Ask {
-	return Ask{engine: engine, service: service, zone: zone, version: version}
+// NewAsk returns the wish of an engine of a service in an availability zone, that has a version of the weights and runs some
+// calls.
+func NewAsk(engine, service, zone string, version uint64, running int) Ask {
+	return Ask{engine: engine, service: service, zone: zone, version: version, running: running}
 }
 
 // Engine returns the engine's id.
 func (ak Ask) Engine() string { return ak.engine }
 
-// Desk says which engines may load now, so that enough of them serve meanwhile. Desks of several processes may each let some
-// load; that makes loads slower and nothing else. One goroutine at a time may call it.
+// Grant is a desk's answer to an ask.
+type Grant int
+
+// The answers to an ask.
+const (
+	// Stay means that the engine goes on with its weights.
+	Stay Grant = iota
+	// Drain means that the engine takes no new calls and asks again.
+	Drain
+	// Load means that the engine loads now.
+	Load
+)
+
+// Desk says which engines may load now, so that enough of them serve meanwhile and the weights' store is not shared by too
+// many. Some engines end their calls ahead of their load. Desks of several processes may each let some load; that makes loads
+// slower and nothing else. One goroutine at a time may call it.
 type Desk struct {
-	waiting map[string]waiting
-	loading map[string]waiting
+	waiting  map[string]place
+	draining map[string]place
+	loading  map[string]place
 }
 
-type waiting struct {
-	ask Ask
-	at  time.Time
+// place is an engine's ask; at is when it was last heard, since when it began to wait, drain or load.
+type place struct {
+	ask   Ask
+	at    time.Time
+	since time.Time
 }
 
 // NewDesk returns a desk at which nobody waits.
 func NewDesk() *Desk {
-	return &Desk{waiting: make(map[string]waiting), loading: make(map[string]waiting)}
+	return &Desk{waiting: make(map[string]place), draining: make(map[string]place), loading: make(map[string]place)}
 }
 
-// Grant reports whether an engine may load now, where a service has as many engines as given. Those with the oldest weights
-// go first, and of them those in the zone that has the fewest loads.
-func (dk *Desk) Grant(now time.Time, ask Ask, engines int) bool {
+// Grant answers an ask, where the service has as many engines as given. Those with the oldest weights go first, and of them
+// those in the zone that has the fewest engines out of service.
+func (dk *Desk) Grant(now time.Time, ask Ask, engines int) Grant {
 	dk.expire(now)
 	delete(dk.loading, ask.engine)
-	dk.waiting[ask.engine] = waiting{ask: ask, at: now}
-	inZone := make(map[string]int)
-	free := max(engines/loadsPart, leastLoad)
-	for _, wt := range dk.loading {
-		if wt.ask.service == ask.service {
-			free--
-			inZone[wt.ask.zone]++
+	loads := max(engines/loadsPart, leastLoad)
+	free := loads - count(dk.loading, ask.service)
+	if pl, ok := dk.draining[ask.engine]; ok {
+		return dk.drained(now, ask, pl, free)
+	}
+	dk.waiting[ask.engine] = place{ask: ask, at: now}
+	out := max(engines/outPart, loads+1)
+	if !dk.isNext(ask, out-count(dk.loading, ask.service)-count(dk.draining, ask.service)) {
+		return Stay
+	}
+	delete(dk.waiting, ask.engine)
+	return dk.drained(now, ask, place{since: now}, free)
+}
+
+// drained answers an engine that takes no new calls any more.
+func (dk *Desk) drained(now time.Time, ask Ask, pl place, free int) Grant {
+	if free > 0 && (ask.running == 0 || now.Sub(pl.since) >= drainLimit) {
+		dk.Loading(now, ask)
+		return Load
+	}
+	dk.draining[ask.engine] = place{ask: ask, at: now, since: pl.since}
+	return Drain
+}
+
+// isNext reports whether an engine is among the first ones that wait, as many as free.
+func (dk *Desk) isNext(ask Ask, free int) bool {
+	outInZone := make(map[string]int)
+	for _, places := range []map[string]place{dk.draining, dk.loading} {
+		for _, pl := range places {
+			if pl.ask.service == ask.service {
+				outInZone[pl.ask.zone]++
+			}
 		}
 	}
 	var rivals []Ask
-	for _, wt := range dk.waiting {
-		if wt.ask.service == ask.service {
-			rivals = append(rivals, wt.ask)
+	for _, pl := range dk.waiting {
+		if pl.ask.service == ask.service {
+			rivals = append(rivals, pl.ask)
 		}
 	}
 	for ; free > 0 && len(rivals) > 0; free-- {
 		first := slices.MinFunc(rivals, func(one, other Ask) int {
-			return cmp.Or(cmp.Compare(one.version, other.version), cmp.Compare(inZone[one.zone], inZone[other.zone]),
+			return cmp.Or(cmp.Compare(one.version, other.version), cmp.Compare(outInZone[one.zone], outInZone[other.zone]),
 				cmp.Compare(one.engine, other.engine))
 		})
-		if first == ask {
-			dk.Loading(now, ask)
+		if first.engine == ask.engine {
 			return true
 		}
-		inZone[first.zone]++
-		rivals = slices.DeleteFunc(rivals, func(rival Ask) bool { return rival == first })
+		outInZone[first.zone]++
+		rivals = slices.DeleteFunc(rivals, func(rival Ask) bool { return rival.engine == first.engine })
 	}
 	return false
 }
 
+func count(places map[string]place, service string) int {
+	total := 0
+	for _, pl := range places {
+		if pl.ask.service == service {
+			total++
+		}
+	}
+	return total
+}
+
 // Loading notes that an engine loads.
 func (dk *Desk) Loading(now time.Time, ask Ask) {
-	dk.loading[ask.engine] = waiting{ask: ask, at: now}
+	dk.loading[ask.engine] = place{ask: ask, at: now, since: now}
 	delete(dk.waiting, ask.engine)
+	delete(dk.draining, ask.engine)
 }
 
-// Loaded notes that an engine does not load any more.
-func (dk *Desk) Loaded(engine string) { delete(dk.loading, engine) }
+// Loaded notes that an engine takes calls.
+func (dk *Desk) Loaded(engine string) {
+	delete(dk.loading, engine)
+	delete(dk.draining, engine)
+}
 
 func (dk *Desk) expire(now time.Time) {
-	for id, wt := range dk.waiting {
-		if now.Sub(wt.at) > askLife {
-			delete(dk.waiting, id)
+	for _, places := range []map[string]place{dk.waiting, dk.draining} {
+		for id, pl := range places {
+			if now.Sub(pl.at) > askLife {
+				delete(places, id)
+			}
 		}
 	}
-	for id, wt := range dk.loading {
-		if now.Sub(wt.at) > loadLife {
+	for id, pl := range dk.loading {
+		if now.Sub(pl.at) > loadLife {
 			delete(dk.loading, id)
 		}
 	}
--- /dev/null
+++ b/core/weight/desk_test.go
@@ -0,0 +1,105 @@
+package weight
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// A service of 18 engines is brought to new weights, with three loads at a time and at most six engines out of service.
+func TestDeskBoundsLoadsAndFinishes(t *testing.T) {
+	const (
+		engines  = 18
+		drain    = 600 * time.Millisecond
+		load     = 1300 * time.Millisecond
+		loads    = engines / loadsPart
+		outLimit = engines / outPart
+	)
+	dk := NewDesk()
+	now := time.Unix(1000, 0)
+	begin := now
+	drainOf := make(map[string]time.Time)
+	loadOf := make(map[string]time.Time)
+	version := make(map[string]uint64)
+	for step := 0; step < 2000 && len(version) < engines; step++ {
+		now = now.Add(20 * time.Millisecond)
+		out := make(map[string]int)
+		for i := range engines {
+			id, zone := fmt.Sprint("engine-", i), fmt.Sprint("zone-", i%3)
+			if version[id] == 2 {
+				continue
+			}
+			if at, ok := loadOf[id]; ok {
+				if now.Sub(at) >= load {
+					version[id] = 2
+					delete(loadOf, id)
+					dk.Loaded(id)
+				} else {
+					out[zone]++
+				}
+				continue
+			}
+			running := 3
+			if at, ok := drainOf[id]; ok && now.Sub(at) >= drain {
+				running = 0
+			}
+			switch dk.Grant(now, NewAsk(id, "chat", zone, 1, running), engines) {
+			case Load:
+				loadOf[id] = now
+				out[zone]++
+			case Drain:
+				if _, ok := drainOf[id]; !ok {
+					drainOf[id] = now
+				}
+				out[zone]++
+			case Stay:
+			}
+		}
+		if len(loadOf) > loads {
+			t.Fatalf("%d engines load at once", len(loadOf))
+		}
+		if total := out["zone-0"] + out["zone-1"] + out["zone-2"]; total > outLimit {
+			t.Fatalf("%d engines are out of service", total)
+		}
+		for zone, count := range out {
+			if count > 2 {
+				t.Fatalf("%d engines of %s are out of service at once", count, zone)
+			}
+		}
+	}
+	// Six waves of loads, one drain before them, and the time between two asks.
+	if limit := 6*load + drain + 10*40*time.Millisecond; now.Sub(begin) > limit {
+		t.Errorf("%d of %d engines loaded after %s, the limit is %s", len(version), engines, now.Sub(begin), limit)
+	}
+}
+
+// Engines with the oldest weights go first.
+func TestDeskPrefersTheOldest(t *testing.T) {
+	dk := NewDesk()
+	now := time.Unix(1000, 0)
+	for i := range 4 {
+		dk.waiting[fmt.Sprint("engine-", i)] = place{ask: NewAsk(fmt.Sprint("engine-", i), "chat", "a", uint64(i+1), 0), at: now}
+	}
+	if got := dk.Grant(now, NewAsk("engine-3", "chat", "a", 4, 0), 10); got != Stay {
+		t.Errorf("the newest engine was answered %d", got)
+	}
+	if got := dk.Grant(now, NewAsk("engine-0", "chat", "a", 1, 0), 10); got != Load {
+		t.Errorf("the oldest engine was answered %d", got)
+	}
+}
+
+// An engine whose tender is not heard of any more gives its place up.
+func TestDeskForgetsTheSilent(t *testing.T) {
+	dk := NewDesk()
+	now := time.Unix(1000, 0)
+	for i := range leastLoad {
+		dk.Grant(now, NewAsk(fmt.Sprint("engine-", i), "chat", "a", 1, 0), 4)
+	}
+	ask := NewAsk("late", "chat", "a", 1, 0)
+	if got := dk.Grant(now, ask, 4); got == Load {
+		t.Fatal("more engines load than allowed")
+	}
+	if got := dk.Grant(now.Add(loadLife+time.Second), ask, 4); got != Load {
+		t.Errorf("after the silence the engine was answered %d", got)
+	}
+}
--- a/io/gate/finish.go
+++ b/io/gate/finish.go
@@ -91,6 +91,10 @@
 	}
 	rl.server = se.choice.Server().ID()
 	rl.version = se.choice.Version()
+	rl.held = se.choice.Held()
+	if sv := se.choice.Source(); sv != nil {
+		rl.source = sv.ID()
+	}
 }
 
 // logRequest writes the one line of an answered request.
@@ -115,6 +119,11 @@
 		fields["server"] = rq.log.server
 		fields["weights"] = rq.log.version
 		fields["first_ms"] = rq.log.first.Milliseconds()
+		if rq.call.Key() != 0 {
+			fields["prompt_key"] = strconv.FormatUint(rq.call.Key(), 16)
+			fields["held_parts"] = rq.log.held
+			fields["copied_from"] = rq.log.source
+		}
 	}
 	if left {
 		fields["caller_left"] = true
--- a/io/gate/handle.go
+++ b/io/gate/handle.go
@@ -50,6 +50,8 @@
 type requestLog struct {
 	server  string
 	version uint64
+	held    int
+	source  string
 	first   time.Duration
 }
 
--- a/io/gate/node.go
+++ b/io/gate/node.go
@@ -22,10 +22,10 @@
 func (nh *nodeHandler) Tell(_ context.Context, ns *wire.EngineNews) (*wire.Received, error) {
 	gt := nh.gate
 	now := time.Now()
-	ask := weight.NewAsk(ns.GetServerId(), ns.GetService(), ns.GetZone(), ns.GetVersion())
+	ask := weight.NewAsk(ns.GetServerId(), ns.GetService(), ns.GetZone(), ns.GetVersion(), int(ns.GetRunning()))
 	if ns.GetAsk() {
-		granted := gt.desk.grant(now, ask, len(gt.picker.View().Servers(ns.GetService())))
-		return &wire.Received{Granted: granted}, nil
+		grant := gt.desk.grant(now, ask, len(gt.picker.View().Servers(ns.GetService())))
+		return &wire.Received{Grant: int32(grant)}, nil
 	}
 	gt.directory.found(now, ns)
 	gt.desk.note(now, ask, ns.GetLoading())
@@ -41,7 +41,7 @@
 	desk *weight.Desk
 }
 
-func (dk *desk) grant(now time.Time, ask weight.Ask, engines int) bool {
+func (dk *desk) grant(now time.Time, ask weight.Ask, engines int) weight.Grant {
 	dk.mu.Lock()
 	defer dk.mu.Unlock()
 	return dk.desk.Grant(now, ask, engines)
--- a/io/tend/tender.go
+++ b/io/tend/tender.go
@@ -239,7 +239,7 @@
 
 // ask asks a gate whether the engine may load now. All tenders of a service ask the same one, unless it does not answer. If no
 // gate answers at all, the engine may load: nobody sends it requests then.
-func (td *Tender) ask(ctx context.Context, ns *wire.EngineNews) bool {
+func (td *Tender) ask(ctx context.Context, ns *wire.EngineNews) weight.Grant {
 	gates := td.gates()
 	slices.SortFunc(gates, func(one, other string) int {
 		return cmp.Compare(xxhash.Sum64String(one+td.opts.Service), xxhash.Sum64String(other+td.opts.Service))
@@ -247,11 +247,11 @@
 	for _, address := range gates {
 		reply, err := td.askOne(ctx, address, ns)
 		if err == nil {
-			return reply.GetGranted()
+			return weight.Grant(reply.GetGrant())
 		}
 		td.log.WithError(err).WithField("gate", address).Info("dependency lost: a gate does not answer; another one is asked")
 	}
-	return true
+	return weight.Load
 }
 
 func (td *Tender) askOne(parent context.Context, address string, ns *wire.EngineNews) (*wire.Received, error) {
--- a/io/tend/weights.go
+++ b/io/tend/weights.go
@@ -69,6 +69,8 @@
 	told   time.Time
 	// said is what the gates were told last.
 	said word
+	// draining is set while the engine takes no new calls before its load.
+	draining bool
 }
 
 // word is what the gates must know of the engine at once.
@@ -89,22 +91,36 @@
 	step := td.keeper.Next(now, wt.seen.Look)
 	fence, wanted := td.fence, td.keeper.Wanted()
 	td.mu.Unlock()
-	loading := wt.seen.Look.Busy()
+	_, behind := step.(weight.AskDesk)
+	wt.draining = wt.draining && behind
+	loading := wt.seen.Look.Busy() || wt.draining
 	if wt.said.loading && !loading {
 		td.log.WithFields(logrus.Fields{"event": "weights_loaded", "server": wt.id, "version": wt.seen.Version}).Info("the engine takes calls again")
 	}
 	if wt.said != (word{wt.seen.Version, loading}) || now.Sub(wt.told) > tellPeriod {
 		wt.tell(ctx, loading)
 	}
-	if _, ok := step.(weight.AskDesk); ok {
-		if fence > 0 && td.ask(ctx, wt.news(false, true)) {
-			wt.order(ctx, fence)
-		}
-		return true
+	if behind && fence > 0 {
+		wt.ask(ctx, fence)
 	}
 	return wt.seen.Version < wanted
 }
 
+// ask asks a gate what to do about the engine's old weights, and does it.
+func (wt *watcher) ask(ctx context.Context, fence uint64) {
+	switch wt.tender.ask(ctx, wt.news(wt.draining, true)) {
+	case weight.Load:
+		wt.order(ctx, fence)
+	case weight.Drain:
+		if !wt.draining {
+			wt.draining = true
+			wt.tell(ctx, true)
+		}
+	case weight.Stay:
+		wt.draining = false
+	}
+}
+
 // look sees the engine, and learns its id after each of its starts.
 func (wt *watcher) look(parent context.Context) bool {
 	td := wt.tender
@@ -144,7 +160,9 @@
 	td.mu.Lock()
 	ln := td.keeper.Granted(time.Now())
 	td.mu.Unlock()
-	wt.tell(parent, true)
+	if !wt.draining {
+		wt.tell(parent, true)
+	}
 	ctx, cancel := context.WithTimeout(parent, orderLimit)
 	defer cancel()
 	vd, err := td.opts.Engine.Load(ctx, Order{
