--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -151,11 +151,13 @@
 	st.weights[model] = news{version: version, loading: loading, until: now.Add(loadingLimit)}
 }
 
-// Reported notes how busy a server's tender saw it.
+// Reported notes how busy a server's tender saw it; a server that answers its tender is not down.
 func (pk *Picker) Reported(id string, wk Work) {
 	pk.mu.Lock()
 	defer pk.mu.Unlock()
-	pk.state(id).reported = wk
+	st := pk.state(id)
+	st.reported = wk
+	st.inRow, st.pausedUntil = 0, time.Time{}
 }
 
 // state returns the state of a server; the caller holds mu.
--- a/core/pick/sent.go
+++ b/core/pick/sent.go
@@ -104,5 +104,26 @@
 	}
 }
 
+// Alive reports whether a process beside the server saw it answer lately, so that a late answer means that the server is busy.
+func (pk *Picker) Alive(now time.Time, id string) bool {
+	pk.mu.Lock()
+	defer pk.mu.Unlock()
+	st, ok := pk.states[id]
+	return ok && !st.reported.at.IsZero() && now.Sub(st.reported.at) < aliveLife
+}
+
+// aliveLife is how long the word of a tender counts; it speaks more often, and at once when its engine does not answer.
+const aliveLife = 5 * time.Second
+
+// Dark notes that a process beside the server got no answer from it.
+func (pk *Picker) Dark(now time.Time, id string) {
+	pk.mu.Lock()
+	defer pk.mu.Unlock()
+	st := pk.state(id)
+	st.reported = Work{}
+	st.broke(now)
+	st.pausedUntil = now.Add(longPause)
+}
+
 // Suspect notes that a server is late with an answer: other calls go elsewhere for a while.
 func (pk *Picker) Suspect(now time.Time, id string) { pk.Unreached(now, id) }
--- a/core/pick/state.go
+++ b/core/pick/state.go
@@ -49,11 +49,16 @@
 	version uint64
 }
 
-// Work is how busy an engine was when its tender looked.
+// Work is how busy an engine was when its tender looked at a time.
 type Work struct {
-	Running int
-	Queued  int
-	At      time.Time
+	running int
+	queued  int
+	at      time.Time
+}
+
+// NewWork returns the work of an engine that runs some calls and lets others wait.
+func NewWork(running, queued int, at time.Time) Work {
+	return Work{running: running, queued: queued, at: at}
 }
 
 // newState returns the state of a server of which nothing was seen; the server may be nil.
--- a/io/gate/node.go
+++ b/io/gate/node.go
@@ -27,10 +27,15 @@
 		grant := gt.desk.grant(now, ask, len(gt.picker.View().Servers(ns.GetService())))
 		return &wire.Received{Grant: int32(grant)}, nil
 	}
+	if ns.GetDark() {
+		gt.picker.Dark(now, ns.GetServerId())
+		gt.log.WithField("server", ns.GetServerId()).Info("dependency lost: the engine does not answer its tender")
+		return &wire.Received{}, nil
+	}
 	gt.directory.found(now, ns)
 	gt.desk.note(now, ask, ns.GetLoading())
 	gt.picker.Weights(now, ns.GetServerId(), ns.GetModel(), ns.GetVersion(), ns.GetLoading())
-	gt.picker.Reported(ns.GetServerId(), pick.Work{Running: int(ns.GetRunning()), Queued: int(ns.GetQueued()), At: now})
+	gt.picker.Reported(ns.GetServerId(), pick.NewWork(int(ns.GetRunning()), int(ns.GetQueued()), now))
 	return &wire.Received{}, nil
 }
 
--- a/io/gate/run.go
+++ b/io/gate/run.go
@@ -22,6 +22,8 @@
 	silencePart = 0.8
 	// leastSilence bounds that time from below.
 	leastSilence = 250 * time.Millisecond
+	// busyPart is the part of the time left after which an engine that is known to live is left all the same.
+	busyPart = 0.6
 	// answerLimit bounds the body of an answer that is no stream.
 	answerLimit = 8 << 20
 )
@@ -99,12 +101,15 @@
 	sending := &sending{gate: gt, rq: rq, choice: ch, sent: sent}
 	if !rq.route.Once() {
 		silence := gt.silence(rq)
+		if gt.picker.Alive(now, ch.Server().ID()) {
+			silence = max(silence, time.Duration(busyPart*float64(rq.deadline.Sub(now))))
+		}
 		watch := time.AfterFunc(silence, sending.cancelSilent(cancel))
 		defer watch.Stop()
 		sending.watch = watch
 	} else {
 		// The answer is waited for, but other requests go elsewhere meanwhile.
-		watch := time.AfterFunc(gt.silence(rq), func() { gt.picker.Suspect(time.Now(), ch.Server().ID()) })
+		watch := time.AfterFunc(gt.silence(rq), func() { gt.suspect(ch.Server().ID()) })
 		defer watch.Stop()
 		sending.watch = watch
 	}
@@ -116,6 +121,13 @@
 	return sending.take(parent, an)
 }
 
+// suspect keeps other requests from a server whose answer is late, unless it is known to live.
+func (gt *Gate) suspect(id string) {
+	if now := time.Now(); !gt.picker.Alive(now, id) {
+		gt.picker.Suspect(now, id)
+	}
+}
+
 // silence returns how long a server may take until its answer begins.
 func (gt *Gate) silence(rq *request) time.Duration {
 	return max(time.Duration(silencePart*float64(rq.route.Target())), leastSilence)
--- a/io/tend/tender.go
+++ b/io/tend/tender.go
@@ -28,7 +28,8 @@
 	// busyPeriod is the time between looks at the engine while it is behind, idlePeriod otherwise.
 	busyPeriod = 20 * time.Millisecond
 	idlePeriod = 150 * time.Millisecond
-	seeLimit   = 500 * time.Millisecond
+	// seeLimit bounds a look; the engine is on the same VM.
+	seeLimit   = 250 * time.Millisecond
 	orderLimit = 400 * time.Millisecond
 	askLimit   = 80 * time.Millisecond
 	tellLimit  = 60 * time.Millisecond
--- a/io/tend/weights.go
+++ b/io/tend/weights.go
@@ -130,12 +130,14 @@
 	if err != nil {
 		if !wt.lost && parent.Err() == nil {
 			td.log.WithError(err).Warn("dependency lost: the engine does not answer")
+			wt.tellDark(parent)
 		}
 		wt.lost = true
 		return false
 	}
 	if wt.lost {
 		td.log.Info("dependency regained: the engine answers again")
+		wt.said = word{}
 	}
 	wt.lost = false
 	wt.seen = seen
@@ -198,6 +200,16 @@
 	wt.tender.tellAll(ctx, wt.news(loading, false))
 }
 
+// tellDark tells the gates that the engine does not answer.
+func (wt *watcher) tellDark(ctx context.Context) {
+	if wt.id == "" {
+		return
+	}
+	ns := wt.news(false, false)
+	ns.Dark = true
+	wt.tender.tellAll(ctx, ns)
+}
+
 // news returns what the gates are told.
 func (wt *watcher) news(loading, ask bool) *wire.EngineNews {
 	return &wire.EngineNews{
