The choice sees the engines' load as their tenders tell it, their pace and their rejections

Cause: a gate saw its own fifth of the calls only, took all engines for equally fast and sent to full ones again.

--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -13,6 +13,15 @@
 const (
 	// prefillRate is how many prompt tokens an engine reads in a second unless its own rate is known.
 	prefillRate = 120_000
+	// baseTime is the time to the first event of a call without a prompt.
+	baseTime = 50 * time.Millisecond
+	// queuedCost is what each waiting call adds to the time of the next one.
+	queuedCost = 20 * time.Millisecond
+	// reportLife is how long a tender's count of an engine's calls is used.
+	reportLife = 600 * time.Millisecond
+	// fullCost is the price of a server that has rejected a call, for a time of fullPause.
+	fullCost  = 300 * time.Millisecond
+	fullPause = 250 * time.Millisecond
 	// runningCost is what each running call adds to the time of the next one.
 	runningCost = time.Millisecond
 	// otherZoneCost is the price of a hop to another availability zone; bytes between zones are paid for.
@@ -232,10 +241,13 @@
 // caller holds mu.
 func (pk *Picker) cost(now time.Time, cl Call, sv *fleet.Server, version uint64, home bool) time.Duration {
 	st := pk.state(sv.ID())
-	cost := time.Duration(st.running*pk.senders) * runningCost
-	cost += readTime(st.backlog * pk.senders)
+	missing := 0
 	if !home {
-		cost += readTime(cl.tokensAfter(st.depth(now, cl, version)))
+		missing = cl.tokensAfter(st.depth(now, cl, version))
+	}
+	cost := time.Duration(st.pace * float64(pk.expect(now, st, cl.tokens-cl.tokensAfter(0)+missing)))
+	if now.Before(st.fullUntil) {
+		cost += fullCost
 	}
 	if sv.Zone() != pk.zone {
 		cost += otherZoneCost
@@ -252,6 +264,18 @@
 	return cost
 }
 
+// expect returns the time to the first event of a call that has some tokens to read, at a server of usual pace; the caller
+// holds mu.
+func (pk *Picker) expect(now time.Time, st *state, tokens int) time.Duration {
+	expected := baseTime + readTime(st.backlog*pk.senders+tokens)
+	running := st.running * pk.senders
+	if now.Sub(st.reported.at) < reportLife {
+		running = max(st.running, st.reported.running)
+		expected += time.Duration(st.reported.queued) * queuedCost
+	}
+	return expected + time.Duration(running)*runningCost
+}
+
 func readTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / prefillRate * float64(time.Second))
 }
--- a/core/pick/sent.go
+++ b/core/pick/sent.go
@@ -7,8 +7,11 @@
 	picker *Picker
 	id     string
 	tokens int
-	begun  bool
-	ended  bool
+	// at is when the call was sent, expected the time to its first event.
+	at       time.Time
+	expected time.Duration
+	begun    bool
+	ended    bool
 }
 
 // Outcome tells how a sending ended, as far as the server's health goes.
@@ -37,22 +40,31 @@
 	for _, key := range cl.keys {
 		pk.learn(now, ch.server, recentKey{key: key, version: ch.version})
 	}
+	se := &Sent{picker: pk, id: ch.server.ID(), tokens: tokens, at: now, expected: pk.expect(now, st, tokens)}
 	st.running++
 	st.backlog += tokens
-	return &Sent{picker: pk, id: ch.server.ID(), tokens: tokens}
+	return se
 }
 
 // Begin notes that the answer has begun: the prompt is read.
-func (se *Sent) Begin() {
-	if se.begun {
-		return
-	}
-	se.begun = true
+func (se *Sent) Begin(now time.Time) {
 	se.picker.mu.Lock()
 	defer se.picker.mu.Unlock()
-	if st, ok := se.picker.states[se.id]; ok {
-		st.backlog = max(st.backlog-se.tokens, 0)
+	if st := se.leaveBacklog(); st != nil && se.tokens > 0 {
+		st.observe(now.Sub(se.at), se.expected)
+	}
+}
+
+// leaveBacklog takes the call's tokens out of the server's backlog, and returns the server's state if they were in it; the
+// caller holds the picker's lock.
+func (se *Sent) leaveBacklog() *state {
+	st, ok := se.picker.states[se.id]
+	if se.begun || !ok {
+		return nil
 	}
+	se.begun = true
+	st.backlog = max(st.backlog-se.tokens, 0)
+	return st
 }
 
 // End notes how the sending ended; only the first call counts.
@@ -60,10 +72,10 @@
 	if se.ended {
 		return
 	}
-	se.Begin()
-	se.ended = true
 	se.picker.mu.Lock()
 	defer se.picker.mu.Unlock()
+	se.ended = true
+	se.leaveBacklog()
 	st, ok := se.picker.states[se.id]
 	if !ok {
 		return
@@ -76,7 +88,9 @@
 		st.failed()
 	case Silent:
 		st.broke(now)
-	case Rejected, Abandoned:
+	case Rejected:
+		st.fullUntil = now.Add(fullPause)
+	case Abandoned:
 	}
 }
 
--- a/core/pick/state.go
+++ b/core/pick/state.go
@@ -38,6 +38,10 @@
 	recent map[recentKey]time.Time
 	// reported is what the server's tender told of its work.
 	reported Work
+	// pace is the moving ratio of the time to the first event to the expected one.
+	pace float64
+	// fullUntil ends the time in which the server is taken to be full after a rejection.
+	fullUntil time.Time
 	// replaced is set when another server has answered at the address; it holds for the server's start at born.
 	replaced bool
 	born     int64
@@ -63,7 +67,7 @@
 
 // newState returns the state of a server of which nothing was seen; the server may be nil.
 func newState(sv *fleet.Server) *state {
-	st := &state{weights: make(map[string]news), recent: make(map[recentKey]time.Time)}
+	st := &state{weights: make(map[string]news), recent: make(map[recentKey]time.Time), pace: 1}
 	if sv != nil {
 		st.born = sv.Born()
 	}
@@ -86,3 +90,17 @@
 	st.pausedUntil = time.Time{}
 	st.failures -= st.failures * failureWeight
 }
+
+// Limits of a server's pace.
+const (
+	// paceWeight is the part of the pace that one more call makes up.
+	paceWeight = 0.1
+	leastPace  = 0.4
+	mostPace   = 5
+)
+
+// observe takes the time to a call's first event, and the one that was expected.
+func (st *state) observe(took, expected time.Duration) {
+	ratio := min(max(float64(took)/float64(max(expected, time.Millisecond)), leastPace), mostPace)
+	st.pace += (ratio - st.pace) * paceWeight
+}
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -52,7 +52,7 @@
 // begun notes the first event of the sending.
 func (se *sending) begun() {
 	se.watch.Stop()
-	se.sent.Begin()
+	se.sent.Begin(time.Now())
 	se.rq.log.note(se, time.Since(se.rq.arrived))
 }
 
--- a/io/tend/tender.go
+++ b/io/tend/tender.go
@@ -27,7 +27,10 @@
 const (
 	// busyPeriod is the time between looks at the engine while it is behind, idlePeriod otherwise.
 	busyPeriod = 20 * time.Millisecond
-	idlePeriod = 150 * time.Millisecond
+	idlePeriod = 100 * time.Millisecond
+	// loadPeriod is the least time between two words on the engine's load, loadChange the least change in its calls.
+	loadPeriod = 100 * time.Millisecond
+	loadChange = 4
 	// seeLimit bounds a look; the engine is on the same VM.
 	seeLimit   = 250 * time.Millisecond
 	orderLimit = 400 * time.Millisecond
--- a/io/tend/weights.go
+++ b/io/tend/weights.go
@@ -69,6 +69,8 @@
 	told   time.Time
 	// said is what the gates were told last.
 	said word
+	// busy is the number of the engine's calls that the gates were told last.
+	busy int
 	// draining is set while the engine takes no new calls before its load.
 	draining bool
 }
@@ -97,7 +99,7 @@
 	if wt.said.loading && !loading {
 		td.log.WithFields(logrus.Fields{"event": "weights_loaded", "server": wt.id, "version": wt.seen.Version}).Info("the engine takes calls again")
 	}
-	if wt.said != (word{wt.seen.Version, loading}) || now.Sub(wt.told) > tellPeriod {
+	if wt.said != (word{wt.seen.Version, loading}) || now.Sub(wt.told) > tellPeriod || wt.isLoadChanged(now) {
 		wt.tell(ctx, loading)
 	}
 	if behind && fence > 0 {
@@ -106,6 +108,16 @@
 	return wt.seen.Version < wanted
 }
 
+// isLoadChanged reports whether the gates should be told the engine's load anew.
+func (wt *watcher) isLoadChanged(now time.Time) bool {
+	busy := wt.seen.Running + wt.seen.Queued
+	change := busy - wt.busy
+	if now.Sub(wt.told) < loadPeriod || change*change < loadChange*loadChange {
+		return false
+	}
+	return true
+}
+
 // ask asks a gate what to do about the engine's old weights, and does it.
 func (wt *watcher) ask(ctx context.Context, fence uint64) {
 	switch wt.tender.ask(ctx, wt.news(wt.draining, true)) {
@@ -197,6 +209,7 @@
 func (wt *watcher) tell(ctx context.Context, loading bool) {
 	wt.told = time.Now()
 	wt.said = word{wt.seen.Version, loading}
+	wt.busy = wt.seen.Running + wt.seen.Queued
 	wt.tender.tellAll(ctx, wt.news(loading, false))
 }
 
