Desk: a draining engine's word does not count as a load

Cause: the word that an engine takes no calls made it a loading one at the desk, so its next ask began to wait anew. The desk's test, told that word too, failed first (0 of 18 loaded after 40 s).

--- a/core/weight/desk.go
+++ b/core/weight/desk.go
@@ -95,7 +95,7 @@
 // drained answers an engine that takes no new calls any more.
 func (dk *Desk) drained(now time.Time, ask Ask, pl place, free int) Grant {
 	if free > 0 && (ask.running == 0 || now.Sub(pl.since) >= drainLimit) {
-		dk.Loading(now, ask)
+		dk.load(now, ask)
 		return Load
 	}
 	dk.draining[ask.engine] = place{ask: ask, at: now, since: pl.since}
@@ -142,8 +142,16 @@
 	return total
 }
 
-// Loading notes that an engine loads.
-func (dk *Desk) Loading(now time.Time, ask Ask) {
+// OutOfService notes the word of an engine that takes no calls. If it does not drain by this desk's answer, another desk has let
+// it load.
+func (dk *Desk) OutOfService(now time.Time, ask Ask) {
+	if _, ok := dk.draining[ask.engine]; !ok {
+		dk.load(now, ask)
+	}
+}
+
+// load notes that an engine loads.
+func (dk *Desk) load(now time.Time, ask Ask) {
 	dk.loading[ask.engine] = place{ask: ask, at: now, since: now}
 	delete(dk.waiting, ask.engine)
 	delete(dk.draining, ask.engine)
--- a/core/weight/desk_test.go
+++ b/core/weight/desk_test.go
@@ -48,6 +48,7 @@
 				loadOf[id] = now
 				out[zone]++
 			case Drain:
+				dk.OutOfService(now, NewAsk(id, "chat", zone, 1, running))
 				if _, ok := drainOf[id]; !ok {
 					drainOf[id] = now
 				}
--- a/io/gate/node.go
+++ b/io/gate/node.go
@@ -56,7 +56,7 @@
 	dk.mu.Lock()
 	defer dk.mu.Unlock()
 	if loading {
-		dk.desk.Loading(now, ask)
+		dk.desk.OutOfService(now, ask)
 	} else {
 		dk.desk.Loaded(ask.Engine())
 	}
--- a/io/tend/weights.go
+++ b/io/tend/weights.go
@@ -126,6 +126,9 @@
 	case weight.Drain:
 		if !wt.draining {
 			wt.draining = true
+			wt.tender.log.WithFields(logrus.Fields{
+				"event": "weights_drain", "server": wt.id, "version": wt.seen.Version, "running": wt.seen.Running,
+			}).Info("the engine ends its calls before it loads weights")
 			wt.tell(ctx, true)
 		}
 	case weight.Stay:
