--- a/core/weight/desk.go
+++ b/core/weight/desk.go
@@ -14,7 +14,7 @@
 	// outPart is the divisor that gives the part of the engines that are out of service, loading or ending their calls.
 	outPart = 3
 	// drainLimit is how long an engine ends its calls before it loads; what still runs then is ended by the engine itself.
-	drainLimit = 1200 * time.Millisecond
+	drainLimit = 2500 * time.Millisecond
 	// askLife is how long an engine that asks counts as waiting; it asks again sooner.
 	askLife = 150 * time.Millisecond
 	// loadLife bounds how long a load counts without another word of it.
@@ -74,7 +74,7 @@
 }
 
 // Grant answers an ask, where the service has as many engines as given. Those with the oldest weights go first, and of them
-// those in the zone that has the fewest engines out of service.
+// those in the zone that has the fewest engines out of service, those with the fewest calls first.
 func (dk *Desk) Grant(now time.Time, ask Ask, engines int) Grant {
 	dk.expire(now)
 	delete(dk.loading, ask.engine)
@@ -121,7 +121,7 @@
 	for ; free > 0 && len(rivals) > 0; free-- {
 		first := slices.MinFunc(rivals, func(one, other Ask) int {
 			return cmp.Or(cmp.Compare(one.version, other.version), cmp.Compare(outInZone[one.zone], outInZone[other.zone]),
-				cmp.Compare(one.engine, other.engine))
+				cmp.Compare(one.running, other.running), cmp.Compare(one.engine, other.engine))
 		})
 		if first.engine == ask.engine {
 			return true
--- a/io/gate/node.go
+++ b/io/gate/node.go
@@ -22,7 +22,7 @@
 func (nh *nodeHandler) Tell(_ context.Context, ns *wire.EngineNews) (*wire.Received, error) {
 	gt := nh.gate
 	now := time.Now()
-	ask := weight.NewAsk(ns.GetServerId(), ns.GetService(), ns.GetZone(), ns.GetVersion(), int(ns.GetRunning()))
+	ask := weight.NewAsk(ns.GetServerId(), ns.GetService(), ns.GetZone(), ns.GetVersion(), int(ns.GetRunning()+ns.GetQueued()))
 	if ns.GetAsk() {
 		grant := gt.desk.grant(now, ask, len(gt.picker.View().Servers(ns.GetService())))
 		return &wire.Received{Grant: int32(grant)}, nil
