--- a/io/call/call.go
+++ b/io/call/call.go
@@ -141,13 +141,14 @@
 		cn.calls = 0
 		cn.noteIdle(rs.Header)
 		return &Answer{
-			Status:  rs.StatusCode,
-			Header:  rs.Header,
-			Framed:  rs.ContentLength >= 0 || len(rs.TransferEncoding) > 0,
-			pool:    pl,
-			conn:    cn,
-			body:    rs.Body,
-			reuse:   !rs.Close,
+			Status: rs.StatusCode,
+			Header: rs.Header,
+			Framed: rs.ContentLength >= 0 || len(rs.TransferEncoding) > 0,
+			pool:   pl,
+			conn:   cn,
+			body:   rs.Body,
+			// A server that refuses a long request may not have read its body, and may close the connection for that.
+			reuse:   !rs.Close && (len(rq.Body) <= asyncBody || rs.StatusCode < http.StatusMultipleChoices),
 			written: written,
 		}, nil
 	}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -115,6 +115,9 @@
 // Done is closed when Serve has ended.
 func (gt *Gate) Done() <-chan struct{} { return gt.done }
 
+// Knows reports whether a backend server is listed.
+func (gt *Gate) Knows(id string) bool { return gt.picker.View().Server(id) != nil }
+
 // Serve answers callers, the balancer's questions and peers until the context ends, and then stops gracefully.
 func (gt *Gate) Serve(ctx context.Context, callers, ready, peers net.Listener) error {
 	defer close(gt.done)
