--- a/io/feed/follow.go
+++ b/io/feed/follow.go
@@ -11,9 +11,8 @@
 
 // Limits of following a table.
 const (
-	// watchWait bounds one watch. A connection that went silent is noticed soon after, well within the time in which a
-	// configuration comes in force.
-	watchWait = 1200 * time.Millisecond
+	// watchWait bounds one watch. A connection that went silent is noticed when it has passed.
+	watchWait = 3 * time.Second
 	// answerLimit bounds what a call may take beside the wait.
 	answerLimit = 700 * time.Millisecond
 	// readLimit bounds the reading of a whole table.
@@ -28,8 +27,8 @@
 	copy   *Copy
 	source Source
 	log    *logrus.Entry
-	// wait is how long one watch may last.
-	wait time.Duration
+	// settle is how long further changes are awaited after a change, so that one call returns many.
+	settle time.Duration
 	// outage is called at each call that fails.
 	outage func()
 	// stale is set while the source does not answer.
@@ -37,9 +36,17 @@
 	done  chan struct{}
 }
 
-// NewFollower returns a follower that has not begun; outage is called at each call of the source that fails.
-func NewFollower(cp *Copy, src Source, lg *logrus.Entry, outage func()) *Follower {
-	return &Follower{copy: cp, source: src, log: lg.WithField("table", cp.table), wait: watchWait, outage: outage, done: make(chan struct{})}
+// NewFollower returns a follower that has not begun. After a change it waits for the time settle, so that one call returns the
+// changes that follow; outage is called at each call of the source that fails.
+func NewFollower(cp *Copy, src Source, lg *logrus.Entry, settle time.Duration, outage func()) *Follower {
+	return &Follower{
+		copy:   cp,
+		source: src,
+		log:    lg.WithField("table", cp.table),
+		settle: settle,
+		outage: outage,
+		done:   make(chan struct{}),
+	}
 }
 
 // Stale reports whether the source does not answer at present.
@@ -91,13 +98,16 @@
 		return nil
 	}
 	after := fw.copy.Revision()
-	ctx, cancel := context.WithTimeout(ctx, fw.wait+answerLimit)
+	ctx, cancel := context.WithTimeout(ctx, watchWait+answerLimit)
 	defer cancel()
-	rows, revision, err := fw.source.Watch(ctx, fw.copy.table, after, fw.wait)
+	rows, revision, err := fw.source.Watch(ctx, fw.copy.table, after, watchWait)
 	if err != nil {
 		return err
 	}
 	fw.copy.Apply(rows, after, revision)
+	if len(rows) > 0 {
+		sleep(ctx, fw.settle)
+	}
 	return nil
 }
 
--- a/io/gate/directory.go
+++ b/io/gate/directory.go
@@ -22,9 +22,11 @@
 const (
 	expirePeriod   = 200 * time.Millisecond
 	pullPeriod     = 250 * time.Millisecond
-	nodesPeriod    = 5 * time.Second
+	nodesPeriod    = 15 * time.Second
 	registerPeriod = time.Second
 	storeLimit     = 2 * time.Second
+	// serversSettle delays the changes of servers' entries; a leaving server may get requests for two seconds.
+	serversSettle = 300 * time.Millisecond
 )
 
 // directory turns the followed tables into the gate's configuration and servers.
@@ -151,8 +153,8 @@
 // follow starts the goroutines that keep the tables up to date.
 func (gt *Gate) follow(ctx context.Context, wg *conc.WaitGroup) {
 	nothing := func() {}
-	operators := feed.NewFollower(gt.operators, gt.opts.Source, gt.log, nothing)
-	servers := feed.NewFollower(gt.servers, gt.opts.Source, gt.log, gt.directory.outage)
+	operators := feed.NewFollower(gt.operators, gt.opts.Source, gt.log, 0, nothing)
+	servers := feed.NewFollower(gt.servers, gt.opts.Source, gt.log, serversSettle, gt.directory.outage)
 	wg.Go(func() { operators.Run(ctx) })
 	wg.Go(func() { servers.Run(ctx) })
 	wg.Go(func() { gt.readNodes(ctx) })
