Requests that can't begin within their target are rejected at once; an engine's queue is taken from its tender's word

Cause: under a load that lasts all requests waited in the engines' queues and came late; a gate guessed other gates' calls.

--- a/core/pick/call.go
+++ b/core/pick/call.go
@@ -72,6 +72,7 @@
 	source  *fleet.Server
 	held    int
 	cost    time.Duration
+	wait    time.Duration
 }
 
 // Server returns the server to send the call to.
@@ -86,5 +87,5 @@
 // Held returns how many shared parts of the prompt the server is believed to hold.
 func (ch Choice) Held() int { return ch.held }
 
-// Cost returns the expected time to the answer's beginning, with the penalties that the choice weighed.
-func (ch Choice) Cost() time.Duration { return ch.cost }
+// Wait returns the expected time until the answer begins.
+func (ch Choice) Wait() time.Duration { return ch.wait }
--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -15,10 +15,8 @@
 	prefillRate = 120_000
 	// baseTime is the time to the first event of a call without a prompt.
 	baseTime = 50 * time.Millisecond
-	// queuedCost is what each waiting call adds to the time of the next one.
-	queuedCost = 20 * time.Millisecond
 	// reportLife is how long a tender's count of an engine's calls is used.
-	reportLife = 600 * time.Millisecond
+	reportLife = 800 * time.Millisecond
 	// fullCost is the price of a server that has rejected a call, for a time of fullPause.
 	fullCost  = 300 * time.Millisecond
 	fullPause = 250 * time.Millisecond
@@ -165,7 +163,7 @@
 	pk.mu.Lock()
 	defer pk.mu.Unlock()
 	st := pk.state(id)
-	st.reported = wk
+	st.reported, st.sinceReport = wk, 0
 	st.inRow, st.pausedUntil = 0, time.Time{}
 }
 
@@ -205,9 +203,10 @@
 		if loading || !ok {
 			continue
 		}
-		cost := penalty + pk.cost(now, cl, sv, version, sv == home)
+		cost, wait := pk.cost(now, cl, sv, version, sv == home)
+		cost += penalty
 		if best.server == nil || cost < best.cost {
-			best = Choice{server: sv, version: version, cost: cost}
+			best = Choice{server: sv, version: version, cost: cost, wait: wait}
 		}
 	}
 	if best.server == nil {
@@ -237,15 +236,16 @@
 	return 0, true
 }
 
-// cost returns the expected time until a server's answer begins, with the price of its zone and its failures; the
+// cost returns the expected time until a server's answer begins, alone and with the price of its zone and its failures; the
 // caller holds mu.
-func (pk *Picker) cost(now time.Time, cl Call, sv *fleet.Server, version uint64, home bool) time.Duration {
+func (pk *Picker) cost(now time.Time, cl Call, sv *fleet.Server, version uint64, home bool) (cost, wait time.Duration) {
 	st := pk.state(sv.ID())
 	missing := 0
 	if !home {
 		missing = cl.tokensAfter(st.depth(now, cl, version))
 	}
-	cost := time.Duration(st.pace * float64(pk.expect(now, st, cl.tokens-cl.tokensAfter(0)+missing)))
+	wait = time.Duration(st.pace * float64(pk.expect(now, st, cl.tokens-cl.tokensAfter(0)+missing)))
+	cost = wait
 	if now.Before(st.fullUntil) {
 		cost += fullCost
 	}
@@ -261,19 +261,17 @@
 	case st.inRow > 0:
 		cost += probeCost
 	}
-	return cost
+	return cost, wait
 }
 
 // expect returns the time to the first event of a call that has some tokens to read, at a server of usual pace; the caller
 // holds mu.
 func (pk *Picker) expect(now time.Time, st *state, tokens int) time.Duration {
-	expected := baseTime + readTime(st.backlog*pk.senders+tokens)
 	running := st.running * pk.senders
 	if now.Sub(st.reported.at) < reportLife {
 		running = max(st.running, st.reported.running)
-		expected += time.Duration(st.reported.queued) * queuedCost
 	}
-	return expected + time.Duration(running)*runningCost
+	return baseTime + readTime(st.ahead(now, pk.senders)+tokens) + time.Duration(running)*runningCost
 }
 
 func readTime(tokens int) time.Duration {
--- a/core/pick/sent.go
+++ b/core/pick/sent.go
@@ -41,8 +41,7 @@
 		pk.learn(now, ch.server, recentKey{key: key, version: ch.version})
 	}
 	se := &Sent{picker: pk, id: ch.server.ID(), tokens: tokens, at: now, expected: pk.expect(now, st, tokens)}
-	st.running++
-	st.backlog += tokens
+	st.sent(tokens)
 	return se
 }
 
--- a/core/pick/state.go
+++ b/core/pick/state.go
@@ -38,6 +38,10 @@
 	recent map[recentKey]time.Time
 	// reported is what the server's tender told of its work.
 	reported Work
+	// sinceReport is the number of prompt tokens sent by this process since the tender's word.
+	sinceReport int
+	// meanRead is the moving mean of the prompt tokens that a call makes the server read.
+	meanRead float64
 	// pace is the moving ratio of the time to the first event to the expected one.
 	pace float64
 	// fullUntil ends the time in which the server is taken to be full after a rejection.
@@ -67,7 +71,7 @@
 
 // newState returns the state of a server of which nothing was seen; the server may be nil.
 func newState(sv *fleet.Server) *state {
-	st := &state{weights: make(map[string]news), recent: make(map[recentKey]time.Time), pace: 1}
+	st := &state{weights: make(map[string]news), recent: make(map[recentKey]time.Time), pace: 1, meanRead: usualRead}
 	if sv != nil {
 		st.born = sv.Born()
 	}
@@ -91,6 +95,28 @@
 	st.failures -= st.failures * failureWeight
 }
 
+// usualRead is the number of prompt tokens that a call is taken to make an engine read before calls were seen.
+const usualRead = 3000
+
+// ahead returns the prompt tokens that an engine reads before those of a new call, where as many processes as senders send to
+// it. A fresh word of its tender goes before what this process alone can guess.
+func (st *state) ahead(now time.Time, senders int) int {
+	if now.Sub(st.reported.at) > reportLife {
+		return st.backlog * senders
+	}
+	return max(int(float64(st.reported.queued)*st.meanRead)+st.sinceReport, st.backlog)
+}
+
+// sent notes a call that goes to the server.
+func (st *state) sent(tokens int) {
+	st.running++
+	st.backlog += tokens
+	st.sinceReport += tokens
+	if tokens > 0 {
+		st.meanRead += (float64(tokens) - st.meanRead) * paceWeight
+	}
+}
+
 // Limits of a server's pace.
 const (
 	// paceWeight is the part of the pace that one more call makes up.
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -32,6 +32,9 @@
 // Attempts returns on how many servers one call may run, at least one.
 func (rt *Route) Attempts() int { return max(rt.spec.Attempts, 1) }
 
+// Priority returns the rank of the route's calls; 0 is the most urgent.
+func (rt *Route) Priority() int { return rt.spec.Priority }
+
 // Open reports whether callers need no key.
 func (rt *Route) Open() bool { return rt.spec.Open }
 
--- a/io/gate/run.go
+++ b/io/gate/run.go
@@ -53,6 +53,9 @@
 		if !ok {
 			return last
 		}
+		if er := gt.shed(rq, ch); er != nil {
+			return er
+		}
 		if rq.sends == 0 {
 			gt.budgets.First(now, rq.service.Name())
 		} else if !gt.budgets.Take(now, rq.service.Name()) {
--- a/io/tend/weights.go
+++ b/io/tend/weights.go
@@ -112,10 +112,8 @@
 func (wt *watcher) isLoadChanged(now time.Time) bool {
 	busy := wt.seen.Running + wt.seen.Queued
 	change := busy - wt.busy
-	if now.Sub(wt.told) < loadPeriod || change*change < loadChange*loadChange {
-		return false
-	}
-	return true
+	age := now.Sub(wt.told)
+	return age > loadPeriod && change*change >= loadChange*loadChange || age > queuePeriod && wt.seen.Queued > 0
 }
 
 // ask asks a gate what to do about the engine's old weights, and does it.
