--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -15,6 +16,8 @@
 	prefillRate = 120_000
 	// baseTime is the time to the first event of a call without a prompt.
 	baseTime = 50 * time.Millisecond
+	// memoryWait is the time until running calls have freed memory for one more.
+	memoryWait = 300 * time.Millisecond
 	// reportLife is how long a tender's count of an engine's calls is used.
 	reportLife = 800 * time.Millisecond
 	// fullCost is the price of a server that has rejected a call, for a time of fullPause.
@@ -64,6 +67,9 @@
 	// mu guards the fields below.
 	mu   sync.Mutex
 	view *fleet.View
+	// processes is how many processes choose among the servers.
+	processes int
+	random    *rand.Rand
 	// senders is how many processes are taken to send to a server as this one does.
 	senders int
 	states  map[string]*state
@@ -72,15 +78,18 @@
 	hints []Hint
 }
 
-// New returns a picker for a process in an availability zone. After oldLimit no call begins on older weights.
-func New(zone string, oldLimit time.Duration) *Picker {
+// New returns a picker for a process in an availability zone. After oldLimit no call begins on older weights; the seed is that of
+// its random choices.
+func New(zone string, oldLimit time.Duration, seed uint64) *Picker {
 	return &Picker{
-		senders:  1,
-		zone:     zone,
-		oldLimit: oldLimit,
-		view:     fleet.NewList().View(),
-		states:   make(map[string]*state),
-		wanted:   make(map[string][]named),
+		processes: 1,
+		random:    rand.New(rand.NewPCG(seed, seed)),
+		senders:   1,
+		zone:      zone,
+		oldLimit:  oldLimit,
+		view:      fleet.NewList().View(),
+		states:    make(map[string]*state),
+		wanted:    make(map[string][]named),
 	}
 }
 
@@ -108,11 +117,11 @@
 	pk.state(id).replaced = true
 }
 
-// SetSenders notes how many processes send calls to the same servers.
-func (pk *Picker) SetSenders(count int) {
+// SetSenders notes how many processes send calls to the servers of this one's zone, and how many there are in all.
+func (pk *Picker) SetSenders(zone, all int) {
 	pk.mu.Lock()
 	defer pk.mu.Unlock()
-	pk.senders = max(count, 1)
+	pk.senders, pk.processes = max(zone, 1), max(all, 1)
 }
 
 // View returns the present servers.
@@ -187,26 +196,35 @@
 	return ns.version, ns.loading && now.Before(ns.until)
 }
 
-// Choose returns the cheapest server of a call that is not excluded, and false if there is none.
+// candidate is a usable server in a choice.
+type candidate struct {
+	server  *fleet.Server
+	version uint64
+	// penalty is the price of the server's weights.
+	penalty time.Duration
+	home    bool
+}
+
+// Choose returns the cheapest server of a call that is not excluded, and false if there is none. It looks at the call's home and
+// at a random part of the others only: many processes see the same word of an idle server, and would all send to it.
 func (pk *Picker) Choose(now time.Time, cl Call, excluded map[string]bool) (Choice, bool) {
 	pk.mu.Lock()
 	defer pk.mu.Unlock()
 	servers := pk.view.Servers(cl.service)
-	home := pk.home(now, cl, servers, pk.zone)
+	candidates := pk.candidates(now, cl, servers, excluded)
+	pk.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	limit := pk.sampleSize(len(servers))
+	seen := make(map[samplePart]int)
 	var best Choice
-	for _, sv := range servers {
-		if sv.Draining() || excluded[sv.ID()] || pk.state(sv.ID()).replaced {
+	for _, cd := range candidates {
+		sp := pk.samplePart(now, cl, cd)
+		if seen[sp]++; seen[sp] > limit && !cd.home {
 			continue
 		}
-		version, loading := pk.version(now, sv, cl.model)
-		penalty, ok := pk.weightsCost(now, cl, version)
-		if loading || !ok {
-			continue
-		}
-		cost, wait := pk.cost(now, cl, sv, version, sv == home)
-		cost += penalty
+		cost, wait := pk.cost(now, cl, cd.server, cd.version, cd.home)
+		cost += cd.penalty
 		if best.server == nil || cost < best.cost {
-			best = Choice{server: sv, version: version, cost: cost, wait: wait}
+			best = Choice{server: cd.server, version: cd.version, cost: cost, wait: wait}
 		}
 	}
 	if best.server == nil {
@@ -217,6 +235,46 @@
 	return best, true
 }
 
+// candidates returns the servers that a call may be sent to; the caller holds mu.
+func (pk *Picker) candidates(now time.Time, cl Call, servers []*fleet.Server, excluded map[string]bool) []candidate {
+	home := pk.home(now, cl, servers, pk.zone)
+	candidates := make([]candidate, 0, len(servers))
+	for _, sv := range servers {
+		if sv.Draining() || excluded[sv.ID()] || pk.state(sv.ID()).replaced {
+			continue
+		}
+		version, loading := pk.version(now, sv, cl.model)
+		penalty, ok := pk.weightsCost(now, cl, version)
+		if !loading && ok {
+			candidates = append(candidates, candidate{server: sv, version: version, penalty: penalty, home: sv == home})
+		}
+	}
+	return candidates
+}
+
+// samplePart is a part of the candidates that is sampled by itself, so that each has a chance to be looked at.
+type samplePart struct {
+	newest bool
+	near   bool
+	holds  bool
+	paused bool
+}
+
+func (pk *Picker) samplePart(now time.Time, cl Call, cd candidate) samplePart {
+	st := pk.state(cd.server.ID())
+	return samplePart{
+		newest: cd.penalty == 0,
+		near:   cd.server.Zone() == pk.zone,
+		holds:  len(cl.keys) > 0 && st.depth(now, cl, cd.version) == len(cl.keys),
+		paused: st.isPaused(now),
+	}
+}
+
+// sampleSize returns how many servers of each part a choice looks at, of as many servers as given.
+func (pk *Picker) sampleSize(servers int) int {
+	return (servers+pk.processes-1)/pk.processes + 1
+}
+
 // weightsCost returns the price of a version of the weights, and false if no call may begin on it; the caller holds mu.
 func (pk *Picker) weightsCost(now time.Time, cl Call, version uint64) (time.Duration, bool) {
 	for _, nm := range pk.wanted[cl.model] {
@@ -268,10 +326,14 @@
 // holds mu.
 func (pk *Picker) expect(now time.Time, st *state, tokens int) time.Duration {
 	running := st.running * pk.senders
+	expected := baseTime
 	if now.Sub(st.reported.at) < reportLife {
 		running = max(st.running, st.reported.running)
+		if short := tokens + st.sinceReport - st.reported.free; short > 0 {
+			expected += memoryWait
+		}
 	}
-	return baseTime + readTime(st.ahead(now, pk.senders)+tokens) + time.Duration(running)*runningCost
+	return expected + readTime(st.ahead(now, pk.senders)+tokens) + time.Duration(running)*runningCost
 }
 
 func readTime(tokens int) time.Duration {
--- a/core/pick/picker_test.go
+++ b/core/pick/picker_test.go
@@ -27,7 +27,7 @@
 // A version that is named while an older one is still rolled out must not extend the time of engines that lack both.
 func TestOldWeightsEndByTheFirstMissedVersion(t *testing.T) {
 	now := time.Unix(1000, 0)
-	pk := New("a", 6*time.Second)
+	pk := New("a", 6*time.Second, 1)
 	pk.SetView(viewOf("a"))
 	pk.Want(now, testModel, 2)
 	now = now.Add(4 * time.Second)
@@ -44,7 +44,7 @@
 // A process that has just started does not know how long ago weights were named; it soon takes older ones for too old.
 func TestOldWeightsEndSoonAfterAStart(t *testing.T) {
 	now := time.Unix(1000, 0)
-	pk := New("a", 12*time.Second)
+	pk := New("a", 12*time.Second, 1)
 	pk.SetView(viewOf("a"))
 	pk.WantOld(now, testModel, 2)
 	if _, ok := pk.Choose(now.Add(time.Second), promptCall("s", true), nil); !ok {
@@ -58,7 +58,7 @@
 // Of two engines the one with the newest weights is chosen once the older ones are no longer as good.
 func TestNewestWeightsAreChosen(t *testing.T) {
 	now := time.Unix(1000, 0)
-	pk := New("a", 6*time.Second)
+	pk := New("a", 6*time.Second, 1)
 	pk.SetView(viewOf("a", "a"))
 	pk.Want(now, testModel, 2)
 	pk.Weights(now, "server-1", testModel, 2, false)
@@ -74,7 +74,7 @@
 // An engine that loads gets no calls, and gets them again when it has loaded or nothing more was heard of it.
 func TestLoadingEngineGetsNoCalls(t *testing.T) {
 	now := time.Unix(1000, 0)
-	pk := New("a", 6*time.Second)
+	pk := New("a", 6*time.Second, 1)
 	pk.SetView(viewOf("a"))
 	pk.Weights(now, "server-0", testModel, 1, true)
 	if _, ok := pk.Choose(now, promptCall("s", true), nil); ok {
@@ -93,7 +93,7 @@
 func TestSubjectsHaveHomes(t *testing.T) {
 	now := time.Unix(1000, 0)
 	vw := viewOf("a", "a", "a", "b", "b", "b")
-	near, far := New("a", time.Minute), New("b", time.Minute)
+	near, far := New("a", time.Minute, 1), New("b", time.Minute, 1)
 	near.SetView(vw)
 	far.SetView(vw)
 	for i := range 30 {
@@ -117,7 +117,7 @@
 // A part that is shared by all subjects is copied also if the subject itself was never read.
 func TestSharedBeginningIsCopied(t *testing.T) {
 	now := time.Unix(1000, 0)
-	pk := New("a", time.Minute)
+	pk := New("a", time.Minute, 1)
 	pk.SetView(viewOf("a", "b"))
 	cl := promptCall("one", true)
 	first, _ := pk.Choose(now, cl, map[string]bool{"server-0": true})
@@ -136,7 +136,7 @@
 // A server that does not answer is left at once, and tried again after its pause.
 func TestSilentServerIsLeft(t *testing.T) {
 	now := time.Unix(1000, 0)
-	pk := New("a", time.Minute)
+	pk := New("a", time.Minute, 1)
 	pk.SetView(viewOf("a", "b"))
 	cl := promptCall("s", false)
 	ch, _ := pk.Choose(now, cl, nil)
--- a/core/pick/state.go
+++ b/core/pick/state.go
@@ -60,13 +60,15 @@
 // Work is how busy an engine was when its tender looked at a time.
 type Work struct {
 	running int
-	queued  int
+	waiting int
+	free    int
 	at      time.Time
 }
 
-// NewWork returns the work of an engine that runs some calls and lets others wait.
-func NewWork(running, queued int, at time.Time) Work {
-	return Work{running: running, queued: queued, at: at}
+// NewWork returns the work of an engine that has taken up some calls; waiting counts its calls that have no event yet, taken up or
+// not, and free the tokens for which it has memory.
+func NewWork(running, waiting, free int, at time.Time) Work {
+	return Work{running: running, waiting: waiting, free: free, at: at}
 }
 
 // newState returns the state of a server of which nothing was seen; the server may be nil.
@@ -104,7 +106,7 @@
 	if now.Sub(st.reported.at) > reportLife {
 		return st.backlog * senders
 	}
-	return max(int(float64(st.reported.queued)*st.meanRead)+st.sinceReport, st.backlog)
+	return max(int(float64(st.reported.waiting)*st.meanRead)+st.sinceReport*senders, st.backlog)
 }
 
 // sent notes a call that goes to the server.
--- a/io/cmds/gate.go
+++ b/io/cmds/gate.go
@@ -56,6 +56,7 @@
 		OldWeights:  st.duration("old-weights", cm.OldWeights, time.Second, time.Hour),
 		Stop:        st.duration("stop-timeout", cm.Stop, 2*time.Second, time.Hour) - stopSlack,
 		BalancerLag: balancerLag,
+		Seed:        randomNumber(),
 	}
 	st.address("listen", cm.Listen)
 	st.address("ready", cm.Ready)
--- a/io/gate/directory.go
+++ b/io/gate/directory.go
@@ -87,13 +87,18 @@
 
 // nodesChanged counts the gates whose callers are as near to the servers of a zone as those of this one.
 func (dr *directory) nodesChanged(ch feed.Change) {
-	count := 0
+	zone, all := 0, 0
 	for _, rw := range ch.Rows {
-		if nd, ok := ParseNode(rw); ok && nd.Role == RoleGate && nd.Zone == dr.gate.opts.Zone {
-			count++
+		nd, ok := ParseNode(rw)
+		if !ok || nd.Role != RoleGate {
+			continue
+		}
+		all++
+		if nd.Zone == dr.gate.opts.Zone {
+			zone++
 		}
 	}
-	dr.gate.picker.SetSenders(count)
+	dr.gate.picker.SetSenders(zone, all)
 }
 
 func (dr *directory) serversChanged(ch feed.Change) {
--- a/io/gate/finish.go
+++ b/io/gate/finish.go
@@ -92,6 +92,7 @@
 	rl.server = se.choice.Server().ID()
 	rl.version = se.choice.Version()
 	rl.held = se.choice.Held()
+	rl.expected = se.choice.Wait()
 	if sv := se.choice.Source(); sv != nil {
 		rl.source = sv.ID()
 	}
@@ -121,6 +122,7 @@
 		fields["first_ms"] = rq.log.first.Milliseconds()
 		if rq.call.Key() != 0 {
 			fields["prompt_key"] = strconv.FormatUint(rq.call.Key(), 16)
+			fields["expected_ms"] = rq.log.expected.Milliseconds()
 			fields["held_parts"] = rq.log.held
 			fields["copied_from"] = rq.log.source
 		}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -59,6 +59,8 @@
 	Budget BudgetOptions
 	// OldWeights is how long after newer weights were named a request may begin on older ones.
 	OldWeights time.Duration
+	// Seed is that of the random choices among backend servers.
+	Seed uint64
 	// Stop is how long a graceful stop may take, and BalancerLag how much of it callers may still arrive.
 	Stop        time.Duration
 	BalancerLag time.Duration
@@ -98,7 +100,7 @@
 	gt := &Gate{
 		opts:      opts,
 		log:       opts.Recorder.Log(),
-		picker:    pick.New(opts.Zone, opts.OldWeights),
+		picker:    pick.New(opts.Zone, opts.OldWeights, opts.Seed),
 		calls:     call.NewPool(),
 		operators: feed.NewCopy(tables.Operators),
 		servers:   feed.NewCopy(tables.Servers),
--- a/io/gate/handle.go
+++ b/io/gate/handle.go
@@ -53,6 +53,8 @@
 	held    int
 	source  string
 	first   time.Duration
+	// expected is the time to the first event as it was expected of the server.
+	expected time.Duration
 }
 
 // handle serves one request of a caller.
--- a/io/gate/node.go
+++ b/io/gate/node.go
@@ -22,7 +22,7 @@
 func (nh *nodeHandler) Tell(_ context.Context, ns *wire.EngineNews) (*wire.Received, error) {
 	gt := nh.gate
 	now := time.Now()
-	ask := weight.NewAsk(ns.GetServerId(), ns.GetService(), ns.GetZone(), ns.GetVersion(), int(ns.GetRunning()+ns.GetQueued()))
+	ask := weight.NewAsk(ns.GetServerId(), ns.GetService(), ns.GetZone(), ns.GetVersion(), int(ns.GetRunning()))
 	if ns.GetAsk() {
 		grant := gt.desk.grant(now, ask, len(gt.picker.View().Servers(ns.GetService())))
 		return &wire.Received{Grant: int32(grant)}, nil
@@ -35,7 +35,7 @@
 	gt.directory.found(now, ns)
 	gt.desk.note(now, ask, ns.GetLoading())
 	gt.picker.Weights(now, ns.GetServerId(), ns.GetModel(), ns.GetVersion(), ns.GetLoading())
-	gt.picker.Reported(ns.GetServerId(), pick.NewWork(int(ns.GetRunning()), int(ns.GetQueued()), now))
+	gt.picker.Reported(ns.GetServerId(), pick.NewWork(int(ns.GetRunning()), int(ns.GetWaiting()), int(ns.GetFree()), now))
 	return &wire.Received{}, nil
 }
 
--- a/io/gate/run.go
+++ b/io/gate/run.go
@@ -24,6 +24,8 @@
 	leastSilence = 250 * time.Millisecond
 	// busyPart is the part of the time left after which an engine that is known to live is left all the same.
 	busyPart = 0.6
+	// busyTimes is how many times the expected time must have passed by then.
+	busyTimes = 4
 	// answerLimit bounds the body of an answer that is no stream.
 	answerLimit = 8 << 20
 )
@@ -105,7 +107,7 @@
 	if !rq.route.Once() {
 		silence := gt.silence(rq)
 		if gt.picker.Alive(now, ch.Server().ID()) {
-			silence = max(silence, time.Duration(busyPart*float64(rq.deadline.Sub(now))))
+			silence = max(silence, busyTimes*ch.Wait(), time.Duration(busyPart*float64(rq.deadline.Sub(now))))
 		}
 		watch := time.AfterFunc(silence, sending.cancelSilent(cancel))
 		defer watch.Stop()
--- a/io/tend/engine.go
+++ b/io/tend/engine.go
@@ -16,8 +16,11 @@
 	Look  weight.Look
 	// Version is that of the model's weights.
 	Version uint64
+	// Running counts the calls that the engine has taken up, Waiting those of them and of the others that have no event yet.
 	Running int
-	Queued  int
+	Waiting int
+	// Free is the number of tokens for which there is memory.
+	Free int
 }
 
 // Order is an order to load weights.
--- a/io/tend/weights.go
+++ b/io/tend/weights.go
@@ -110,10 +110,10 @@
 
 // isLoadChanged reports whether the gates should be told the engine's load anew.
 func (wt *watcher) isLoadChanged(now time.Time) bool {
-	busy := wt.seen.Running + wt.seen.Queued
+	busy := wt.seen.Running + wt.seen.Waiting
 	change := busy - wt.busy
 	age := now.Sub(wt.told)
-	return age > loadPeriod && change*change >= loadChange*loadChange || age > queuePeriod && wt.seen.Queued > 0
+	return age > loadPeriod && change*change >= loadChange*loadChange || age > queuePeriod && wt.seen.Waiting > 0
 }
 
 // ask asks a gate what to do about the engine's old weights, and does it.
@@ -210,7 +210,7 @@
 func (wt *watcher) tell(ctx context.Context, loading bool) {
 	wt.told = time.Now()
 	wt.said = word{wt.seen.Version, loading}
-	wt.busy = wt.seen.Running + wt.seen.Queued
+	wt.busy = wt.seen.Running + wt.seen.Waiting
 	wt.tender.tellAll(ctx, wt.news(loading, false))
 }
 
@@ -232,7 +232,8 @@
 		Version:  wt.seen.Version,
 		Loading:  loading,
 		Running:  int32(wt.seen.Running),
-		Queued:   int32(wt.seen.Queued),
+		Waiting:  int32(wt.seen.Waiting),
+		Free:     int32(wt.seen.Free),
 		Service:  wt.tender.opts.Service,
 		Zone:     wt.tender.opts.Zone,
 		Ask:      ask,
