--- a/core/pick/hint.go
+++ b/core/pick/hint.go
@@ -1,15 +1,13 @@
 package pick
 
-import (
-	"time"
-
-	"shallotcleat/core/fleet"
-)
+import "time"
 
 // Limits of hints.
 const (
-	// cacheLife is how long a prompt is expected to stay in an engine's cache after its last use.
-	cacheLife = 8 * time.Second
+	// heldLife is how long a prompt is taken to be in an engine's cache after its last use.
+	heldLife = 7 * time.Second
+	// sourceLife is how long an engine is asked for a copy of a prompt; a miss costs a millisecond.
+	sourceLife = 10 * time.Second
 	// hintPeriod is how soon others are told again that a prompt was sent to a server.
 	hintPeriod = 3 * time.Second
 	// recentLimit bounds the prompts that are remembered for one server.
@@ -39,37 +37,56 @@
 // Version returns the version of the weights.
 func (hn Hint) Version() uint64 { return hn.version }
 
-// depth returns how many of a call's shared parts the server is believed to hold under a version of the weights.
+// use is when a prompt's beginning was last sent to a server, and when the server had last read it.
+type use struct {
+	sent time.Time
+	read time.Time
+}
+
+// depth returns how many of a call's shared parts the server is believed to hold under a version of the weights, or to read now.
 func (st *state) depth(now time.Time, cl Call, version uint64) int {
 	for depth := len(cl.keys); depth > 0; depth-- {
-		at, ok := st.recent[recentKey{key: cl.keys[depth-1], version: version}]
-		if ok && now.Sub(at) < cacheLife {
+		if us, ok := st.recent[recentKey{key: cl.keys[depth-1], version: version}]; ok && now.Sub(us.sent) < heldLife {
 			return depth
 		}
 	}
 	return 0
 }
 
-// learn notes that a server reads a prompt's beginning, and keeps a hint for others unless they were told lately; the caller
+// readDepth returns how many of a call's shared parts may be copied from the server, and when it had read them.
+func (st *state) readDepth(now time.Time, cl Call, version uint64) (int, time.Time) {
+	for depth := len(cl.keys); depth > 0; depth-- {
+		if us, ok := st.recent[recentKey{key: cl.keys[depth-1], version: version}]; ok && now.Sub(us.read) < sourceLife {
+			return depth, us.read
+		}
+	}
+	return 0, time.Time{}
+}
+
+// learn notes that a server has read a prompt's beginning, and keeps a hint for others unless they were told lately; the caller
 // holds mu.
-func (pk *Picker) learn(now time.Time, sv *fleet.Server, key recentKey) {
-	st := pk.state(sv.ID())
-	if at, ok := st.recent[key]; (!ok || now.Sub(at) > hintPeriod) && len(pk.hints) < hintLimit {
+func (pk *Picker) learn(now time.Time, id string, key recentKey) {
+	sv := pk.view.Server(id)
+	if sv == nil {
+		return
+	}
+	st := pk.state(id)
+	if now.Sub(st.recent[key].read) > hintPeriod && len(pk.hints) < hintLimit {
 		pk.hints = append(pk.hints, NewHint(sv.Hash(), key.key, key.version))
 	}
-	st.remember(now, key)
+	st.remember(key, use{sent: now, read: now})
 }
 
-// remember notes a prompt's beginning; when there are too many, those that are likely evicted are forgotten.
-func (st *state) remember(now time.Time, key recentKey) {
-	if len(st.recent) >= recentLimit {
-		for old, at := range st.recent {
-			if now.Sub(at) >= cacheLife || len(st.recent) >= recentLimit {
+// remember notes a use; when there are too many, those that are likely evicted are forgotten.
+func (st *state) remember(key recentKey, us use) {
+	if _, ok := st.recent[key]; !ok && len(st.recent) >= recentLimit {
+		for old, last := range st.recent {
+			if us.sent.Sub(last.sent) >= sourceLife || len(st.recent) >= recentLimit {
 				delete(st.recent, old)
 			}
 		}
 	}
-	st.recent[key] = now
+	st.recent[key] = us
 }
 
 // TakeHints returns what other processes should be told since the last call.
@@ -87,7 +104,7 @@
 	defer pk.mu.Unlock()
 	for _, hn := range hints {
 		if sv := pk.view.ByHash(hn.server); sv != nil {
-			pk.state(sv.ID()).remember(now, recentKey{key: hn.key, version: hn.version})
+			pk.state(sv.ID()).remember(recentKey{key: hn.key, version: hn.version}, use{sent: now, read: now})
 		}
 	}
 }
--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -367,14 +367,15 @@
 	return xxhash.Sum64(bytes[:])
 }
 
-// source returns a server that holds more of the shared parts than the chosen one, as far as it is known; one in the same
-// zone is preferred, and of several the one that was used last. The caller holds mu.
+// source returns a server that has read more of the shared parts than the chosen one holds, as far as it is known; of several the
+// one that had read them last. The caller holds mu.
 func (pk *Picker) source(now time.Time, cl Call, servers []*fleet.Server, ch Choice) *fleet.Server {
 	if len(cl.keys) == 0 || ch.version == 0 {
 		return nil
 	}
 	var best *fleet.Server
-	var bestDepth int
+	var bestRead time.Time
+	bestDepth := ch.held
 	for _, sv := range servers {
 		st := pk.state(sv.ID())
 		if sv == ch.server || st.inRow > 0 || st.replaced {
@@ -383,13 +384,9 @@
 		if version, loading := pk.version(now, sv, cl.model); version != ch.version || loading {
 			continue
 		}
-		depth := st.depth(now, cl, ch.version)
-		if depth <= ch.held {
-			continue
-		}
-		near := best != nil && sv.Zone() == ch.server.Zone() && best.Zone() != ch.server.Zone()
-		if best == nil || depth > bestDepth || depth == bestDepth && near {
-			best, bestDepth = sv, depth
+		depth, read := st.readDepth(now, cl, ch.version)
+		if depth > bestDepth || best != nil && depth == bestDepth && read.After(bestRead) {
+			best, bestDepth, bestRead = sv, depth, read
 		}
 	}
 	return best
--- a/core/pick/picker_test.go
+++ b/core/pick/picker_test.go
@@ -89,6 +89,13 @@
 	}
 }
 
+// serve sends a call and lets it be answered.
+func serve(pk *Picker, now time.Time, cl Call, ch Choice) {
+	se := pk.Send(now, cl, ch)
+	se.Begin(now)
+	se.End(now, Served)
+}
+
 // Calls about one subject meet at one engine of the zone, and the engine of another zone copies from there.
 func TestSubjectsHaveHomes(t *testing.T) {
 	now := time.Unix(1000, 0)
@@ -102,7 +109,7 @@
 		if first.Server().Zone() != "a" {
 			t.Fatalf("call %d went to zone %s", i, first.Server().Zone())
 		}
-		near.Send(now, cl, first).End(now, Served)
+		serve(near, now, cl, first)
 		if again, _ := near.Choose(now, cl, nil); again.Server() != first.Server() || again.Source() != nil {
 			t.Errorf("call %d is not sent where it was sent before", i)
 		}
@@ -121,7 +128,7 @@
 	pk.SetView(viewOf("a", "b"))
 	cl := promptCall("one", true)
 	first, _ := pk.Choose(now, cl, map[string]bool{"server-0": true})
-	pk.Send(now, cl, first).End(now, Served)
+	serve(pk, now, cl, first)
 	other, _ := pk.Choose(now, promptCall("other", true), map[string]bool{"server-1": true})
 	if other.Source() != first.Server() {
 		t.Errorf("the source is %v", other.Source())
@@ -133,6 +140,26 @@
 	}
 }
 
+// A prompt is not copied from an engine that did not run the call, or has not read it yet.
+func TestUnreadPromptIsNotCopied(t *testing.T) {
+	now := time.Unix(1000, 0)
+	pk := New("a", time.Minute, 1)
+	pk.SetView(viewOf("a", "b"))
+	cl := promptCall("one", true)
+	first, _ := pk.Choose(now, cl, map[string]bool{"server-0": true})
+	se := pk.Send(now, cl, first)
+	if other, _ := pk.Choose(now, cl, map[string]bool{"server-1": true}); other.Source() != nil {
+		t.Error("copied before it was read")
+	}
+	se.End(now, Rejected)
+	if other, _ := pk.Choose(now, cl, map[string]bool{"server-1": true}); other.Source() != nil {
+		t.Error("copied from an engine that did not run the call")
+	}
+	if len(pk.TakeHints()) != 0 {
+		t.Error("others are told of a prompt that was not read")
+	}
+}
+
 // A server that does not answer is left at once, and tried again after its pause.
 func TestSilentServerIsLeft(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/core/pick/sent.go
+++ b/core/pick/sent.go
@@ -4,9 +4,11 @@
 
 // Sent is a call on its way at one server; one goroutine owns it.
 type Sent struct {
-	picker *Picker
-	id     string
-	tokens int
+	picker  *Picker
+	id      string
+	keys    []uint64
+	version uint64
+	tokens  int
 	// at is when the call was sent, expected the time to its first event.
 	at       time.Time
 	expected time.Duration
@@ -38,9 +40,10 @@
 	st := pk.state(ch.server.ID())
 	tokens := max(cl.tokens-cl.tokensAfter(0)+cl.tokensAfter(st.depth(now, cl, ch.version)), 0)
 	for _, key := range cl.keys {
-		pk.learn(now, ch.server, recentKey{key: key, version: ch.version})
+		rk := recentKey{key: key, version: ch.version}
+		st.remember(rk, use{sent: now, read: st.recent[rk].read})
 	}
-	se := &Sent{picker: pk, id: ch.server.ID(), tokens: tokens, at: now, expected: pk.expect(now, st, tokens)}
+	se := &Sent{picker: pk, id: ch.server.ID(), keys: cl.keys, version: ch.version, tokens: tokens, at: now, expected: pk.expect(now, st, tokens)}
 	st.sent(tokens)
 	return se
 }
@@ -49,9 +52,25 @@
 func (se *Sent) Begin(now time.Time) {
 	se.picker.mu.Lock()
 	defer se.picker.mu.Unlock()
-	if st := se.leaveBacklog(); st != nil && se.tokens > 0 {
+	st := se.leaveBacklog()
+	if st == nil {
+		return
+	}
+	if se.tokens > 0 {
 		st.observe(now.Sub(se.at), se.expected)
 	}
+	for _, key := range se.keys {
+		se.picker.learn(now, se.id, recentKey{key: key, version: se.version})
+	}
+}
+
+// unsend notes that a server did not read what was sent to it.
+func (st *state) unsend(key recentKey) {
+	if us := st.recent[key]; us.read.IsZero() {
+		delete(st.recent, key)
+	} else {
+		st.recent[key] = use{sent: us.read, read: us.read}
+	}
 }
 
 // leaveBacklog takes the call's tokens out of the server's backlog, and returns the server's state if they were in it; the
@@ -89,6 +108,9 @@
 		st.broke(now)
 	case Rejected:
 		st.fullUntil = now.Add(fullPause)
+		for _, key := range se.keys {
+			st.unsend(recentKey{key: key, version: se.version})
+		}
 	case Abandoned:
 	}
 }
--- a/core/pick/state.go
+++ b/core/pick/state.go
@@ -34,8 +34,8 @@
 	// inRow counts failures of the connection since the last answer; pausedUntil ends the time without calls.
 	inRow       int
 	pausedUntil time.Time
-	// recent holds when a prompt with a key was last sent here, by this process or by another one that told it.
-	recent map[recentKey]time.Time
+	// recent holds the last uses of prompts here, by this process or by others that told it.
+	recent map[recentKey]use
 	// reported is what the server's tender told of its work.
 	reported Work
 	// sinceReport is the number of prompt tokens sent by this process since the tender's word.
@@ -73,7 +73,7 @@
 
 // newState returns the state of a server of which nothing was seen; the server may be nil.
 func newState(sv *fleet.Server) *state {
-	st := &state{weights: make(map[string]news), recent: make(map[recentKey]time.Time), pace: 1, meanRead: usualRead}
+	st := &state{weights: make(map[string]news), recent: make(map[recentKey]use), pace: 1, meanRead: usualRead}
 	if sv != nil {
 		st.born = sv.Born()
 	}
