--- /dev/null
+++ b/core/pick/shed.go
@@ -0,0 +1,29 @@
+package pick
+
+import "time"
+
+// Limits of the time after which an answer is expected to begin. Under a load that lasts, a longer queue serves no more calls, but
+// all of them late.
+const (
+	// waitPart is the part of the target time within which an answer must be expected to begin.
+	waitPart = 0.75
+	// urgentWaitPart is that of the most urgent calls, so that less urgent ones are rejected before them.
+	urgentWaitPart = 1.1
+	// leastReturn and mostReturn bound the time after which a rejected caller may come back.
+	leastReturn = 400 * time.Millisecond
+	mostReturn  = 3 * time.Second
+)
+
+// Shed reports whether a call should be rejected since its answer can't be expected to begin within its target time, and after
+// which time its caller may come back.
+func (ch Choice) Shed(target time.Duration, urgent bool) (after time.Duration, shed bool) {
+	part := waitPart
+	if urgent {
+		part = urgentWaitPart
+	}
+	limit := time.Duration(part * float64(target))
+	if target <= 0 || ch.wait <= limit {
+		return 0, false
+	}
+	return min(max(ch.wait-limit, leastReturn), mostReturn), true
+}
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -5,8 +5,11 @@
 	"time"
 )
 
-// windowCells is how many cells a window is counted in.
-const windowCells = 20
+// A window is counted in spanCells cells and the one that it is partly in, so that no window anywhere has more repeats.
+const (
+	spanCells   = 20
+	windowCells = spanCells + 1
+)
 
 // Window grants repeats of calls within a budget over a sliding time: a part of the first tries and a fixed allowance. Its
 // methods may be called from any goroutine.
@@ -30,7 +33,7 @@
 
 // NewWindow returns a budget of ratio x the first tries within a span, and the allowance beside them.
 func NewWindow(span time.Duration, ratio, allowance float64) *Window {
-	return &Window{ratio: ratio, allowance: allowance, cell: max(span/windowCells, 1)}
+	return &Window{ratio: ratio, allowance: allowance, cell: max(span/spanCells, 1)}
 }
 
 // First notes a first try.
--- /dev/null
+++ b/core/route/table_test.go
@@ -0,0 +1,95 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+)
+
+func testTable() *Table {
+	return Compile(Spec{
+		Version: 3,
+		Routes: []RouteSpec{
+			{Name: "short", Host: "a", Prefix: "/x/", Targets: []Target{{Service: "one", Weight: 1}}, Priority: 2},
+			{Name: "long", Host: "a", Prefix: "/x/y/", Targets: []Target{{Service: "one", Weight: 90}, {Service: "two", Weight: 10}}},
+			{Name: "open", Host: "b", Prefix: "/x/", Open: true, Stream: true, Resumable: true},
+		},
+		Services:   []ServiceSpec{{Name: "one"}, {Name: "two", Engine: &EngineSpec{Slots: 4}}},
+		Workspaces: []WorkspaceSpec{{Name: "north", Keys: []string{"k1", "k2"}, Priority: 5, HasPriority: true}, {Name: "south", Keys: []string{"k3"}}},
+	})
+}
+
+// The longest prefix of the host decides.
+func TestMatch(t *testing.T) {
+	tb := testTable()
+	tests := []struct{ host, path, want string }{
+		{"a", "/x/1", "short"},
+		{"a", "/x/y/1", "long"},
+		{"a", "/x/y", "short"},
+		{"a", "/x", ""},
+		{"b", "/x/y/1", "open"},
+		{"c", "/x/1", ""},
+	}
+	for _, tt := range tests {
+		got := ""
+		if rt := tb.Match(tt.host, tt.path); rt != nil {
+			got = rt.Name()
+		}
+		if got != tt.want {
+			t.Errorf("%s%s: route %q, want %q", tt.host, tt.path, got, tt.want)
+		}
+	}
+}
+
+// A workspace's rank goes before that of the route, and a key belongs to one workspace.
+func TestAuthenticate(t *testing.T) {
+	tb := testTable()
+	rt := tb.Match("a", "/x/1")
+	if ws := tb.Authenticate(rt, "k2"); ws == nil || ws.Name() != "north" || ws.Rank(rt) != 5 {
+		t.Errorf("key k2: %v", ws)
+	}
+	if ws := tb.Authenticate(rt, "k3"); ws == nil || ws.Rank(rt) != 2 {
+		t.Errorf("key k3: %v", ws)
+	}
+	if ws := tb.Authenticate(rt, "none"); ws != nil {
+		t.Errorf("an unknown key is that of %q", ws.Name())
+	}
+	if ws := tb.Authenticate(tb.Match("b", "/x/1"), ""); ws == nil || ws.Name() != "" {
+		t.Errorf("open route: %v", ws)
+	}
+}
+
+// A split route sends the same id to the same service, and each service its share.
+func TestSplit(t *testing.T) {
+	rt := testTable().Match("a", "/x/y/1")
+	counts := make(map[string]int)
+	const calls = 10_000
+	for i := range calls {
+		id := fmt.Sprint("id-", i)
+		name := rt.Service(id)
+		if name != rt.Service(id) {
+			t.Fatalf("%s goes to two services", id)
+		}
+		counts[name]++
+	}
+	if share := counts["two"]; share < calls*8/100 || share > calls*12/100 {
+		t.Errorf("service two gets %d of %d calls, its share is a tenth", share, calls)
+	}
+}
+
+// Only a stream that may be resumed, or a call that says so, may run more than once.
+func TestOnce(t *testing.T) {
+	tests := []struct {
+		spec RouteSpec
+		want bool
+	}{
+		{RouteSpec{}, false},
+		{RouteSpec{Once: true}, true},
+		{RouteSpec{Stream: true}, true},
+		{RouteSpec{Stream: true, Resumable: true}, false},
+	}
+	for _, tt := range tests {
+		if rt := (&Route{spec: tt.spec}); rt.Once() != tt.want {
+			t.Errorf("%+v: once is %t", tt.spec, rt.Once())
+		}
+	}
+}
