--- /dev/null
+++ b/core/pick/bench_test.go
@@ -0,0 +1,56 @@
+package pick
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"shallotcleat/core/fleet"
+)
+
+// benchPicker returns the picker of one of 420 gates, and a model's engines among all servers.
+func benchPicker(servers, services int) *Picker {
+	ls := fleet.NewList()
+	for i := range servers {
+		service := fmt.Sprint("chat-", i%services)
+		ls.Put(fleet.NewServer(fmt.Sprint("server-", i), fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), fmt.Sprint("zone-", i%6), service, 64,
+			false, 1, map[string]uint64{testModel: 1}))
+	}
+	pk := New("zone-0", time.Minute, 1)
+	pk.SetView(ls.View())
+	pk.SetSenders(70, 420)
+	return pk
+}
+
+// BenchmarkChoose measures one choice and its notes at the sizes of today, of the grown sites and of the design.
+func BenchmarkChoose(b *testing.B) {
+	for _, size := range []struct{ servers, services int }{{9, 1}, {47, 1}, {3100, 17}} {
+		b.Run(fmt.Sprintf("%d-of-%d", size.servers/size.services, size.servers), func(b *testing.B) {
+			pk := benchPicker(size.servers, size.services)
+			now := time.Unix(1000, 0)
+			for i := range b.N {
+				now = now.Add(10 * time.Millisecond)
+				cl := NewCall("chat-0", testModel, "", []Part{NewPart("system", 500), NewPart(fmt.Sprint("s", i%500), 5000), NewPart("own", 1000)}, 6500, true)
+				ch, ok := pk.Choose(now, cl, nil)
+				if !ok {
+					b.Fatal("no server")
+				}
+				se := pk.Send(now, cl, ch)
+				se.Begin(now)
+				se.End(now, Served)
+				pk.TakeHints()
+			}
+		})
+	}
+}
+
+// BenchmarkReported measures a tender's word.
+func BenchmarkReported(b *testing.B) {
+	pk := benchPicker(3100, 17)
+	now := time.Unix(1000, 0)
+	for i := range b.N {
+		id := fmt.Sprint("server-", i%3100)
+		pk.Weights(now, id, testModel, 1, false)
+		pk.Reported(id, NewWork(3, 1, 1000, now))
+	}
+}
