--- a/core/pick/call.go
+++ b/core/pick/call.go
@@ -73,6 +73,8 @@
 	held    int
 	cost    time.Duration
 	wait    time.Duration
+	// queue is the part of wait that the calls before take.
+	queue time.Duration
 }
 
 // Server returns the server to send the call to.
--- a/core/pick/load_test.go
+++ b/core/pick/load_test.go
@@ -244,3 +244,23 @@
 		t.Errorf("%.3f of the calls began within 400 ms", got)
 	}
 }
+
+// Pattern: most prompts are short and a few take longer to read than the target time. A long one must not be rejected for its own
+// length.
+func TestLongPromptsAreAdmitted(t *testing.T) {
+	now := time.Unix(1000, 0)
+	pk := New("a", time.Minute, 1)
+	pk.SetView(viewOf("a", "a"))
+	long := NewCall("chat", testModel, "", []Part{NewPart("system", 500), NewPart("own", 80_000)}, 80_500, true)
+	ch, _ := pk.Choose(now, long, nil)
+	if _, shed := ch.Shed(300*time.Millisecond, false); shed {
+		t.Errorf("a long prompt is rejected by idle engines: expected to begin after %s", ch.Wait())
+	}
+	for _, id := range []string{"server-0", "server-1"} {
+		pk.Reported(id, NewWork(40, 40, 1<<20, now))
+	}
+	ch, _ = pk.Choose(now, long, nil)
+	if _, shed := ch.Shed(300*time.Millisecond, false); !shed {
+		t.Error("a long prompt is admitted before 40 others")
+	}
+}
--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -230,7 +230,9 @@
 	if best.server == nil {
 		return Choice{}, false
 	}
-	best.held = pk.state(best.server.ID()).depth(now, cl, best.version)
+	st := pk.state(best.server.ID())
+	best.held = st.depth(now, cl, best.version)
+	best.queue = time.Duration(st.pace * float64(readTime(st.ahead(now, pk.senders))))
 	best.source = pk.source(now, cl, servers, best)
 	return best, true
 }
--- a/core/pick/shed.go
+++ b/core/pick/shed.go
@@ -9,21 +9,25 @@
 	waitPart = 0.75
 	// urgentWaitPart is that of the most urgent calls, so that less urgent ones are rejected before them.
 	urgentWaitPart = 1.1
+	// leastQueuePart is the part of the target time that a queue may last also for a long prompt, whose reading alone takes longer
+	// than the target: it would never be admitted otherwise.
+	leastQueuePart = 0.3
 	// leastReturn and mostReturn bound the time after which a rejected caller may come back.
 	leastReturn = 400 * time.Millisecond
 	mostReturn  = 3 * time.Second
 )
 
-// Shed reports whether a call should be rejected since its answer can't be expected to begin within its target time, and after
-// which time its caller may come back.
+// Shed reports whether a call should be rejected since its answer can't be expected to begin within its target time, because of the
+// calls before it, and after which time its caller may come back.
 func (ch Choice) Shed(target time.Duration, urgent bool) (after time.Duration, shed bool) {
 	part := waitPart
 	if urgent {
 		part = urgentWaitPart
 	}
-	limit := time.Duration(part * float64(target))
-	if target <= 0 || ch.wait <= limit {
+	own := ch.wait - ch.queue
+	limit := max(time.Duration(part*float64(target))-own, time.Duration(leastQueuePart*float64(target)))
+	if target <= 0 || ch.queue <= limit {
 		return 0, false
 	}
-	return min(max(ch.wait-limit, leastReturn), mostReturn), true
+	return min(max(ch.queue-limit, leastReturn), mostReturn), true
 }
--- a/io/gate/directory.go
+++ b/io/gate/directory.go
@@ -26,7 +26,7 @@
 	registerPeriod = time.Second
 	storeLimit     = 2 * time.Second
 	// serversSettle delays the changes of servers' entries; a leaving server may get requests for two seconds.
-	serversSettle = 300 * time.Millisecond
+	serversSettle = time.Second
 )
 
 // directory turns the followed tables into the gate's configuration and servers.
--- a/io/tend/tender.go
+++ b/io/tend/tender.go
@@ -188,8 +188,19 @@
 
 // gates returns the peer addresses of the gates, those of the own zone first, each group in an order of this tender's own.
 func (td *Tender) gates() []string {
+	near, far := td.gatesByZone()
+	gates := append(near, far...)
+	for _, seed := range td.opts.Seeds {
+		if seed != "" && !slices.Contains(gates, seed) {
+			gates = append(gates, seed)
+		}
+	}
+	return gates
+}
+
+// gatesByZone returns the listed gates of the own zone and the others.
+func (td *Tender) gatesByZone() (near, far []string) {
 	rows, _ := td.nodes.Rows("")
-	var near, far []string
 	for _, rw := range rows {
 		nd, ok := gate.ParseNode(rw)
 		switch {
@@ -205,13 +216,7 @@
 	}
 	slices.SortFunc(near, order)
 	slices.SortFunc(far, order)
-	gates := append(near, far...)
-	for _, seed := range td.opts.Seeds {
-		if seed != "" && !slices.Contains(gates, seed) {
-			gates = append(gates, seed)
-		}
-	}
-	return gates
+	return near, far
 }
 
 func pause(ctx context.Context, span time.Duration) {
@@ -228,12 +233,12 @@
 	return span + time.Duration(rand.Int64N(int64(span)/4+1))
 }
 
-// tellAll tells all gates at once and waits a short time for them.
-func (td *Tender) tellAll(ctx context.Context, ns *wire.EngineNews) {
+// tell tells gates at once and waits a short time for them.
+func (td *Tender) tell(ctx context.Context, gates []string, ns *wire.EngineNews) {
 	ctx, cancel := context.WithTimeout(ctx, tellLimit)
 	defer cancel()
 	var wg conc.WaitGroup
-	for _, address := range td.gates() {
+	for _, address := range gates {
 		wg.Go(func() {
 			if _, err := td.opts.Links.Node(address).Tell(ctx, ns); err != nil {
 				td.log.WithError(err).WithField("gate", address).Debug("a gate was not told; answers tell it the weights")
--- a/io/tend/weights.go
+++ b/io/tend/weights.go
@@ -67,6 +67,8 @@
 	born   int64
 	lost   bool
 	told   time.Time
+	// toldLoad is when gates were told the engine's load last.
+	toldLoad time.Time
 	// said is what the gates were told last.
 	said word
 	// busy is the number of the engine's calls that the gates were told last.
@@ -99,8 +101,11 @@
 	if wt.said.loading && !loading {
 		td.log.WithFields(logrus.Fields{"event": "weights_loaded", "server": wt.id, "version": wt.seen.Version}).Info("the engine takes calls again")
 	}
-	if wt.said != (word{wt.seen.Version, loading}) || now.Sub(wt.told) > tellPeriod || wt.isLoadChanged(now) {
+	switch {
+	case wt.said != (word{wt.seen.Version, loading}) || now.Sub(wt.told) > tellPeriod:
 		wt.tell(ctx, loading)
+	case wt.isLoadChanged(now):
+		wt.tellLoad(ctx, loading)
 	}
 	if behind && fence > 0 {
 		wt.ask(ctx, fence)
@@ -112,7 +117,7 @@
 func (wt *watcher) isLoadChanged(now time.Time) bool {
 	busy := wt.seen.Running + wt.seen.Waiting
 	change := busy - wt.busy
-	age := now.Sub(wt.told)
+	age := now.Sub(wt.toldLoad)
 	return age > loadPeriod && change*change >= loadChange*loadChange || age > queuePeriod && wt.seen.Waiting > 0
 }
 
@@ -210,8 +215,20 @@
 func (wt *watcher) tell(ctx context.Context, loading bool) {
 	wt.told = time.Now()
 	wt.said = word{wt.seen.Version, loading}
+	wt.noteLoad()
+	wt.tender.tell(ctx, wt.tender.gates(), wt.news(loading, false))
+}
+
+// tellLoad tells the gates of the own zone, which send most of the engine's calls, how busy it is.
+func (wt *watcher) tellLoad(ctx context.Context, loading bool) {
+	wt.noteLoad()
+	near, _ := wt.tender.gatesByZone()
+	wt.tender.tell(ctx, near, wt.news(loading, false))
+}
+
+func (wt *watcher) noteLoad() {
+	wt.toldLoad = time.Now()
 	wt.busy = wt.seen.Running + wt.seen.Waiting
-	wt.tender.tellAll(ctx, wt.news(loading, false))
 }
 
 // tellDark tells the gates that the engine does not answer.
@@ -221,7 +238,7 @@
 	}
 	ns := wt.news(false, false)
 	ns.Dark = true
-	wt.tender.tellAll(ctx, ns)
+	wt.tender.tell(ctx, wt.tender.gates(), ns)
 }
 
 // news returns what the gates are told.
