--- a/core/pick/load_test.go
+++ b/core/pick/load_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"shallotcleat/core/fleet"
+	"shallotcleat/core/share"
 )
 
 // The load tests run many gates before engines in virtual time. An engine reads one prompt after another; a call's first event
@@ -20,11 +21,12 @@
 )
 
 type simCall struct {
-	gate   int
-	sent   *Sent
-	tokens int
-	at     time.Time
-	engine int
+	workspace string
+	gate      int
+	sent      *Sent
+	tokens    int
+	at        time.Time
+	engine    int
 }
 
 type simEngine struct {
@@ -54,6 +56,12 @@
 	waits  []time.Duration
 	shed   int
 	count  int
+	// flood is how many times the calls of another workspace the first one makes; zero means that there is one workspace only.
+	flood  int
+	meters []*share.Meter
+	// asked and good count the calls of each workspace, and those that began within the target.
+	asked map[string]int
+	good  map[string]int
 	// deepest is the longest queue that an engine had.
 	deepest int
 }
@@ -70,7 +78,9 @@
 		pk := New("a", time.Minute, uint64(i+1))
 		pk.SetView(ls.View())
 		sm.gates = append(sm.gates, pk)
+		sm.meters = append(sm.meters, share.NewMeter())
 	}
+	sm.asked, sm.good = make(map[string]int), make(map[string]int)
 	return sm
 }
 
@@ -114,18 +124,20 @@
 		sm.count++
 		gate := sm.random.IntN(len(sm.gates))
 		subject := fmt.Sprint("subject-", sm.random.IntN(400))
+		workspace := sm.workspace()
 		cl := NewCall("chat", testModel, "", []Part{NewPart(subject, 400), NewPart("own", simPromptLen-400)}, simPromptLen, true)
 		ch, ok := sm.gates[gate].Choose(sm.now, cl, nil)
 		if !ok {
 			sm.shed++
 			continue
 		}
-		if _, shed := ch.Shed(sm.target, false); shed {
+		if _, shed := ch.Shed(sm.target, false, sm.excess(gate, workspace)); shed {
 			sm.shed++
 			continue
 		}
 		index := slices.IndexFunc(sm.engines, func(en *simEngine) bool { return en.id == ch.Server().ID() })
-		call := &simCall{gate: gate, sent: sm.gates[gate].Send(sm.now, cl, ch), tokens: simPromptLen, at: sm.now, engine: index}
+		sm.meters[gate].Note(sm.now, workspace, simPromptLen)
+		call := &simCall{workspace: workspace, gate: gate, sent: sm.gates[gate].Send(sm.now, cl, ch), tokens: simPromptLen, at: sm.now, engine: index}
 		sm.engines[index].queue = append(sm.engines[index].queue, call)
 		sm.deepest = max(sm.deepest, len(sm.engines[index].queue))
 	}
@@ -143,12 +155,31 @@
 		call.sent.Begin(sm.now)
 		call.sent.End(sm.now, Served)
 		sm.waits = append(sm.waits, sm.now.Sub(call.at))
+		if sm.now.Sub(call.at) <= sm.target {
+			sm.good[call.workspace]++
+		}
 	}
 	if len(en.queue) == 0 {
 		en.credit = 0
 	}
 }
 
+// simWorkspaces is the number of workspaces if one floods.
+const simWorkspaces = 8
+
+func (sm *sim) workspace() string {
+	name := "w0"
+	if sm.flood > 0 {
+		name = fmt.Sprint("w", max(sm.random.IntN(simWorkspaces-1+sm.flood)-sm.flood+1, 0))
+	}
+	sm.asked[name]++
+	return name
+}
+
+func (sm *sim) excess(gate int, workspace string) float64 {
+	return sm.meters[gate].Excess(sm.now, workspace)
+}
+
 // within returns the part of all calls so far whose answer began within a time.
 func (sm *sim) within(limit time.Duration) float64 {
 	good := 0
@@ -253,14 +284,33 @@
 	pk.SetView(viewOf("a", "a"))
 	long := NewCall("chat", testModel, "", []Part{NewPart("system", 500), NewPart("own", 80_000)}, 80_500, true)
 	ch, _ := pk.Choose(now, long, nil)
-	if _, shed := ch.Shed(300*time.Millisecond, false); shed {
+	if _, shed := ch.Shed(300*time.Millisecond, false, 0); shed {
 		t.Errorf("a long prompt is rejected by idle engines: expected to begin after %s", ch.Wait())
 	}
 	for _, id := range []string{"server-0", "server-1"} {
 		pk.Reported(id, NewWork(40, 40, 1<<20, now))
 	}
 	ch, _ = pk.Choose(now, long, nil)
-	if _, shed := ch.Shed(300*time.Millisecond, false); !shed {
+	if _, shed := ch.Shed(300*time.Millisecond, false, 0); !shed {
 		t.Error("a long prompt is admitted before 40 others")
 	}
 }
+
+// Pattern: one workspace floods the system with ten times the calls of each other. The others must be served as if it did not.
+func TestFloodingWorkspaceIsRejectedFirst(t *testing.T) {
+	sm := newSim(5, 9, 1.6)
+	sm.flood = 10
+	sm.target = 500 * time.Millisecond
+	sm.run(8 * time.Second)
+	for i := 1; i < simWorkspaces; i++ {
+		name := fmt.Sprint("w", i)
+		if part := float64(sm.good[name]) / float64(sm.asked[name]); part < 0.9 {
+			t.Errorf("%.2f of the calls of %s are served in time", part, name)
+		}
+	}
+	// The rest of the engines' capacity is left to the flood.
+	rest := (1/1.6 - 7.0/17) * 17 / 10
+	if part := float64(sm.good["w0"]) / float64(sm.asked["w0"]); part < 0.7*rest {
+		t.Errorf("%.2f of the flooding workspace's calls are served in time, there is room for %.2f", part, rest)
+	}
+}
--- a/core/pick/shed.go
+++ b/core/pick/shed.go
@@ -12,20 +12,26 @@
 	// leastQueuePart is the part of the target time that a queue may last also for a long prompt, whose reading alone takes longer
 	// than the target: it would never be admitted otherwise.
 	leastQueuePart = 0.3
+	// freeExcess is how many times its fair share a workspace may take before its calls are rejected sooner than those of others.
+	freeExcess = 1.5
 	// leastReturn and mostReturn bound the time after which a rejected caller may come back.
 	leastReturn = 400 * time.Millisecond
 	mostReturn  = 3 * time.Second
 )
 
 // Shed reports whether a call should be rejected since its answer can't be expected to begin within its target time, because of the
-// calls before it, and after which time its caller may come back.
-func (ch Choice) Shed(target time.Duration, urgent bool) (after time.Duration, shed bool) {
+// calls before it, and after which time its caller may come back. Excess is how many times its fair share the call's workspace
+// has taken lately.
+func (ch Choice) Shed(target time.Duration, urgent bool, excess float64) (after time.Duration, shed bool) {
 	part := waitPart
 	if urgent {
 		part = urgentWaitPart
 	}
 	own := ch.wait - ch.queue
 	limit := max(time.Duration(part*float64(target))-own, time.Duration(leastQueuePart*float64(target)))
+	if excess > freeExcess {
+		limit = time.Duration(float64(limit) * freeExcess / excess)
+	}
 	if target <= 0 || ch.queue <= limit {
 		return 0, false
 	}
--- /dev/null
+++ b/core/share/meter.go
@@ -0,0 +1,81 @@
+package share
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+// Parameters of a meter.
+const (
+	// halfLife is the time after which work counts half.
+	halfLife = 2 * time.Second
+	// forgetBelow is the work, in tokens, below which a workspace is forgotten.
+	forgetBelow = 100
+	// busyPart is the part of the mean work from which on a workspace counts as active.
+	busyPart = 0.1
+)
+
+// Meter keeps the recent work of workspaces; its methods may be called from any goroutine.
+type Meter struct {
+	// mu guards the fields below.
+	mu    sync.Mutex
+	work  map[string]float64
+	total float64
+	at    time.Time
+}
+
+// NewMeter returns a meter that has seen no work.
+func NewMeter() *Meter { return &Meter{work: make(map[string]float64)} }
+
+// Note adds the work of a call, in tokens.
+func (mt *Meter) Note(now time.Time, workspace string, tokens int) {
+	mt.mu.Lock()
+	defer mt.mu.Unlock()
+	mt.decay(now)
+	mt.work[workspace] += float64(tokens)
+	mt.total += float64(tokens)
+}
+
+// Excess returns how many times its fair share a workspace has taken lately; one or less means that it took no more. The fair
+// share is the same for all workspaces that were active.
+func (mt *Meter) Excess(now time.Time, workspace string) float64 {
+	mt.mu.Lock()
+	defer mt.mu.Unlock()
+	mt.decay(now)
+	if mt.total <= 0 {
+		return 0
+	}
+	active := 0
+	for _, work := range mt.work {
+		if work >= busyPart*mt.total/float64(len(mt.work)) {
+			active++
+		}
+	}
+	return mt.work[workspace] * float64(max(active, 1)) / mt.total
+}
+
+// decay lets earlier work count less; the caller holds mu.
+func (mt *Meter) decay(now time.Time) {
+	elapsed := now.Sub(mt.at)
+	if mt.at.IsZero() {
+		mt.at = now
+		return
+	}
+	// Small steps are taken together, since each visits all workspaces.
+	if elapsed < halfLife/50 {
+		return
+	}
+	mt.at = now
+	factor := math.Exp2(-elapsed.Seconds() / halfLife.Seconds())
+	mt.total = 0
+	for workspace, work := range mt.work {
+		work *= factor
+		if work < forgetBelow {
+			delete(mt.work, workspace)
+			continue
+		}
+		mt.work[workspace] = work
+		mt.total += work
+	}
+}
--- a/io/feed/follow.go
+++ b/io/feed/follow.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"shallotcleat/io/timer"
 )
 
 // Limits of following a table.
@@ -81,7 +83,7 @@
 			fw.log.WithError(err).WithField("revision", fw.copy.Revision()).Warn("dependency lost: the store does not answer")
 		}
 		fw.outage()
-		sleep(ctx, pause)
+		timer.Pause(ctx, pause)
 		pause = min(2*pause, longPause)
 	}
 }
@@ -106,16 +108,7 @@
 	}
 	fw.copy.Apply(rows, after, revision)
 	if len(rows) > 0 {
-		sleep(ctx, fw.settle)
+		timer.Pause(ctx, fw.settle)
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, pause time.Duration) {
-	tm := time.NewTimer(pause)
-	defer tm.Stop()
-	select {
-	case <-ctx.Done():
-	case <-tm.C:
-	}
-}
--- a/io/gate/directory.go
+++ b/io/gate/directory.go
@@ -15,6 +15,7 @@
 	"shallotcleat/core/route"
 	"shallotcleat/io/feed"
 	"shallotcleat/io/table"
+	"shallotcleat/io/timer"
 	"shallotcleat/io/wire"
 )
 
@@ -248,7 +249,7 @@
 func (gt *Gate) readNodes(ctx context.Context) {
 	for ctx.Err() == nil {
 		gt.readNodesOnce(ctx)
-		pause(ctx, nodesPeriod)
+		timer.Pause(ctx, nodesPeriod)
 	}
 }
 
@@ -293,7 +294,7 @@
 			return
 		}
 		gt.log.WithError(err).Debug("the gate's entry can't be written yet")
-		pause(ctx, registerPeriod)
+		timer.Pause(ctx, registerPeriod)
 	}
 }
 
@@ -316,12 +317,3 @@
 	}
 	return err
 }
-
-func pause(ctx context.Context, span time.Duration) {
-	tm := time.NewTimer(span)
-	defer tm.Stop()
-	select {
-	case <-ctx.Done():
-	case <-tm.C:
-	}
-}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -16,6 +16,7 @@
 	"shallotcleat/core/clock"
 	"shallotcleat/core/pick"
 	"shallotcleat/core/route"
+	"shallotcleat/core/share"
 	"shallotcleat/core/weight"
 	"shallotcleat/io/call"
 	"shallotcleat/io/feed"
@@ -84,6 +85,8 @@
 	leaving   atomic.Bool
 	lastCalls atomic.Bool
 	budgets   *budgets
+	// meter measures the work of workspaces at engines.
+	meter *share.Meter
 
 	operators *feed.Copy
 	servers   *feed.Copy
@@ -102,6 +105,7 @@
 		log:       opts.Recorder.Log(),
 		picker:    pick.New(opts.Zone, opts.OldWeights, opts.Seed),
 		calls:     call.NewPool(),
+		meter:     share.NewMeter(),
 		operators: feed.NewCopy(tables.Operators),
 		servers:   feed.NewCopy(tables.Servers),
 		nodes:     feed.NewCopy(tables.Nodes),
--- a/io/gate/run.go
+++ b/io/gate/run.go
@@ -60,6 +60,7 @@
 		}
 		if rq.sends == 0 {
 			gt.budgets.First(now, rq.service.Name())
+			gt.meter.Note(now, rq.workspace.Name(), rq.asked.Tokens)
 		} else if !gt.budgets.Take(now, rq.service.Name()) {
 			return last
 		}
--- a/io/tend/tender.go
+++ b/io/tend/tender.go
@@ -5,10 +5,10 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
@@ -18,9 +18,8 @@
 	"shallotcleat/io/gate"
 	"shallotcleat/io/link"
 	"shallotcleat/io/table"
+	"shallotcleat/io/timer"
 	"shallotcleat/io/wire"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Periods and limits of a tender.
@@ -140,7 +139,7 @@
 			return
 		}
 		td.log.WithError(err).Info("the tender's entry can't be written yet")
-		pause(ctx, claimPause)
+		timer.Pause(ctx, claimPause)
 	}
 }
 
@@ -156,7 +155,7 @@
 		if len(gates) == 0 || failures > len(gates) {
 			td.readStore(ctx)
 			failures = 0
-			pause(ctx, claimPause)
+			timer.Pause(ctx, claimPause)
 			continue
 		}
 		address := gates[failures%len(gates)]
@@ -168,7 +167,7 @@
 		if ctx.Err() == nil {
 			failures++
 			td.log.WithError(err).WithField("gate", address).Info("dependency lost: a gate does not answer; another one is asked")
-			pause(ctx, pullPause)
+			timer.Pause(ctx, pullPause)
 		}
 	}
 }
@@ -219,15 +218,6 @@
 	return near, far
 }
 
-func pause(ctx context.Context, span time.Duration) {
-	tm := time.NewTimer(span)
-	defer tm.Stop()
-	select {
-	case <-ctx.Done():
-	case <-tm.C:
-	}
-}
-
 // jitter spreads periodic work of many tenders.
 func jitter(span time.Duration) time.Duration {
 	return span + time.Duration(rand.Int64N(int64(span)/4+1))
@@ -270,6 +260,3 @@
 	defer cancel()
 	return td.opts.Links.Node(address).Tell(ctx, ns)
 }
-
-// holderName returns the name under which the tender gives orders.
-func (td *Tender) holderName() string { return strings.TrimSpace(td.opts.Name) }
--- a/io/tend/weights.go
+++ b/io/tend/weights.go
@@ -9,6 +9,7 @@
 
 	"shallotcleat/core/weight"
 	"shallotcleat/io/table"
+	"shallotcleat/io/timer"
 	"shallotcleat/io/wire"
 )
 
@@ -27,14 +28,14 @@
 			return
 		}
 		td.log.WithError(err).Info("the engine can't be claimed yet")
-		pause(ctx, jitter(claimPause))
+		timer.Pause(ctx, jitter(claimPause))
 	}
 }
 
 func (td *Tender) claimOnce(parent context.Context) (uint64, error) {
 	ctx, cancel := context.WithTimeout(parent, storeLimit)
 	defer cancel()
-	row := table.Write{Key: ownersTable + "/" + td.opts.Address, Value: []byte(td.holderName())}
+	row := table.Write{Key: ownersTable + "/" + td.opts.Address, Value: []byte(td.opts.Name)}
 	versions, err := td.opts.Store.Commit(ctx, []table.Write{row})
 	var ce *table.ConflictError
 	if errors.As(err, &ce) {
@@ -52,9 +53,9 @@
 	eye := &watcher{tender: td}
 	for ctx.Err() == nil {
 		if eye.step(ctx) {
-			pause(ctx, busyPeriod)
+			timer.Pause(ctx, busyPeriod)
 		} else {
-			pause(ctx, idlePeriod)
+			timer.Pause(ctx, idlePeriod)
 		}
 	}
 }
@@ -189,7 +190,7 @@
 		ServerID: wt.id,
 		Model:    wt.seen.Model,
 		Version:  ln.Version(),
-		Holder:   td.holderName(),
+		Holder:   td.opts.Name,
 		Fence:    fence,
 		Sequence: ln.Sequence(),
 	})
--- a/io/timer/timer.go
+++ b/io/timer/timer.go
@@ -1,6 +1,7 @@
 package timer
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -38,3 +39,13 @@
 
 // Wait returns when all subscriptions have been cancelled and their calls have ended.
 func (sv *Service) Wait() { sv.subscriptions.Wait() }
+
+// Pause returns after a time, or when the context ends.
+func Pause(ctx context.Context, span time.Duration) {
+	tm := time.NewTimer(span)
+	defer tm.Stop()
+	select {
+	case <-ctx.Done():
+	case <-tm.C:
+	}
+}
