--- a/io/call/call.go
+++ b/io/call/call.go
@@ -226,7 +226,7 @@
 func (an *Answer) ReadAll(limit int64) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(an, limit+1))
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("read body: %w", err)
 	}
 	if int64(len(body)) > limit {
 		return nil, &BrokenError{address: an.conn.address, cause: errors.New("the body is too long")}
--- a/io/cmds/gate.go
+++ b/io/cmds/gate.go
@@ -42,7 +42,6 @@
 func (cm *gateCommand) run(ctx context.Context, _ io.Writer) error {
 	var st settings
 	opts := gate.Options{
-		Name:        cm.Name,
 		Zone:        cm.Zone,
 		PeerAddress: st.address("peer", cm.Peer),
 		Dialect:     platform.Dialect{},
--- a/io/cmds/tender.go
+++ b/io/cmds/tender.go
@@ -6,7 +6,6 @@
 
 	"shallotcleat/io/link"
 	"shallotcleat/io/tend"
-	"shallotcleat/io/timer"
 	"shallotcleat/platform"
 )
 
@@ -43,7 +42,6 @@
 		Links:   link.NewPool(),
 		Engine:  platform.NewEngine(cm.Engine),
 		Log:     rd.rec.Log(),
-		Timer:   timer.New(),
 	})
 	return rd.serve(ctx, td.Serve)
 }
--- a/io/feed/follow.go
+++ b/io/feed/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -94,7 +95,7 @@
 		defer cancel()
 		rows, revision, err := fw.source.Read(ctx, fw.copy.table)
 		if err != nil {
-			return err
+			return fmt.Errorf("read the source: %w", err)
 		}
 		fw.copy.Replace(rows, revision)
 		return nil
@@ -104,7 +105,7 @@
 	defer cancel()
 	rows, revision, err := fw.source.Watch(ctx, fw.copy.table, after, watchWait)
 	if err != nil {
-		return err
+		return fmt.Errorf("watch the source: %w", err)
 	}
 	fw.copy.Apply(rows, after, revision)
 	if len(rows) > 0 {
--- a/io/gate/directory.go
+++ b/io/gate/directory.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -304,7 +305,7 @@
 	defer cancel()
 	value, err := json.Marshal(nd)
 	if err != nil {
-		return err
+		return fmt.Errorf("encode node: %w", err)
 	}
 	key := name + "/" + nd.Role + "-" + nd.Address
 	_, err = store.Commit(ctx, []table.Write{{Key: key, Value: value}})
@@ -315,5 +316,8 @@
 		}
 		_, err = store.Commit(ctx, []table.Write{{Key: key, Value: value, Expect: ce.Cell(key).Version}})
 	}
-	return err
+	if err != nil {
+		return fmt.Errorf("write node: %w", err)
+	}
+	return nil
 }
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -44,8 +44,7 @@
 
 // Options are the settings and dependencies of a gate.
 type Options struct {
-	// Name is the process's name for others, Zone its availability zone.
-	Name string
+	// Zone is the process's availability zone.
 	Zone string
 	// PeerAddress is where other processes reach the gate; Seeds are such addresses of other gates.
 	PeerAddress string
--- a/io/gate/output.go
+++ b/io/gate/output.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 
@@ -83,9 +84,12 @@
 		ou.last, ou.numbered = number, true
 	}
 	if _, err := ou.writer.Write(event); err != nil {
-		return err
+		return fmt.Errorf("write event: %w", err)
 	}
-	return http.NewResponseController(ou.writer).Flush()
+	if err := http.NewResponseController(ou.writer).Flush(); err != nil {
+		return fmt.Errorf("flush event: %w", err)
+	}
+	return nil
 }
 
 // whole sends an answer that is no stream.
--- a/io/tend/tender.go
+++ b/io/tend/tender.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -12,7 +13,6 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
-	"shallotcleat/core/clock"
 	"shallotcleat/core/weight"
 	"shallotcleat/io/feed"
 	"shallotcleat/io/gate"
@@ -61,7 +61,6 @@
 	Links   *link.Pool
 	Engine  Engine
 	Log     *logrus.Entry
-	Timer   clock.Service
 }
 
 // Tender is the process beside one engine.
@@ -258,5 +257,9 @@
 func (td *Tender) askOne(parent context.Context, address string, ns *wire.EngineNews) (*wire.Received, error) {
 	ctx, cancel := context.WithTimeout(parent, askLimit)
 	defer cancel()
-	return td.opts.Links.Node(address).Tell(ctx, ns)
+	reply, err := td.opts.Links.Node(address).Tell(ctx, ns)
+	if err != nil {
+		return nil, fmt.Errorf("ask gate %s: %w", address, err)
+	}
+	return reply, nil
 }
--- a/io/tend/weights.go
+++ b/io/tend/weights.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -43,7 +44,7 @@
 		versions, err = td.opts.Store.Commit(ctx, []table.Write{row})
 	}
 	if err != nil {
-		return 0, err
+		return 0, fmt.Errorf("claim engine: %w", err)
 	}
 	return versions[0], nil
 }
