--- a/core/pick/hint.go
+++ b/core/pick/hint.go
@@ -6,6 +6,8 @@
 const (
 	// heldLife is how long a prompt is taken to be in an engine's cache after its last use.
 	heldLife = 7 * time.Second
+	// freshLife is how long it is certain enough that a prompt needs no copy; engines evict within seconds.
+	freshLife = 2 * time.Second
 	// sourceLife is how long an engine is asked for a copy of a prompt; a miss costs a millisecond.
 	sourceLife = 10 * time.Second
 	// hintPeriod is how soon others are told again that a prompt was sent to a server.
@@ -45,8 +47,13 @@
 
 // depth returns how many of a call's shared parts the server is believed to hold under a version of the weights, or to read now.
 func (st *state) depth(now time.Time, cl Call, version uint64) int {
+	return st.depthWithin(now, cl, version, heldLife)
+}
+
+// depthWithin returns how many of a call's shared parts were sent to the server within a time.
+func (st *state) depthWithin(now time.Time, cl Call, version uint64, life time.Duration) int {
 	for depth := len(cl.keys); depth > 0; depth-- {
-		if us, ok := st.recent[recentKey{key: cl.keys[depth-1], version: version}]; ok && now.Sub(us.sent) < heldLife {
+		if us, ok := st.recent[recentKey{key: cl.keys[depth-1], version: version}]; ok && now.Sub(us.sent) < life {
 			return depth
 		}
 	}
--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -45,8 +45,10 @@
 const (
 	// freeGrace is how long answers from older weights are as good as senders.
 	freeGrace = 1200 * time.Millisecond
-	// limitSlack is how long before the limit the last call may begin on older weights.
-	limitSlack = 800 * time.Millisecond
+	// limitSlack is how long before the limit the last call is expected to begin on older weights.
+	limitSlack = 600 * time.Millisecond
+	// beginSafety is how many times the expected time may pass until a call begins.
+	beginSafety = 3
 )
 
 // named is a version of a model's weights, and when this process learned that it was named.
@@ -202,7 +204,9 @@
 	version uint64
 	// penalty is the price of the server's weights.
 	penalty time.Duration
-	home    bool
+	// end is when calls may begin on the weights at the latest, or zero.
+	end  time.Time
+	home bool
 }
 
 // Choose returns the cheapest server of a call that is not excluded, and false if there is none. It looks at the call's home and
@@ -217,11 +221,14 @@
 	seen := make(map[samplePart]int)
 	var best Choice
 	for _, cd := range candidates {
+		cost, wait := pk.cost(now, cl, cd.server, cd.version, cd.home)
+		if !cd.end.IsZero() && now.Add(beginSafety*wait).After(cd.end) {
+			continue
+		}
 		sp := pk.samplePart(now, cl, cd)
 		if seen[sp]++; seen[sp] > limit && !cd.home {
 			continue
 		}
-		cost, wait := pk.cost(now, cl, cd.server, cd.version, cd.home)
 		cost += cd.penalty
 		if best.server == nil || cost < best.cost {
 			best = Choice{server: cd.server, version: cd.version, cost: cost, wait: wait}
@@ -246,9 +253,9 @@
 			continue
 		}
 		version, loading := pk.version(now, sv, cl.model)
-		penalty, ok := pk.weightsCost(now, cl, version)
-		if !loading && ok {
-			candidates = append(candidates, candidate{server: sv, version: version, penalty: penalty, home: sv == home})
+		penalty, end := pk.weightsCost(now, cl, version)
+		if !loading {
+			candidates = append(candidates, candidate{server: sv, version: version, penalty: penalty, end: end, home: sv == home})
 		}
 	}
 	return candidates
@@ -277,23 +284,20 @@
 	return (servers+pk.processes-1)/pk.processes + 1
 }
 
-// weightsCost returns the price of a version of the weights, and false if no call may begin on it; the caller holds mu.
-func (pk *Picker) weightsCost(now time.Time, cl Call, version uint64) (time.Duration, bool) {
+// weightsCost returns the price of a version of the weights, and the time after which no call may begin on it, which is zero for the
+// newest one; the caller holds mu.
+func (pk *Picker) weightsCost(now time.Time, cl Call, version uint64) (penalty time.Duration, end time.Time) {
 	for _, nm := range pk.wanted[cl.model] {
 		if nm.version <= version {
 			continue
 		}
 		// The first version that the server lacks decides, whatever was named since.
-		age := now.Sub(nm.since)
-		if age > pk.oldLimit-limitSlack {
-			return 0, false
-		}
-		if age > freeGrace {
-			return oldWeightsCost, true
+		if now.Sub(nm.since) > freeGrace {
+			penalty = oldWeightsCost
 		}
-		return 0, true
+		return penalty, nm.since.Add(pk.oldLimit - limitSlack)
 	}
-	return 0, true
+	return 0, time.Time{}
 }
 
 // cost returns the expected time until a server's answer begins, alone and with the price of its zone and its failures; the
@@ -369,15 +373,15 @@
 	return xxhash.Sum64(bytes[:])
 }
 
-// source returns a server that has read more of the shared parts than the chosen one holds, as far as it is known; of several the
-// one that had read them last. The caller holds mu.
+// source returns a server that has read more of the shared parts than the chosen one surely holds, as far as it is known; of
+// several the one that had read them last. A copy that was not needed costs a millisecond. The caller holds mu.
 func (pk *Picker) source(now time.Time, cl Call, servers []*fleet.Server, ch Choice) *fleet.Server {
 	if len(cl.keys) == 0 || ch.version == 0 {
 		return nil
 	}
 	var best *fleet.Server
 	var bestRead time.Time
-	bestDepth := ch.held
+	bestDepth := pk.state(ch.server.ID()).depthWithin(now, cl, ch.version, freshLife)
 	for _, sv := range servers {
 		st := pk.state(sv.ID())
 		if sv == ch.server || st.inRow > 0 || st.replaced {
--- a/core/pick/picker_test.go
+++ b/core/pick/picker_test.go
@@ -41,6 +41,22 @@
 	}
 }
 
+// A call that would wait until older weights are too old is not sent there.
+func TestQueuedCallDoesNotOutliveOldWeights(t *testing.T) {
+	now := time.Unix(1000, 0)
+	pk := New("a", 6*time.Second, 1)
+	pk.SetView(viewOf("a"))
+	pk.Want(now, testModel, 2)
+	now = now.Add(4500 * time.Millisecond)
+	if _, ok := pk.Choose(now, promptCall("s", true), nil); !ok {
+		t.Fatal("an idle server with older weights is not used in time")
+	}
+	pk.Reported("server-0", NewWork(30, 30, 1<<20, now))
+	if ch, ok := pk.Choose(now, promptCall("s", true), nil); ok {
+		t.Errorf("a call that is expected to wait %s was sent to weights that end in less than a second", ch.Wait())
+	}
+}
+
 // A process that has just started does not know how long ago weights were named; it soon takes older ones for too old.
 func TestOldWeightsEndSoonAfterAStart(t *testing.T) {
 	now := time.Unix(1000, 0)
