--- a/core/pick/bench_test.go
+++ b/core/pick/bench_test.go
@@ -51,6 +51,6 @@
 	for i := range b.N {
 		id := fmt.Sprint("server-", i%3100)
 		pk.Weights(now, id, testModel, 1, false)
-		pk.Reported(id, NewWork(3, 1, 1000, now))
+		pk.Reported(id, NewWork(3, 1, 1000, 1000, now))
 	}
 }
--- a/core/pick/call.go
+++ b/core/pick/call.go
@@ -23,6 +23,8 @@
 	model   string
 	tokens  int
 	once    bool
+	// rank is the call's urgency; 0 is the most urgent.
+	rank int
 	// keys are hashes of the prompt up to the end of each part that other calls may share; sizes are the tokens of these
 	// parts. The last part belongs to the call itself or its conversation, and has none.
 	keys  []uint64
@@ -42,6 +44,12 @@
 	return cl
 }
 
+// WithRank returns the call with an urgency, 0 being the most urgent; engines take more urgent calls up first.
+func (cl Call) WithRank(rank int) Call {
+	cl.rank = rank
+	return cl
+}
+
 // Model returns the model of a call, or nothing for calls of plain services.
 func (cl Call) Model() string { return cl.model }
 
--- a/core/pick/load_test.go
+++ b/core/pick/load_test.go
@@ -111,7 +111,7 @@
 			if en.dark {
 				pk.Dark(sm.now, en.id)
 			} else {
-				pk.Reported(en.id, NewWork(len(en.queue), len(en.queue), 1<<20, sm.now))
+				pk.Reported(en.id, NewWork(len(en.queue), len(en.queue), 1<<20, 1<<20, sm.now))
 			}
 		}
 	}
@@ -288,7 +288,7 @@
 		t.Errorf("a long prompt is rejected by idle engines: expected to begin after %s", ch.Wait())
 	}
 	for _, id := range []string{"server-0", "server-1"} {
-		pk.Reported(id, NewWork(40, 40, 1<<20, now))
+		pk.Reported(id, NewWork(40, 40, 1<<20, 1<<20, now))
 	}
 	ch, _ = pk.Choose(now, long, nil)
 	if _, shed := ch.Shed(300*time.Millisecond, false, 0); !shed {
--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -16,8 +16,6 @@
 	prefillRate = 120_000
 	// baseTime is the time to the first event of a call without a prompt.
 	baseTime = 50 * time.Millisecond
-	// memoryWait is the time until running calls have freed memory for one more.
-	memoryWait = 300 * time.Millisecond
 	// reportLife is how long a tender's count of an engine's calls is used.
 	reportLife = 800 * time.Millisecond
 	// fullCost is the price of a server that has rejected a call, for a time of fullPause.
@@ -239,7 +237,8 @@
 	}
 	st := pk.state(best.server.ID())
 	best.held = st.depth(now, cl, best.version)
-	best.queue = time.Duration(st.pace * float64(readTime(st.ahead(now, pk.senders))))
+	own := cl.tokens - cl.tokensAfter(0) + cl.tokensAfter(best.held)
+	best.queue = max(best.wait-time.Duration(st.pace*float64(baseTime+readTime(own))), 0)
 	best.source = pk.source(now, cl, servers, best)
 	return best, true
 }
@@ -308,7 +307,8 @@
 	if !home {
 		missing = cl.tokensAfter(st.depth(now, cl, version))
 	}
-	wait = time.Duration(st.pace * float64(pk.expect(now, st, cl.tokens-cl.tokensAfter(0)+missing)))
+	wait = time.Duration(st.pace * float64(pk.expect(now, st, cl.tokens-cl.tokensAfter(0)+missing, cl.tokens)))
+	wait = max(wait, st.stuck(now, cl.rank))
 	cost = wait
 	if now.Before(st.fullUntil) {
 		cost += fullCost
@@ -328,16 +328,14 @@
 	return cost, wait
 }
 
-// expect returns the time to the first event of a call that has some tokens to read, at a server of usual pace; the caller
-// holds mu.
-func (pk *Picker) expect(now time.Time, st *state, tokens int) time.Duration {
+// expect returns the time to the first event of a call that has some tokens to read, of as many as size, at a server of usual pace;
+// the caller holds mu.
+func (pk *Picker) expect(now time.Time, st *state, tokens, size int) time.Duration {
 	running := st.running * pk.senders
 	expected := baseTime
 	if now.Sub(st.reported.at) < reportLife {
 		running = max(st.running, st.reported.running)
-		if short := tokens + st.sinceReport - st.reported.free; short > 0 {
-			expected += memoryWait
-		}
+		expected += st.memoryWait(size, pk.senders)
 	}
 	return expected + readTime(st.ahead(now, pk.senders)+tokens) + time.Duration(running)*runningCost
 }
--- a/core/pick/picker_test.go
+++ b/core/pick/picker_test.go
@@ -51,7 +51,7 @@
 	if _, ok := pk.Choose(now, promptCall("s", true), nil); !ok {
 		t.Fatal("an idle server with older weights is not used in time")
 	}
-	pk.Reported("server-0", NewWork(30, 30, 1<<20, now))
+	pk.Reported("server-0", NewWork(30, 30, 1<<20, 1<<20, now))
 	if ch, ok := pk.Choose(now, promptCall("s", true), nil); ok {
 		t.Errorf("a call that is expected to wait %s was sent to weights that end in less than a second", ch.Wait())
 	}
--- a/core/pick/sent.go
+++ b/core/pick/sent.go
@@ -1,6 +1,9 @@
 package pick
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Sent is a call on its way at one server; one goroutine owns it.
 type Sent struct {
@@ -9,9 +12,11 @@
 	keys    []uint64
 	version uint64
 	tokens  int
+	rank    int
 	// at is when the call was sent, expected the time to its first event.
 	at       time.Time
 	expected time.Duration
+	beganAt  time.Time
 	begun    bool
 	ended    bool
 }
@@ -43,8 +48,11 @@
 		rk := recentKey{key: key, version: ch.version}
 		st.remember(rk, use{sent: now, read: st.recent[rk].read})
 	}
-	se := &Sent{picker: pk, id: ch.server.ID(), keys: cl.keys, version: ch.version, tokens: tokens, at: now, expected: pk.expect(now, st, tokens)}
-	st.sent(tokens)
+	se := &Sent{picker: pk, id: ch.server.ID(), keys: cl.keys, version: ch.version, tokens: tokens, rank: cl.rank, at: now, expected: pk.expect(now, st, tokens, cl.tokens)}
+	st.sent(tokens, cl.tokens)
+	if tokens > 0 {
+		st.unbegun = append(st.unbegun, se)
+	}
 	return se
 }
 
@@ -56,6 +64,7 @@
 	if st == nil {
 		return
 	}
+	se.beganAt = now
 	if se.tokens > 0 {
 		st.observe(now.Sub(se.at), se.expected)
 	}
@@ -82,6 +91,9 @@
 	}
 	se.begun = true
 	st.backlog = max(st.backlog-se.tokens, 0)
+	if i := slices.Index(st.unbegun, se); i >= 0 {
+		st.unbegun = slices.Delete(st.unbegun, i, i+1)
+	}
 	return st
 }
 
@@ -93,7 +105,10 @@
 	se.picker.mu.Lock()
 	defer se.picker.mu.Unlock()
 	se.ended = true
-	se.leaveBacklog()
+	if waiting := se.leaveBacklog(); waiting != nil && se.tokens > 0 && (oc == Silent || oc == Abandoned) {
+		// The answer would have begun later still.
+		waiting.observe(now.Sub(se.at), se.expected)
+	}
 	st, ok := se.picker.states[se.id]
 	if !ok {
 		return
@@ -102,6 +117,9 @@
 	switch oc {
 	case Served:
 		st.succeeded()
+		if !se.beganAt.IsZero() {
+			st.runTime += time.Duration(float64(now.Sub(se.beganAt)-st.runTime) * paceWeight)
+		}
 	case Failed:
 		st.failed()
 	case Silent:
--- a/core/pick/state.go
+++ b/core/pick/state.go
@@ -38,8 +38,14 @@
 	recent map[recentKey]use
 	// reported is what the server's tender told of its work.
 	reported Work
+	// unbegun holds this process's calls that have not answered yet, in the order in which they were sent.
+	unbegun []*Sent
 	// sinceReport is the number of prompt tokens sent by this process since the tender's word.
 	sinceReport int
+	// meanSize is the moving mean of the prompt tokens of a call, read or not, and runTime that of the time from its first event to
+	// its end.
+	meanSize float64
+	runTime  time.Duration
 	// meanRead is the moving mean of the prompt tokens that a call makes the server read.
 	meanRead float64
 	// pace is the moving ratio of the time to the first event to the expected one.
@@ -62,18 +68,19 @@
 	running int
 	waiting int
 	free    int
+	memory  int
 	at      time.Time
 }
 
 // NewWork returns the work of an engine that has taken up some calls; waiting counts its calls that have no event yet, taken up or
 // not, and free the tokens for which it has memory.
-func NewWork(running, waiting, free int, at time.Time) Work {
-	return Work{running: running, waiting: waiting, free: free, at: at}
+func NewWork(running, waiting, free, memory int, at time.Time) Work {
+	return Work{running: running, waiting: waiting, free: free, memory: memory, at: at}
 }
 
 // newState returns the state of a server of which nothing was seen; the server may be nil.
 func newState(sv *fleet.Server) *state {
-	st := &state{weights: make(map[string]news), recent: make(map[recentKey]use), pace: 1, meanRead: usualRead}
+	st := &state{weights: make(map[string]news), recent: make(map[recentKey]use), pace: 1, meanRead: usualRead, meanSize: usualRead, runTime: usualRun}
 	if sv != nil {
 		st.born = sv.Born()
 	}
@@ -100,6 +107,23 @@
 // usualRead is the number of prompt tokens that a call is taken to make an engine read before calls were seen.
 const usualRead = 3000
 
+// usualRun is how long a call is taken to run after its first event before calls were seen.
+const usualRun = 500 * time.Millisecond
+
+// memoryWait returns the time until running calls have ended that leave memory for a new one of some tokens and for those that wait
+// before it.
+func (st *state) memoryWait(size, senders int) time.Duration {
+	if st.reported.memory == 0 {
+		return 0
+	}
+	needed := float64(st.reported.waiting)*st.meanSize + float64(st.sinceReport*senders+size)
+	short := needed - float64(st.reported.free)
+	if short <= 0 {
+		return 0
+	}
+	return time.Duration(short / float64(st.reported.memory) * float64(st.runTime))
+}
+
 // ahead returns the prompt tokens that an engine reads before those of a new call, where as many processes as senders send to
 // it. A fresh word of its tender goes before what this process alone can guess.
 func (st *state) ahead(now time.Time, senders int) int {
@@ -109,8 +133,20 @@
 	return max(int(float64(st.reported.waiting)*st.meanRead)+st.sinceReport*senders, st.backlog)
 }
 
+// stuck returns for how long the first of this process's calls that are at least as urgent as a new one has been waiting: an engine
+// that has kept it waiting will hardly begin the new one sooner.
+func (st *state) stuck(now time.Time, rank int) time.Duration {
+	for _, se := range st.unbegun {
+		if se.rank <= rank {
+			return now.Sub(se.at)
+		}
+	}
+	return 0
+}
+
 // sent notes a call that goes to the server.
-func (st *state) sent(tokens int) {
+func (st *state) sent(tokens, size int) {
+	st.meanSize += (float64(size) - st.meanSize) * paceWeight
 	st.running++
 	st.backlog += tokens
 	st.sinceReport += tokens
--- a/io/gate/handle.go
+++ b/io/gate/handle.go
@@ -138,7 +138,8 @@
 	if rq.service.IsEngine() {
 		model = rq.asked.Model
 	}
-	rq.call = pick.NewCall(rq.service.Name(), model, wall(rq.workspace), rq.asked.Parts, rq.asked.Tokens, rq.route.Once())
+	rq.call = pick.NewCall(rq.service.Name(), model, wall(rq.workspace), rq.asked.Parts, rq.asked.Tokens, rq.route.Once()).
+		WithRank(rq.workspace.Rank(rq.route))
 	rq.excluded = make(map[string]bool)
 	return nil
 }
--- a/io/gate/node.go
+++ b/io/gate/node.go
@@ -35,7 +35,7 @@
 	gt.directory.found(now, ns)
 	gt.desk.note(now, ask, ns.GetLoading())
 	gt.picker.Weights(now, ns.GetServerId(), ns.GetModel(), ns.GetVersion(), ns.GetLoading())
-	gt.picker.Reported(ns.GetServerId(), pick.NewWork(int(ns.GetRunning()), int(ns.GetWaiting()), int(ns.GetFree()), now))
+	gt.picker.Reported(ns.GetServerId(), pick.NewWork(int(ns.GetRunning()), int(ns.GetWaiting()), int(ns.GetFree()), int(ns.GetMemory()), now))
 	return &wire.Received{}, nil
 }
 
--- a/io/tend/engine.go
+++ b/io/tend/engine.go
@@ -19,8 +19,9 @@
 	// Running counts the calls that the engine has taken up, Waiting those of them and of the others that have no event yet.
 	Running int
 	Waiting int
-	// Free is the number of tokens for which there is memory.
-	Free int
+	// Free is the number of tokens for which there is memory now, Memory that for which there is any.
+	Free   int
+	Memory int
 }
 
 // Order is an order to load weights.
--- a/io/tend/weights.go
+++ b/io/tend/weights.go
@@ -71,6 +71,8 @@
 	told   time.Time
 	// toldLoad is when gates were told the engine's load last.
 	toldLoad time.Time
+	// toldFar is when those of other zones were.
+	toldFar time.Time
 	// said is what the gates were told last.
 	said word
 	// busy is the number of the engine's calls that the gates were told last.
@@ -221,11 +223,15 @@
 	wt.tender.tell(ctx, wt.tender.gates(), wt.news(loading, false))
 }
 
-// tellLoad tells the gates of the own zone, which send most of the engine's calls, how busy it is.
+// tellLoad tells the gates how busy the engine is; those of other zones, which send fewer calls, more seldom.
 func (wt *watcher) tellLoad(ctx context.Context, loading bool) {
 	wt.noteLoad()
-	near, _ := wt.tender.gatesByZone()
-	wt.tender.tell(ctx, near, wt.news(loading, false))
+	gates, far := wt.tender.gatesByZone()
+	if now := time.Now(); now.Sub(wt.toldFar) > farPeriod {
+		wt.toldFar = now
+		gates = append(gates, far...)
+	}
+	wt.tender.tell(ctx, gates, wt.news(loading, false))
 }
 
 func (wt *watcher) noteLoad() {
@@ -253,6 +259,7 @@
 		Running:  int32(wt.seen.Running),
 		Waiting:  int32(wt.seen.Waiting),
 		Free:     int32(wt.seen.Free),
+		Memory:   int32(wt.seen.Memory),
 		Service:  wt.tender.opts.Service,
 		Zone:     wt.tender.opts.Zone,
 		Ask:      ask,
