--- a/io/tend/tender.go
+++ b/io/tend/tender.go
@@ -31,7 +31,7 @@
 	loadPeriod = 100 * time.Millisecond
 	loadChange = 4
 	// farPeriod is the least time between two words on the load to gates of other zones.
-	farPeriod = 300 * time.Millisecond
+	farPeriod = 120 * time.Millisecond
 	// queuePeriod is the time after which gates are told of an engine's queue anew.
 	queuePeriod = 400 * time.Millisecond
 	// seeLimit bounds a look; the engine is on the same VM.
