--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -238,7 +238,7 @@
 	st := pk.state(best.server.ID())
 	best.held = st.depth(now, cl, best.version)
 	own := cl.tokens - cl.tokensAfter(0) + cl.tokensAfter(best.held)
-	best.queue = max(best.wait-time.Duration(st.paceOf(cl.rank)*float64(baseTime+readTime(own))), 0)
+	best.queue = max(best.wait-time.Duration(st.pace*float64(baseTime+readTime(own))), 0)
 	best.source = pk.source(now, cl, servers, best)
 	return best, true
 }
@@ -307,7 +307,7 @@
 	if !home {
 		missing = cl.tokensAfter(st.depth(now, cl, version))
 	}
-	wait = time.Duration(st.paceOf(cl.rank) * float64(pk.expect(now, st, cl.tokens-cl.tokensAfter(0)+missing, cl.tokens)))
+	wait = time.Duration(st.pace * float64(pk.expect(now, st, cl.tokens-cl.tokensAfter(0)+missing, cl.tokens)))
 	wait = max(wait, st.stuck(now, cl.rank))
 	cost = wait
 	if now.Before(st.fullUntil) {
--- a/core/pick/shed.go
+++ b/core/pick/shed.go
@@ -6,9 +6,9 @@
 // all of them late.
 const (
 	// waitPart is the part of the target time within which an answer must be expected to begin.
-	waitPart = 0.5
+	waitPart = 0.75
 	// urgentWaitPart is that of the most urgent calls, so that less urgent ones are rejected before them.
-	urgentWaitPart = 0.75
+	urgentWaitPart = 1.1
 	// leastQueuePart is the part of the target time that a queue may last also for a long prompt, whose reading alone takes longer
 	// than the target: it would never be admitted otherwise.
 	leastQueuePart = 0.3
--- a/core/pick/state.go
+++ b/core/pick/state.go
@@ -48,9 +48,8 @@
 	runTime  time.Duration
 	// meanRead is the moving mean of the prompt tokens that a call makes the server read.
 	meanRead float64
-	// paces hold the moving ratio of the time to the first event to the expected one, for each rank: engines let urgent calls
-	// overtake others.
-	paces [ranks]pace
+	// pace is the moving ratio of the time to the first event to the expected one.
+	pace float64
 	// fullUntil ends the time in which the server is taken to be full after a rejection.
 	fullUntil time.Time
 	// replaced is set when another server has answered at the address; it holds for the server's start at born.
@@ -81,7 +80,7 @@
 
 // newState returns the state of a server of which nothing was seen; the server may be nil.
 func newState(sv *fleet.Server) *state {
-	st := &state{weights: make(map[string]news), recent: make(map[recentKey]use), meanRead: usualRead, meanSize: usualRead, runTime: usualRun}
+	st := &state{weights: make(map[string]news), recent: make(map[recentKey]use), pace: 1, meanRead: usualRead, meanSize: usualRead, runTime: usualRun}
 	if sv != nil {
 		st.born = sv.Born()
 	}
@@ -164,32 +163,8 @@
 	mostPace   = 5
 )
 
-// ranks is the number of ranks that are told apart; less urgent ones count as the last.
-const ranks = 4
-
-// pace is a moving mean with the number of calls that it was made of.
-type pace struct {
-	mean  float64
-	calls int
-}
-
-// paceOf returns the pace of calls of a rank. Of a rank without calls it is that of the nearest more urgent rank.
-func (st *state) paceOf(rank int) float64 {
-	for at := min(rank, ranks-1); at >= 0; at-- {
-		if st.paces[at].calls > 0 {
-			return st.paces[at].mean
-		}
-	}
-	return 1
-}
-
-// observe takes the time to the first event of a call of a rank, and the one that was expected.
-func (st *state) observe(rank int, took, expected time.Duration) {
+// observe takes the time to a call's first event, and the one that was expected.
+func (st *state) observe(took, expected time.Duration) {
 	ratio := min(max(float64(took)/float64(max(expected, time.Millisecond)), leastPace), mostPace)
-	pc := &st.paces[min(rank, ranks-1)]
-	if pc.calls == 0 {
-		pc.mean = st.paceOf(rank)
-	}
-	pc.calls++
-	pc.mean += (ratio - pc.mean) * paceWeight
+	st.pace += (ratio - st.pace) * paceWeight
 }
