--- /dev/null
+++ b/core/pick/cost.go
@@ -0,0 +1,52 @@
+package pick
+
+import (
+	"time"
+
+	"shallotcleat/core/fleet"
+)
+
+// cost returns the expected time until a server's answer begins, alone and with the price of its zone and its failures; the
+// caller holds mu.
+func (pk *Picker) cost(now time.Time, cl Call, sv *fleet.Server, version uint64, home bool) (cost, wait time.Duration) {
+	st := pk.state(sv.ID())
+	missing := 0
+	if !home {
+		missing = cl.tokensAfter(st.depth(now, cl, version))
+	}
+	wait = time.Duration(st.pace * float64(pk.expect(now, st, cl.tokens-cl.tokensAfter(0)+missing, cl.tokens)))
+	wait = max(wait, st.stuck(now, cl.rank))
+	cost = wait
+	if now.Before(st.fullUntil) {
+		cost += fullCost
+	}
+	if sv.Zone() != pk.zone {
+		cost += otherZoneCost
+	}
+	cost += time.Duration(st.failures * float64(failingCost))
+	switch {
+	case st.isPaused(now):
+		cost += pausedCost
+	case st.inRow > 0 && cl.once:
+		cost += onceProbeCost
+	case st.inRow > 0:
+		cost += probeCost
+	}
+	return cost, wait
+}
+
+// expect returns the time to the first event of a call that has some tokens to read, of as many as size, at a server of usual pace;
+// the caller holds mu.
+func (pk *Picker) expect(now time.Time, st *state, tokens, size int) time.Duration {
+	running := st.running * pk.senders
+	expected := baseTime
+	if now.Sub(st.reported.at) < reportLife {
+		running = max(st.running, st.reported.running)
+		expected += st.memoryWait(size, pk.senders)
+	}
+	return expected + readTime(st.ahead(now, pk.senders)+tokens) + time.Duration(running)*runningCost
+}
+
+func readTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / prefillRate * float64(time.Second))
+}
--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -5,14 +5,12 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"shallotcleat/core/fleet"
 )
 
 // Costs and rates of a choice.
 const (
-	// prefillRate is how many prompt tokens an engine reads in a second unless its own rate is known.
+	// prefillRate is how many prompt tokens an engine of usual pace reads in a second; the users' engines read 92,100 and 140,000.
 	prefillRate = 120_000
 	// baseTime is the time to the first event of a call without a prompt.
 	baseTime = 50 * time.Millisecond
@@ -29,7 +27,7 @@
 	oldWeightsCost = 150 * time.Millisecond
 	// failingCost is the price of a server that fails all its calls.
 	failingCost = 400 * time.Millisecond
-	// pausedCost puts servers that do not answer behind all senders.
+	// pausedCost puts servers that do not answer behind all others.
 	pausedCost = 10 * time.Second
 	// probeCost is the price of a server whose pause has ended and that has not answered since; calls that may run at
 	// most once avoid it more.
@@ -39,25 +37,6 @@
 	loadingLimit = 6 * time.Second
 )
 
-// Grace of older weights after newer ones were named.
-const (
-	// freeGrace is how long answers from older weights are as good as senders.
-	freeGrace = 1200 * time.Millisecond
-	// limitSlack is how long before the limit the last call is expected to begin on older weights.
-	limitSlack = 600 * time.Millisecond
-	// beginSafety is how many times the expected time may pass until a call begins.
-	beginSafety = 3
-)
-
-// named is a version of a model's weights, and when this process learned that it was named.
-type named struct {
-	version uint64
-	since   time.Time
-}
-
-// namedLimit bounds the versions that are remembered for one model.
-const namedLimit = 32
-
 // Picker chooses servers; its methods may be called from any goroutine.
 type Picker struct {
 	zone string
@@ -131,42 +110,6 @@
 	return pk.view
 }
 
-// unknownAge is how much of the limit for older weights is left after a start, when it is not known how long ago newer ones
-// were named. The bounds on a VM that has just started hold again after three seconds.
-const unknownAge = 2 * time.Second
-
-// WantOld notes the newest version of a model's weights that a process finds at its start.
-func (pk *Picker) WantOld(now time.Time, model string, version uint64) {
-	pk.Want(now.Add(limitSlack+unknownAge-pk.oldLimit), model, version)
-}
-
-// Want notes the newest version of a model's weights as it is named; older news are ignored.
-func (pk *Picker) Want(now time.Time, model string, version uint64) {
-	pk.mu.Lock()
-	defer pk.mu.Unlock()
-	versions := pk.wanted[model]
-	if len(versions) > 0 && version <= versions[len(versions)-1].version {
-		return
-	}
-	if len(versions) == namedLimit {
-		versions = versions[1:]
-	}
-	pk.wanted[model] = append(versions, named{version: version, since: now})
-}
-
-// Weights notes which version of a model's weights a server has; it only grows. While the server loads senders it gets no
-// calls of the model.
-func (pk *Picker) Weights(now time.Time, id, model string, version uint64, loading bool) {
-	pk.mu.Lock()
-	defer pk.mu.Unlock()
-	st := pk.state(id)
-	if version < st.weights[model].version {
-		// A word from before the last load, which came late.
-		return
-	}
-	st.weights[model] = news{version: version, loading: loading, until: now.Add(loadingLimit)}
-}
-
 // Reported notes how busy a server's tender saw it; a server that answers its tender is not down.
 func (pk *Picker) Reported(id string, wk Work) {
 	pk.mu.Lock()
@@ -186,16 +129,6 @@
 	return st
 }
 
-// version returns the version of a model's weights at a server and whether it is loading; the caller holds mu.
-func (pk *Picker) version(now time.Time, sv *fleet.Server, model string) (uint64, bool) {
-	ns := pk.state(sv.ID()).weights[model]
-	told := sv.Weights(model)
-	if told > ns.version {
-		return told, false
-	}
-	return ns.version, ns.loading && now.Before(ns.until)
-}
-
 // candidate is a usable server in a choice.
 type candidate struct {
 	server  *fleet.Server
@@ -282,116 +215,3 @@
 func (pk *Picker) sampleSize(servers int) int {
 	return (servers+pk.processes-1)/pk.processes + 1
 }
-
-// weightsCost returns the price of a version of the weights, and the time after which no call may begin on it, which is zero for the
-// newest one; the caller holds mu.
-func (pk *Picker) weightsCost(now time.Time, cl Call, version uint64) (penalty time.Duration, end time.Time) {
-	for _, nm := range pk.wanted[cl.model] {
-		if nm.version <= version {
-			continue
-		}
-		// The first version that the server lacks decides, whatever was named since.
-		if now.Sub(nm.since) > freeGrace {
-			penalty = oldWeightsCost
-		}
-		return penalty, nm.since.Add(pk.oldLimit - limitSlack)
-	}
-	return 0, time.Time{}
-}
-
-// cost returns the expected time until a server's answer begins, alone and with the price of its zone and its failures; the
-// caller holds mu.
-func (pk *Picker) cost(now time.Time, cl Call, sv *fleet.Server, version uint64, home bool) (cost, wait time.Duration) {
-	st := pk.state(sv.ID())
-	missing := 0
-	if !home {
-		missing = cl.tokensAfter(st.depth(now, cl, version))
-	}
-	wait = time.Duration(st.pace * float64(pk.expect(now, st, cl.tokens-cl.tokensAfter(0)+missing, cl.tokens)))
-	wait = max(wait, st.stuck(now, cl.rank))
-	cost = wait
-	if now.Before(st.fullUntil) {
-		cost += fullCost
-	}
-	if sv.Zone() != pk.zone {
-		cost += otherZoneCost
-	}
-	cost += time.Duration(st.failures * float64(failingCost))
-	switch {
-	case st.isPaused(now):
-		cost += pausedCost
-	case st.inRow > 0 && cl.once:
-		cost += onceProbeCost
-	case st.inRow > 0:
-		cost += probeCost
-	}
-	return cost, wait
-}
-
-// expect returns the time to the first event of a call that has some tokens to read, of as many as size, at a server of usual pace;
-// the caller holds mu.
-func (pk *Picker) expect(now time.Time, st *state, tokens, size int) time.Duration {
-	running := st.running * pk.senders
-	expected := baseTime
-	if now.Sub(st.reported.at) < reportLife {
-		running = max(st.running, st.reported.running)
-		expected += st.memoryWait(size, pk.senders)
-	}
-	return expected + readTime(st.ahead(now, pk.senders)+tokens) + time.Duration(running)*runningCost
-}
-
-func readTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / prefillRate * float64(time.Second))
-}
-
-// home returns the server of a zone where calls with the same shared parts meet, by rendezvous hashing; the caller holds mu.
-func (pk *Picker) home(now time.Time, cl Call, servers []*fleet.Server, zone string) *fleet.Server {
-	if len(cl.keys) == 0 {
-		return nil
-	}
-	var best *fleet.Server
-	var bestScore uint64
-	for _, sv := range servers {
-		if st := pk.state(sv.ID()); sv.Zone() != zone || sv.Draining() || st.replaced || st.isPaused(now) {
-			continue
-		}
-		if score := mix(cl.home() ^ sv.Hash()); best == nil || score > bestScore {
-			best, bestScore = sv, score
-		}
-	}
-	return best
-}
-
-// mix spreads the bits of a number.
-func mix(number uint64) uint64 {
-	var bytes [8]byte
-	for i := range bytes {
-		bytes[i] = byte(number >> (8 * i))
-	}
-	return xxhash.Sum64(bytes[:])
-}
-
-// source returns a server that has read more of the shared parts than the chosen one surely holds, as far as it is known; of
-// several the one that had read them last. A copy that was not needed costs a millisecond. The caller holds mu.
-func (pk *Picker) source(now time.Time, cl Call, servers []*fleet.Server, ch Choice) *fleet.Server {
-	if len(cl.keys) == 0 || ch.version == 0 {
-		return nil
-	}
-	var best *fleet.Server
-	var bestRead time.Time
-	bestDepth := pk.state(ch.server.ID()).depthWithin(now, cl, ch.version, freshLife)
-	for _, sv := range servers {
-		st := pk.state(sv.ID())
-		if sv == ch.server || st.inRow > 0 || st.replaced {
-			continue
-		}
-		if version, loading := pk.version(now, sv, cl.model); version != ch.version || loading {
-			continue
-		}
-		depth, read := st.readDepth(now, cl, ch.version)
-		if depth > bestDepth || best != nil && depth == bestDepth && read.After(bestRead) {
-			best, bestDepth, bestRead = sv, depth, read
-		}
-	}
-	return best
-}
--- /dev/null
+++ b/core/pick/weights.go
@@ -0,0 +1,88 @@
+package pick
+
+import (
+	"time"
+
+	"shallotcleat/core/fleet"
+)
+
+// Grace of older weights after newer ones were named.
+const (
+	// freeGrace is how long answers from older weights are as good as others.
+	freeGrace = 1200 * time.Millisecond
+	// limitSlack is how long before the limit the last call is expected to begin on older weights.
+	limitSlack = 600 * time.Millisecond
+	// beginSafety is how many times the expected time may pass until a call begins.
+	beginSafety = 3
+)
+
+// named is a version of a model's weights, and when this process learned that it was named.
+type named struct {
+	version uint64
+	since   time.Time
+}
+
+// namedLimit bounds the versions that are remembered for one model.
+const namedLimit = 32
+
+// unknownAge is how much of the limit for older weights is left after a start, when it is not known how long ago newer ones
+// were named. The bounds on a VM that has just started hold again after three seconds.
+const unknownAge = 2 * time.Second
+
+// WantOld notes the newest version of a model's weights that a process finds at its start.
+func (pk *Picker) WantOld(now time.Time, model string, version uint64) {
+	pk.Want(now.Add(limitSlack+unknownAge-pk.oldLimit), model, version)
+}
+
+// Want notes the newest version of a model's weights as it is named; older news are ignored.
+func (pk *Picker) Want(now time.Time, model string, version uint64) {
+	pk.mu.Lock()
+	defer pk.mu.Unlock()
+	versions := pk.wanted[model]
+	if len(versions) > 0 && version <= versions[len(versions)-1].version {
+		return
+	}
+	if len(versions) == namedLimit {
+		versions = versions[1:]
+	}
+	pk.wanted[model] = append(versions, named{version: version, since: now})
+}
+
+// Weights notes which version of a model's weights a server has; it only grows. While the server loads others it gets no
+// calls of the model.
+func (pk *Picker) Weights(now time.Time, id, model string, version uint64, loading bool) {
+	pk.mu.Lock()
+	defer pk.mu.Unlock()
+	st := pk.state(id)
+	if version < st.weights[model].version {
+		// A word from before the last load, which came late.
+		return
+	}
+	st.weights[model] = news{version: version, loading: loading, until: now.Add(loadingLimit)}
+}
+
+// version returns the version of a model's weights at a server and whether it is loading; the caller holds mu.
+func (pk *Picker) version(now time.Time, sv *fleet.Server, model string) (uint64, bool) {
+	ns := pk.state(sv.ID()).weights[model]
+	told := sv.Weights(model)
+	if told > ns.version {
+		return told, false
+	}
+	return ns.version, ns.loading && now.Before(ns.until)
+}
+
+// weightsCost returns the price of a version of the weights, and the time after which no call may begin on it, which is zero for the
+// newest one; the caller holds mu.
+func (pk *Picker) weightsCost(now time.Time, cl Call, version uint64) (penalty time.Duration, end time.Time) {
+	for _, nm := range pk.wanted[cl.model] {
+		if nm.version <= version {
+			continue
+		}
+		// The first version that the server lacks decides, whatever was named since.
+		if now.Sub(nm.since) > freeGrace {
+			penalty = oldWeightsCost
+		}
+		return penalty, nm.since.Add(pk.oldLimit - limitSlack)
+	}
+	return 0, time.Time{}
+}
