--- a/io/call/call.go
+++ b/io/call/call.go
@@ -73,8 +73,8 @@
 	written <-chan error
 }
 
-// Do sends a call once and returns the answer as soon as its header has come. It fails with *DialError, *SilentError or
-// *BrokenError. The answer's body ends with an error when the context does.
+// Do sends a call once and returns the answer as soon as its header has come. It fails with *link.DialError, if no byte of the call was
+// taken, *SilentError or *BrokenError. The answer's body ends with an error when the context does.
 func (pl *Pool) Do(ctx context.Context, address string, rq *Request) (*Answer, error) {
 	usedAfter := time.Time{}
 	if rq.Once {
--- a/io/call/pool.go
+++ b/io/call/pool.go
@@ -3,11 +3,12 @@
 import (
 	"bufio"
 	"context"
-	"fmt"
 	"net"
 	"sync"
 	"syscall"
 	"time"
+
+	"shallotcleat/io/link"
 )
 
 // Limits of connections.
@@ -119,23 +120,11 @@
 	delete(pl.idle, address)
 }
 
-// DialError says that no connection was made, so that no byte of the call was taken.
-type DialError struct {
-	address string
-	cause   error
-}
-
-// Error returns the address and the cause.
-func (de *DialError) Error() string { return fmt.Sprintf("dial %s: %v", de.address, de.cause) }
-
-// Unwrap returns the cause.
-func (de *DialError) Unwrap() error { return de.cause }
-
 func dial(ctx context.Context, address string) (*conn, error) {
 	dl := net.Dialer{Timeout: dialLimit, Control: setUserTimeout, KeepAlive: -1}
 	nc, err := dl.DialContext(ctx, "tcp4", address)
 	if err != nil {
-		return nil, &DialError{address: address, cause: err}
+		return nil, link.NewDialError(address, err)
 	}
 	return &conn{net: nc, reader: bufio.NewReaderSize(nc, bufferSize), address: address, idle: idleLimit}, nil
 }
--- a/io/gate/output.go
+++ b/io/gate/output.go
@@ -50,6 +50,9 @@
 	"Content-Length":    true,
 }
 
+// IsConnectionHeader reports whether a header, in canonical form, concerns one connection only and is never forwarded.
+func IsConnectionHeader(name string) bool { return connectionHeaders[name] }
+
 // begin sends the header of a stream, unless it has been sent: a stream that goes on keeps its first header.
 func (ou *output) begin(status int, hd http.Header) {
 	if ou.started {
@@ -63,7 +66,7 @@
 func (ou *output) copyHeader(hd http.Header) {
 	to := ou.writer.Header()
 	for name, values := range hd {
-		if !connectionHeaders[name] {
+		if !IsConnectionHeader(name) {
 			to[name] = values
 		}
 	}
--- a/io/gate/run.go
+++ b/io/gate/run.go
@@ -10,6 +10,7 @@
 	"shallotcleat/core/answer"
 	"shallotcleat/core/pick"
 	"shallotcleat/io/call"
+	"shallotcleat/io/link"
 )
 
 // Limits of the sendings of one request.
@@ -184,7 +185,7 @@
 
 // unanswered returns the ending of a sending without an answer.
 func (se *sending) unanswered(parent context.Context, err error) (ending, *answer.Error) {
-	var de *call.DialError
+	var de *link.DialError
 	now := time.Now()
 	switch {
 	case errors.As(err, &de) && parent.Err() == nil:
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -65,6 +65,11 @@
 	cause   error
 }
 
+// NewDialError returns the error of an address that could not be connected to.
+func NewDialError(address string, cause error) *DialError {
+	return &DialError{address: address, cause: cause}
+}
+
 // Error returns the address and the cause.
 func (de *DialError) Error() string { return fmt.Sprintf("dial %s: %v", de.address, de.cause) }
 
@@ -75,7 +80,7 @@
 	dl := net.Dialer{Timeout: dialTimeout}
 	conn, err := dl.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, &DialError{address: address, cause: err}
+		return nil, NewDialError(address, err)
 	}
 	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: ManagerOptions()}), nil
 }
