Budgets: the allowance is shared by the gates that are known now

Cause, by reading: each gate's part of the allowance was fixed at the first request of a service after its start, when it may know few other gates; 20 gates that start together could have sent 20 times the allowance. TestAllowanceIsSharedByTheGatesKnownNow.

--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -11,12 +11,11 @@
 	windowCells = spanCells + 1
 )
 
-// Window grants repeats of calls within a budget over a sliding time: a part of the first tries and a fixed allowance. Its
-// methods may be called from any goroutine.
+// Window grants repeats of calls within a budget over a sliding time: a part of the first tries and an allowance. Its methods
+// may be called from any goroutine.
 type Window struct {
-	ratio     float64
-	allowance float64
-	cell      time.Duration
+	ratio float64
+	cell  time.Duration
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -31,9 +30,9 @@
 	repeats int
 }
 
-// NewWindow returns a budget of ratio x the first tries within a span, and the allowance beside them.
-func NewWindow(span time.Duration, ratio, allowance float64) *Window {
-	return &Window{ratio: ratio, allowance: allowance, cell: max(span/spanCells, 1)}
+// NewWindow returns a budget of ratio x the first tries within a span.
+func NewWindow(span time.Duration, ratio float64) *Window {
+	return &Window{ratio: ratio, cell: max(span/spanCells, 1)}
 }
 
 // First notes a first try.
@@ -44,8 +43,8 @@
 	wd.cells[wd.current%windowCells].first++
 }
 
-// Take reports whether a repeat may be sent, and counts it.
-func (wd *Window) Take(now time.Time) bool {
+// Take reports whether a repeat may be sent, with an allowance beside the part of the first tries, and counts it.
+func (wd *Window) Take(now time.Time, allowance float64) bool {
 	wd.mu.Lock()
 	defer wd.mu.Unlock()
 	wd.advance(now)
@@ -54,7 +53,7 @@
 		first += wc.first
 		repeats += wc.repeats
 	}
-	if float64(repeats+1) > wd.ratio*float64(first)+wd.allowance {
+	if float64(repeats+1) > wd.ratio*float64(first)+allowance {
 		return false
 	}
 	wd.cells[wd.current%windowCells].repeats++
--- a/core/retry/window_test.go
+++ b/core/retry/window_test.go
@@ -13,7 +13,7 @@
 		allowance = 8
 		step      = 50 * time.Millisecond
 	)
-	wd := NewWindow(span, ratio, allowance)
+	wd := NewWindow(span, ratio)
 	now := time.Unix(1000, 0)
 	type moment struct {
 		at      time.Time
@@ -32,7 +32,7 @@
 			}
 		}
 		for range 5 {
-			if wd.Take(now) {
+			if wd.Take(now, allowance) {
 				mo.repeats++
 			}
 		}
@@ -62,14 +62,14 @@
 
 // A clock that is set back or forth neither grants more nor blocks for good.
 func TestWindowUsesSteadyTime(t *testing.T) {
-	wd := NewWindow(time.Second, 0, 2)
+	wd := NewWindow(time.Second, 0)
 	now := time.Now()
 	for i := range 3 {
-		if got := wd.Take(now); got != (i < 2) {
+		if got := wd.Take(now, 2); got != (i < 2) {
 			t.Errorf("repeat %d: granted %t", i, got)
 		}
 	}
-	if !wd.Take(now.Add(2 * time.Second)) {
+	if !wd.Take(now.Add(2*time.Second), 2) {
 		t.Error("nothing is granted after the window")
 	}
 }
--- a/io/gate/budget.go
+++ b/io/gate/budget.go
@@ -10,6 +10,9 @@
 // budgetShare is the part of the agreed budget that gates use, since they count in windows of their own.
 const budgetShare = 0.7
 
+// leastGates is how many gates are taken to share the allowance at least, since a starting gate knows few of the others.
+const leastGates = 4
+
 // budgets holds the budget of repeats for each service; its methods may be called from any goroutine.
 type budgets struct {
 	opts BudgetOptions
@@ -28,16 +31,18 @@
 // First notes the first try of a request.
 func (bg *budgets) First(now time.Time, service string) { bg.window(service).First(now) }
 
-// Take reports whether a request may be sent once more, and counts it.
-func (bg *budgets) Take(now time.Time, service string) bool { return bg.window(service).Take(now) }
+// Take reports whether a request may be sent once more, and counts it. The gates that are known now share the allowance.
+func (bg *budgets) Take(now time.Time, service string) bool {
+	allowance := budgetShare * bg.opts.Allowance / float64(max(bg.gates(), leastGates))
+	return bg.window(service).Take(now, allowance)
+}
 
 func (bg *budgets) window(service string) *retry.Window {
 	bg.mu.Lock()
 	defer bg.mu.Unlock()
 	wd, ok := bg.windows[service]
 	if !ok {
-		allowance := bg.opts.Allowance / float64(max(bg.gates(), 1))
-		wd = retry.NewWindow(bg.opts.Span, budgetShare*bg.opts.Ratio, budgetShare*allowance)
+		wd = retry.NewWindow(bg.opts.Span, budgetShare*bg.opts.Ratio)
 		bg.windows[service] = wd
 	}
 	return wd
--- /dev/null
+++ b/io/gate/budget_test.go
@@ -0,0 +1,27 @@
+package gate
+
+import (
+	"testing"
+	"time"
+)
+
+// Gates that start together know few of the others; once they know all, all of them together stay within the allowance.
+func TestAllowanceIsSharedByTheGatesKnownNow(t *testing.T) {
+	const gates = 20
+	opts := BudgetOptions{Span: 10 * time.Second, Ratio: 0.2, Allowance: 60}
+	known := 1
+	total := 0
+	now := time.Unix(1000, 0)
+	for range gates {
+		known = 1
+		bg := newBudgets(opts, func() int { return known })
+		bg.First(now, "chat")
+		known = gates
+		for bg.Take(now.Add(time.Second), "chat") {
+			total++
+		}
+	}
+	if total > 60 {
+		t.Errorf("%d repeats by %d gates, the allowance is 60", total, gates)
+	}
+}
