--- a/core/pick/sent.go
+++ b/core/pick/sent.go
@@ -148,7 +148,7 @@
 	return paused
 }
 
-// Unreached notes that a server could not be reached.
+// Unreached notes that a server could not be reached or is late with an answer: calls go elsewhere for a while.
 func (pk *Picker) Unreached(now time.Time, id string) {
 	pk.mu.Lock()
 	defer pk.mu.Unlock()
@@ -177,6 +177,3 @@
 	st.broke(now)
 	st.pausedUntil = now.Add(longPause)
 }
-
-// Suspect notes that a server is late with an answer: other calls go elsewhere for a while.
-func (pk *Picker) Suspect(now time.Time, id string) { pk.Unreached(now, id) }
--- a/io/call/call.go
+++ b/io/call/call.go
@@ -32,16 +32,8 @@
 	Once bool
 	// Belongs reports whether an answer with these headers is that of the call.
 	Belongs func(http.Header) bool
-	// FirstByte bounds the time until the answer's header has come; zero leaves that to the context.
-	FirstByte time.Duration
 }
 
-// SilentError says that no answer came in time.
-type SilentError struct{ address string }
-
-// Error returns the address.
-func (se *SilentError) Error() string { return "no answer from " + se.address + " in time" }
-
 // BrokenError says that the connection or the answer was broken after the call was sent; the call may have run.
 type BrokenError struct {
 	address string
@@ -74,7 +66,7 @@
 }
 
 // Do sends a call once and returns the answer as soon as its header has come. It fails with *link.DialError, if no byte of the call was
-// taken, *SilentError or *BrokenError. The answer's body ends with an error when the context does.
+// taken, or *BrokenError. The answer's body ends with an error when the context does.
 func (pl *Pool) Do(ctx context.Context, address string, rq *Request) (*Answer, error) {
 	usedAfter := time.Time{}
 	if rq.Once {
@@ -89,7 +81,7 @@
 	}
 	// The past deadline ends reads and writes that are under way.
 	release := context.AfterFunc(ctx, func() { _ = cn.net.SetDeadline(time.Unix(1, 0)) })
-	an, err := pl.exchange(ctx, cn, rq)
+	an, err := pl.exchange(cn, rq)
 	if err != nil {
 		release()
 		cn.close()
@@ -99,15 +91,7 @@
 	return an, nil
 }
 
-func (pl *Pool) exchange(ctx context.Context, cn *conn, rq *Request) (*Answer, error) {
-	if rq.FirstByte > 0 {
-		tm := time.AfterFunc(rq.FirstByte, func() { _ = cn.net.SetReadDeadline(time.Unix(1, 0)) })
-		defer func() {
-			if !tm.Stop() && ctx.Err() == nil {
-				_ = cn.net.SetReadDeadline(time.Time{})
-			}
-		}()
-	}
+func (pl *Pool) exchange(cn *conn, rq *Request) (*Answer, error) {
 	written := make(chan error, 1)
 	if len(rq.Body) > asyncBody {
 		go func() { written <- rq.write(cn) }()
@@ -119,9 +103,6 @@
 	for {
 		rs, err := http.ReadResponse(cn.reader, &http.Request{Method: rq.Method})
 		if err != nil {
-			if isTimeout(err) && ctx.Err() == nil {
-				return nil, &SilentError{address: cn.address}
-			}
 			return nil, &BrokenError{address: cn.address, cause: err}
 		}
 		if rs.StatusCode < 200 {
@@ -162,11 +143,6 @@
 
 var errOtherAnswer = errors.New("the answer belongs to another call")
 
-func isTimeout(err error) bool {
-	var te interface{ Timeout() bool }
-	return errors.As(err, &te) && te.Timeout()
-}
-
 // write sends the call in one piece, so that a small one leaves in one packet.
 func (rq *Request) write(cn *conn) error {
 	var head strings.Builder
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -19,7 +19,7 @@
 const eventLimit = 1 << 20
 
 // relay passes the events of a stream on as they come, each whole.
-func (se *sending) relay(parent context.Context, an *call.Answer, told Told) (ending, *answer.Error) {
+func (se *sending) relay(parent context.Context, an *call.Answer) (ending, *answer.Error) {
 	rq := se.rq
 	events := an.Events()
 	var event []byte
--- a/io/gate/run.go
+++ b/io/gate/run.go
@@ -131,7 +131,7 @@
 // suspect keeps other requests from a server whose answer is late, unless it is known to live.
 func (gt *Gate) suspect(id string) {
 	if now := time.Now(); !gt.picker.Alive(now, id) {
-		gt.picker.Suspect(now, id)
+		gt.picker.Unreached(now, id)
 	}
 }
 
--- a/io/gate/sending.go
+++ b/io/gate/sending.go
@@ -50,7 +50,7 @@
 		se.sent.End(time.Now(), pick.Failed)
 		return mayHaveRun, answer.NewError(answer.ServerFailed, answer.Unknown, 0, "the answer bears no signature or another id")
 	case success && isEventStream(an.Header):
-		return se.relay(parent, an, told)
+		return se.relay(parent, an)
 	}
 	return se.whole(parent, an)
 }
