Tenders tell a gate that they could not reach again soon; a start of an engine replaces the one before it

Cause: after all VMs lost power, gates that started after the tenders knew only the entries of the engines' last starts. A tender's first pull waited 0.5 s for a gate that was not up yet, so that it learned of wanted weights late. Ruled out: late entries (the tenders know the ids 10 ms after their start), the answers of gates. Change: a gate that was missed is told again every 80 ms for up to 5 s; the id that a tender tells replaces others at the engine's address; the first pull from a gate does not wait and is given up after 150 ms.

--- a/core/fleet/list.go
+++ b/core/fleet/list.go
@@ -47,13 +47,23 @@
 	lapsed map[string]time.Time
 	// found holds the servers that the directory does not list yet, with the time until which they are believed.
 	found map[string]time.Time
+	// starts has the id of the last start at an address that the process beside the server told, replaced the ids of starts before it
+	// that the directory still lists.
+	starts   map[string]string
+	replaced map[string]bool
 	// trusted is the time from which on a vanished entry means that the server has left.
 	trusted time.Time
 }
 
 // NewList returns an empty list.
 func NewList() *List {
-	return &List{known: make(map[string]*Server), lapsed: make(map[string]time.Time), found: make(map[string]time.Time)}
+	return &List{
+		known:    make(map[string]*Server),
+		lapsed:   make(map[string]time.Time),
+		found:    make(map[string]time.Time),
+		starts:   make(map[string]string),
+		replaced: make(map[string]bool),
+	}
 }
 
 // Outage notes that the directory did not answer at a time, or refused to.
@@ -66,28 +76,51 @@
 
 // Put takes the present entry of a server.
 func (ls *List) Put(sv *Server) {
+	if old, ok := ls.known[sv.id]; ok && sv.born > old.born {
+		delete(ls.replaced, sv.id)
+	}
 	ls.known[sv.id] = sv
 	delete(ls.lapsed, sv.id)
 	delete(ls.found, sv.id)
 }
 
-// Found takes the word of a process beside a server that the server has started anew under another id. It is taken only if the
-// one before is still listed at the address: a server that has left is not brought back. It reports whether the server is new.
+// Found takes the word of a process beside a server on the server's id. A start that is not listed yet is taken only if the one before
+// is still listed at the address: a server that has left is not brought back. Starts before it get no calls any more. Found reports
+// whether anything has changed.
 func (ls *List) Found(now time.Time, id, address string, weights map[string]uint64) bool {
+	before, changed := ls.replace(id, address)
 	if _, ok := ls.known[id]; ok {
 		if _, ok := ls.found[id]; ok {
 			ls.found[id] = now.Add(foundLife)
 		}
-		return false
+		return changed
+	}
+	if before == nil || before.draining {
+		return changed
+	}
+	ls.known[id] = NewServer(id, address, before.zone, before.service, before.slots, false, 0, weights)
+	ls.found[id] = now.Add(foundLife)
+	return true
+}
+
+// replace notes that a server at an address has an id now, and returns one that it had before, if that is listed.
+func (ls *List) replace(id, address string) (before *Server, changed bool) {
+	_, listed := ls.known[id]
+	if ls.starts[address] == id && listed {
+		return nil, false
 	}
+	ls.starts[address] = id
+	changed = ls.replaced[id]
+	delete(ls.replaced, id)
 	for _, sv := range ls.known {
-		if sv.address == address && !sv.draining {
-			ls.known[id] = NewServer(id, address, sv.zone, sv.service, sv.slots, false, 0, weights)
-			ls.found[id] = now.Add(foundLife)
-			return true
+		if sv.address != address || sv.id == id {
+			continue
 		}
+		changed = changed || !ls.replaced[sv.id]
+		ls.replaced[sv.id] = true
+		before = sv
 	}
-	return false
+	return before, changed
 }
 
 // Drop takes note that the entry of a server has vanished.
@@ -97,8 +130,7 @@
 		return
 	}
 	if sv.draining || !now.Before(ls.trusted) {
-		delete(ls.known, id)
-		delete(ls.lapsed, id)
+		ls.forget(id)
 		return
 	}
 	if _, ok := ls.lapsed[id]; !ok {
@@ -120,25 +152,36 @@
 	dropped := false
 	for id, until := range ls.lapsed {
 		if !now.Before(until) {
-			delete(ls.known, id)
-			delete(ls.lapsed, id)
+			ls.forget(id)
 			dropped = true
 		}
 	}
 	for id, until := range ls.found {
 		if !now.Before(until) {
-			delete(ls.known, id)
-			delete(ls.found, id)
+			ls.forget(id)
 			dropped = true
 		}
 	}
 	return dropped
 }
 
+func (ls *List) forget(id string) {
+	if sv, ok := ls.known[id]; ok && ls.starts[sv.address] == id {
+		delete(ls.starts, sv.address)
+	}
+	delete(ls.known, id)
+	delete(ls.lapsed, id)
+	delete(ls.found, id)
+	delete(ls.replaced, id)
+}
+
 // View returns the servers that are believed to be there.
 func (ls *List) View() *View {
 	vw := &View{byService: make(map[string][]*Server), byID: make(map[string]*Server, len(ls.known)), byHash: make(map[uint64]*Server, len(ls.known))}
 	for id, sv := range ls.known {
+		if ls.replaced[id] {
+			continue
+		}
 		vw.byID[id] = sv
 		vw.byHash[sv.hash] = sv
 		vw.byService[sv.service] = append(vw.byService[sv.service], sv)
--- a/core/fleet/list_test.go
+++ b/core/fleet/list_test.go
@@ -73,3 +73,40 @@
 		t.Error("the server is believed for ever without an entry")
 	}
 }
+
+// The entry of an engine's last start gets no calls once the process beside the engine has told of another start.
+func TestFoundServerReplacesTheOneBefore(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ls := NewList()
+	ls.Put(listed("old", "10.0.0.1:80", false))
+	ls.Put(listed("other", "10.0.0.2:80", false))
+	ls.Found(now, "new", "10.0.0.1:80", nil)
+	if ls.View().Server("old") != nil {
+		t.Error("the last start of the engine is still taken for a server")
+	}
+	// The directory still lists the last start.
+	ls.Put(listed("old", "10.0.0.1:80", false))
+	ls.Keep(now, map[string]bool{"old": true, "other": true})
+	if ls.View().Server("old") != nil || ls.View().Server("new") == nil || ls.View().Server("other") == nil {
+		t.Error("a reading of the directory brought the last start back")
+	}
+	// The engine starts again under the id that it had first.
+	ls.Put(NewServer("old", "10.0.0.1:80", "a", "chat", 8, false, 2, nil))
+	if ls.View().Server("old") == nil {
+		t.Error("a later start under the id is not taken")
+	}
+}
+
+// A listed start is enough to know that the one before it at the address has ended.
+func TestListedStartReplacesTheOneBefore(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ls := NewList()
+	ls.Put(listed("old", "10.0.0.1:80", false))
+	ls.Put(listed("new", "10.0.0.1:80", false))
+	if !ls.Found(now, "new", "10.0.0.1:80", nil) || ls.View().Server("old") != nil {
+		t.Error("the last start of the engine is still taken for a server")
+	}
+	if ls.Found(now, "new", "10.0.0.1:80", nil) {
+		t.Error("the same word counts as a change")
+	}
+}
--- a/io/gate/directory.go
+++ b/io/gate/directory.go
@@ -122,7 +122,7 @@
 	dr.publish()
 }
 
-// found takes an engine that has started anew and is not listed yet.
+// found takes the id that an engine has since its last start, which may not be listed yet.
 func (dr *directory) found(now time.Time, ns *wire.EngineNews) {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
@@ -131,7 +131,7 @@
 		return
 	}
 	dr.publish()
-	dr.gate.log.WithFields(logrus.Fields{"server": ns.GetServerId(), "address": ns.GetAddress()}).Info("an engine started anew and is not listed yet")
+	dr.gate.log.WithFields(logrus.Fields{"server": ns.GetServerId(), "address": ns.GetAddress()}).Info("an engine started anew")
 }
 
 // publish hands the servers to the picker; the caller holds mu.
--- a/io/tend/tender.go
+++ b/io/tend/tender.go
@@ -41,10 +41,15 @@
 	tellLimit  = 60 * time.Millisecond
 	// tellPeriod is the time after which the gates are told again, since a new gate knows nothing.
 	tellPeriod = 3 * time.Second
-	pullWait   = 8 * time.Second
-	pullPause  = 100 * time.Millisecond
-	claimPause = 500 * time.Millisecond
-	storeLimit = 2 * time.Second
+	// retellPeriod is the time after which a gate that could not be reached is told again, for as long as retellLimit.
+	retellPeriod = 80 * time.Millisecond
+	retellLimit  = 5 * time.Second
+	pullWait     = 8 * time.Second
+	pullPause    = 100 * time.Millisecond
+	// firstPullLimit bounds the first pull from a gate, which does not wait for changes.
+	firstPullLimit = 150 * time.Millisecond
+	claimPause     = 500 * time.Millisecond
+	storeLimit     = 2 * time.Second
 )
 
 // Options are the settings and dependencies of a tender.
@@ -151,6 +156,7 @@
 		feed.NewInterest(td.nodes, ""),
 	}
 	failures := 0
+	reached := ""
 	for ctx.Err() == nil {
 		gates := td.gates()
 		if len(gates) == 0 || failures > len(gates) {
@@ -160,11 +166,12 @@
 			continue
 		}
 		address := gates[failures%len(gates)]
-		_, err := feed.Pull(ctx, td.opts.Links, address, wants, pullWait)
+		err := td.pullOnce(ctx, address, wants, address == reached)
 		if err == nil {
-			failures = 0
+			failures, reached = 0, address
 			continue
 		}
+		reached = ""
 		if ctx.Err() == nil {
 			failures++
 			td.log.WithError(err).WithField("gate", address).Info("dependency lost: a gate does not answer; another one is asked")
@@ -173,6 +180,21 @@
 	}
 }
 
+// pullOnce takes later copies from a gate. One that was not reached before must answer at once.
+func (td *Tender) pullOnce(parent context.Context, address string, wants []feed.Interest, reached bool) error {
+	wait := pullWait
+	ctx, cancel := context.WithCancel(parent)
+	if !reached {
+		wait = 0
+		ctx, cancel = context.WithTimeout(parent, firstPullLimit)
+	}
+	defer cancel()
+	if _, err := feed.Pull(ctx, td.opts.Links, address, wants, wait); err != nil {
+		return fmt.Errorf("pull tables: %w", err)
+	}
+	return nil
+}
+
 func (td *Tender) readStore(parent context.Context) {
 	ctx, cancel := context.WithTimeout(parent, storeLimit)
 	defer cancel()
@@ -224,19 +246,25 @@
 	return span + time.Duration(rand.Int64N(int64(span)/4+1))
 }
 
-// tell tells gates at once and waits a short time for them.
-func (td *Tender) tell(ctx context.Context, gates []string, ns *wire.EngineNews) {
+// tell tells gates at once, waits a short time for them and returns those that were not reached.
+func (td *Tender) tell(ctx context.Context, gates []string, ns *wire.EngineNews) (missed []string) {
 	ctx, cancel := context.WithTimeout(ctx, tellLimit)
 	defer cancel()
 	var wg conc.WaitGroup
+	// mu guards missed.
+	var mu sync.Mutex
 	for _, address := range gates {
 		wg.Go(func() {
 			if _, err := td.opts.Links.Node(address).Tell(ctx, ns); err != nil {
-				td.log.WithError(err).WithField("gate", address).Debug("a gate was not told; answers tell it the weights")
+				td.log.WithError(err).WithField("gate", address).Debug("a gate was not told; it is told again soon")
+				mu.Lock()
+				defer mu.Unlock()
+				missed = append(missed, address)
 			}
 		})
 	}
 	wg.Wait()
+	return missed
 }
 
 // ask asks a gate whether the engine may load now. All tenders of a service ask the same one, unless it does not answer. If no
--- a/io/tend/weights.go
+++ b/io/tend/weights.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -51,7 +52,7 @@
 
 // tend looks at the engine again and again, gives the orders that are due and tells the gates what has changed.
 func (td *Tender) tend(ctx context.Context) {
-	eye := &watcher{tender: td}
+	eye := newWatcher(td)
 	for ctx.Err() == nil {
 		if eye.step(ctx) {
 			timer.Pause(ctx, busyPeriod)
@@ -73,6 +74,9 @@
 	toldLoad time.Time
 	// toldFar is when those of other zones were.
 	toldFar time.Time
+	// missed holds the gates that could not be reached, with the time since when; retold is when they were told again last.
+	missed map[string]time.Time
+	retold time.Time
 	// said is what the gates were told last.
 	said word
 	// busy is the number of the engine's calls that the gates were told last.
@@ -81,6 +85,10 @@
 	draining bool
 }
 
+func newWatcher(td *Tender) *watcher {
+	return &watcher{tender: td, missed: make(map[string]time.Time)}
+}
+
 // word is what the gates must know of the engine at once.
 type word struct {
 	version uint64
@@ -110,6 +118,8 @@
 		wt.tell(ctx, loading)
 	case wt.isLoadChanged(now):
 		wt.tellLoad(ctx, loading)
+	case len(wt.missed) > 0 && now.Sub(wt.retold) > retellPeriod:
+		wt.retell(ctx, loading)
 	}
 	if behind && fence > 0 {
 		wt.ask(ctx, fence)
@@ -220,7 +230,36 @@
 	wt.told = time.Now()
 	wt.said = word{wt.seen.Version, loading}
 	wt.noteLoad()
-	wt.tender.tell(ctx, wt.tender.gates(), wt.news(loading, false))
+	wt.send(ctx, wt.tender.gates(), wt.news(loading, false))
+}
+
+// retell tells the gates again that could not be reached: a gate that has just started knows nothing of the engine.
+func (wt *watcher) retell(ctx context.Context, loading bool) {
+	now := time.Now()
+	wt.retold = now
+	var gates []string
+	for address, since := range wt.missed {
+		if now.Sub(since) < retellLimit {
+			gates = append(gates, address)
+		}
+	}
+	wt.send(ctx, gates, wt.news(loading, false))
+}
+
+// send tells gates and notes which of them could not be reached.
+func (wt *watcher) send(ctx context.Context, gates []string, ns *wire.EngineNews) {
+	missed := wt.tender.tell(ctx, gates, ns)
+	now := time.Now()
+	for _, address := range gates {
+		if _, ok := wt.missed[address]; ok && !slices.Contains(missed, address) {
+			delete(wt.missed, address)
+		}
+	}
+	for _, address := range missed {
+		if _, ok := wt.missed[address]; !ok {
+			wt.missed[address] = now
+		}
+	}
 }
 
 // tellLoad tells the gates how busy the engine is; those of other zones, which send fewer calls, more seldom.
@@ -231,7 +270,7 @@
 		wt.toldFar = now
 		gates = append(gates, far...)
 	}
-	wt.tender.tell(ctx, gates, wt.news(loading, false))
+	wt.send(ctx, gates, wt.news(loading, false))
 }
 
 func (wt *watcher) noteLoad() {
@@ -246,7 +285,7 @@
 	}
 	ns := wt.news(false, false)
 	ns.Dark = true
-	wt.tender.tell(ctx, wt.tender.gates(), ns)
+	wt.send(ctx, wt.tender.gates(), ns)
 }
 
 // news returns what the gates are told.
