Gates tell each other the engines' paces

A gate learns an engine's pace from its own calls; with 26 gates and 47 engines that is one call every other second. Change: a gate's hints carry the mean ratio of the time to the first event to the expected one, by engine, and the number of calls.

--- /dev/null
+++ b/core/pick/pace_test.go
@@ -0,0 +1,67 @@
+package pick
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// A process that sent nothing to a slow server leaves it by what another process saw.
+func TestPacesOfOthersCount(t *testing.T) {
+	now := time.Unix(1000, 0)
+	seer, hearer := New("a", time.Minute, 1), New("a", time.Minute, 2)
+	for _, pk := range []*Picker{seer, hearer} {
+		pk.SetView(viewOf("a", "a"))
+	}
+	cl := promptCall("s", false)
+	before, _ := hearer.Choose(now, cl, nil)
+	slow := before.Server().ID()
+	for i := range 30 {
+		at := now.Add(time.Duration(i) * time.Second)
+		ch, _ := seer.Choose(at, cl, map[string]bool{"server-0": slow != "server-0", "server-1": slow != "server-1"})
+		se := seer.Send(at, cl, ch)
+		se.Begin(at.Add(2 * time.Second))
+		se.End(at.Add(2*time.Second), Served)
+	}
+	hearer.HearPaces(now, seer.TakePaces())
+	if after, _ := hearer.Choose(now, cl, nil); after.Server().ID() == slow {
+		t.Error("the slow server is still chosen")
+	}
+	if len(seer.TakePaces()) != 0 {
+		t.Error("the same calls are told twice")
+	}
+}
+
+// Paces that no process can have seen are passed over, as are those of servers that are not listed.
+func TestFalsePacesArePassedOver(t *testing.T) {
+	pk := New("a", time.Minute, 1)
+	pk.SetView(viewOf("a"))
+	hash := pk.View().Server("server-0").Hash()
+	for _, pc := range []Pace{NewPace(hash, math.NaN(), 3), NewPace(hash, 1e9, 3), NewPace(hash, -1, 3), NewPace(hash, 4, 0), NewPace(hash+1, 4, 3)} {
+		pk.HearPaces(time.Unix(1000, 0), []Pace{pc})
+	}
+	if got := pk.states["server-0"]; got != nil && got.pace != 1 {
+		t.Errorf("the pace is %f", got.pace)
+	}
+}
+
+// A call that runs long avoids a server that is to load weights soon; a short one does not.
+func TestLongCallsAvoidServersThatLoadSoon(t *testing.T) {
+	now := time.Unix(1000, 0)
+	pk := New("a", time.Minute, 1)
+	pk.SetView(viewOf("a", "a"))
+	short := promptCall("s", false)
+	long := short.WithOutput(longOutput + 1)
+	home, _ := pk.Choose(now, long, nil)
+	pk.ShortOnly(now, home.Server().ID(), true)
+	if ch, _ := pk.Choose(now, long, nil); ch.Server() == home.Server() {
+		t.Error("a long call goes to the server")
+	}
+	if ch, _ := pk.Choose(now, short, nil); ch.Server() != home.Server() {
+		t.Error("a short call leaves its home")
+	}
+	pk.ShortOnly(now, home.Server().ID(), false)
+	if ch, _ := pk.Choose(now, long, nil); ch.Server() != home.Server() {
+		t.Error("the server is avoided after its load")
+	}
+}
--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -59,6 +59,8 @@
 	wanted  map[string][]named
 	// hints are what others should be told.
 	hints []Hint
+	// paces holds by server what others should be told of its pace.
+	paces map[string]paceSum
 }
 
 // New returns a picker for a process in an availability zone. After oldLimit no call begins on older weights; the seed is that of
@@ -72,6 +74,7 @@
 		oldLimit:  oldLimit,
 		view:      fleet.NewList().View(),
 		states:    make(map[string]*state),
+		paces:     make(map[string]paceSum),
 		wanted:    make(map[string][]named),
 	}
 }
--- a/core/pick/sent.go
+++ b/core/pick/sent.go
@@ -66,7 +66,7 @@
 	}
 	se.beganAt = now
 	if se.tokens > 0 {
-		st.observe(now.Sub(se.at), se.expected)
+		se.picker.observe(now, se.id, st, now.Sub(se.at), se.expected)
 	}
 	for _, key := range se.keys {
 		se.picker.learn(now, se.id, recentKey{key: key, version: se.version})
@@ -107,7 +107,7 @@
 	se.ended = true
 	if waiting := se.leaveBacklog(); waiting != nil && se.tokens > 0 && (oc == Silent || oc == Abandoned) {
 		// The answer would have begun later still.
-		waiting.observe(now.Sub(se.at), se.expected)
+		se.picker.observe(now, se.id, waiting, now.Sub(se.at), se.expected)
 	}
 	st, ok := se.picker.states[se.id]
 	if !ok {
--- a/core/pick/state.go
+++ b/core/pick/state.go
@@ -50,6 +50,8 @@
 	meanRead float64
 	// pace is the moving ratio of the time to the first event to the expected one.
 	pace float64
+	// pacedAt is when the pace was changed last.
+	pacedAt time.Time
 	// fullUntil ends the time in which the server is taken to be full after a rejection.
 	fullUntil time.Time
 	// shortUntil ends the time in which the server should get short calls only, unless its tender says so again.
@@ -156,17 +158,3 @@
 		st.meanRead += (float64(tokens) - st.meanRead) * paceWeight
 	}
 }
-
-// Limits of a server's pace.
-const (
-	// paceWeight is the part of the pace that one more call makes up.
-	paceWeight = 0.1
-	leastPace  = 0.4
-	mostPace   = 5
-)
-
-// observe takes the time to a call's first event, and the one that was expected.
-func (st *state) observe(took, expected time.Duration) {
-	ratio := min(max(float64(took)/float64(max(expected, time.Millisecond)), leastPace), mostPace)
-	st.pace += (ratio - st.pace) * paceWeight
-}
--- a/io/gate/hint.go
+++ b/io/gate/hint.go
@@ -18,8 +18,8 @@
 
 // tellHints tells the other gates which prompts this one has sent where.
 func (gt *Gate) tellHints(ctx context.Context) {
-	hints := gt.picker.TakeHints()
-	if len(hints) == 0 {
+	hints, paces := gt.picker.TakeHints(), gt.picker.TakePaces()
+	if len(hints) == 0 && len(paces) == 0 {
 		return
 	}
 	message := &wire.CacheHints{}
@@ -28,6 +28,11 @@
 		message.Keys = append(message.Keys, hn.Key())
 		message.Versions = append(message.Versions, hn.Version())
 	}
+	for _, pc := range paces {
+		message.Paced = append(message.Paced, pc.Server())
+		message.Ratios = append(message.Ratios, float32(pc.Ratio()))
+		message.Calls = append(message.Calls, uint32(pc.Calls()))
+	}
 	ctx, cancel := context.WithTimeout(ctx, hintLimit)
 	defer cancel()
 	var wg conc.WaitGroup
@@ -49,5 +54,11 @@
 		hints = append(hints, pick.NewHint(ch.GetServers()[i], ch.GetKeys()[i], ch.GetVersions()[i]))
 	}
 	nh.gate.picker.Hear(time.Now(), hints)
+	count = min(len(ch.GetPaced()), len(ch.GetRatios()), len(ch.GetCalls()))
+	paces := make([]pick.Pace, 0, count)
+	for i := range count {
+		paces = append(paces, pick.NewPace(ch.GetPaced()[i], float64(ch.GetRatios()[i]), int(ch.GetCalls()[i])))
+	}
+	nh.gate.picker.HearPaces(time.Now(), paces)
 	return &wire.Received{}, nil
 }
