--- a/core/pick/pace.go
+++ b/core/pick/pace.go
@@ -10,9 +10,9 @@
 	// paceWeight is the greatest part of a mean that one more call makes up.
 	paceWeight = 0.1
 	// paceTime is the time over which a pace is averaged where calls are frequent.
-	paceTime = 3 * time.Second
-	leastPace  = 0.4
-	mostPace   = 5
+	paceTime  = 3 * time.Second
+	leastPace = 0.4
+	mostPace  = 5
 )
 
 // Pace is what a process saw of a server's pace since it last told others.
