Placement: engines that lack a prompt's shared parts have a price of their own

An engine's cache turns over in 2 to 3 s (35,000 tokens/s into some 60,000 free ones), a prompt comes back after 2.5 s in the median; each copy to another engine takes the place of other prompts. Placement counted only the time to read the missing parts: 5 ms for a short prompt. Change: 60 ms and twice the reading time of the missing parts.

--- a/core/pick/cost.go
+++ b/core/pick/cost.go
@@ -17,6 +17,9 @@
 	wait = time.Duration(st.pace * float64(pk.expect(now, st, cl.tokens-cl.tokensAfter(0)+missing, cl.tokens)))
 	wait = max(wait, st.stuck(now, cl.rank))
 	cost = wait
+	if missing > 0 {
+		cost += spreadCost + 2*readTime(missing)
+	}
 	if now.Before(st.fullUntil) {
 		cost += fullCost
 	}
--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -33,6 +33,8 @@
 	// most once avoid it more.
 	probeCost     = 5 * time.Millisecond
 	onceProbeCost = 300 * time.Millisecond
+	// spreadCost is the price of a server that lacks shared parts of a prompt: what is read there takes the place of other prompts.
+	spreadCost = 60 * time.Millisecond
 	// longOutput is the number of tokens above which an answer is long: those that an engine writes in half a second at a usual load.
 	longOutput = 70
 	// shortOnlyCost is the price of a server that is to load weights soon, for calls that run long.
