Placement: the caches of old weights save nothing

Change: for old weights the price is that of a server which holds nothing, as its cache is dropped at its load. Tests: TestNewestWeightsAreChosen again; TestPromptStaysWithItsCache (fails without the price).

--- a/core/pick/cost.go
+++ b/core/pick/cost.go
@@ -6,9 +6,9 @@
 	"shallotcleat/core/fleet"
 )
 
-// cost returns the expected time until a server's answer begins, alone and with the price of its zone and its failures; the
-// caller holds mu.
-func (pk *Picker) cost(now time.Time, cl Call, sv *fleet.Server, version uint64, home bool) (cost, wait time.Duration) {
+// cost returns the expected time until a server's answer begins, alone and with the price of its zone and its failures; old says
+// that its weights are. The caller holds mu.
+func (pk *Picker) cost(now time.Time, cl Call, sv *fleet.Server, version uint64, home, old bool) (cost, wait time.Duration) {
 	st := pk.state(sv.ID())
 	missing := 0
 	if !home {
@@ -17,9 +17,7 @@
 	wait = time.Duration(st.pace * float64(pk.expect(now, st, cl.tokens-cl.tokensAfter(0)+missing, cl.tokens)))
 	wait = max(wait, st.stuck(now, cl.rank))
 	cost = wait
-	if missing > 0 {
-		cost += spreadCost + 2*readTime(missing)
-	}
+	cost += spreadPrice(cl, missing, old)
 	if now.Before(st.fullUntil) {
 		cost += fullCost
 	}
@@ -41,6 +39,18 @@
 	return cost, wait
 }
 
+// spreadPrice returns the price of reading a call's shared parts at a server that lacks some tokens of them: they take the place of other
+// prompts. Old weights count as if the server had none, since its cache is dropped when newer ones are loaded.
+func spreadPrice(cl Call, missing int, old bool) time.Duration {
+	if old {
+		missing = cl.tokensAfter(0)
+	}
+	if missing <= 0 {
+		return 0
+	}
+	return spreadCost + spreadReads*readTime(missing)
+}
+
 // expect returns the time to the first event of a call that has some tokens to read, of as many as size, at a server of usual pace;
 // the caller holds mu.
 func (pk *Picker) expect(now time.Time, st *state, tokens, size int) time.Duration {
--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -33,8 +33,10 @@
 	// most once avoid it more.
 	probeCost     = 5 * time.Millisecond
 	onceProbeCost = 300 * time.Millisecond
-	// spreadCost is the price of a server that lacks shared parts of a prompt: what is read there takes the place of other prompts.
-	spreadCost = 60 * time.Millisecond
+	// spreadCost is the price of a server that lacks shared parts of a prompt, besides spreadReads times their reading time: what is read
+	// there takes the place of other prompts.
+	spreadCost  = 60 * time.Millisecond
+	spreadReads = 2
 	// longOutput is the number of tokens above which an answer is long: those that an engine writes in half a second at a usual load.
 	longOutput = 70
 	// shortOnlyCost is the price of a server that is to load weights soon, for calls that run long.
@@ -161,7 +163,7 @@
 	seen := make(map[samplePart]int)
 	var best Choice
 	for _, cd := range candidates {
-		cost, wait := pk.cost(now, cl, cd.server, cd.version, cd.home)
+		cost, wait := pk.cost(now, cl, cd.server, cd.version, cd.home, cd.penalty > 0)
 		if !cd.end.IsZero() && now.Add(beginSafety*wait).After(cd.end) {
 			continue
 		}
