--- a/io/tend/engine.go
+++ b/io/tend/engine.go
@@ -50,6 +50,20 @@
 	Refused
 )
 
+// String returns the verdict in a word.
+func (vd Verdict) String() string {
+	switch vd {
+	case Accepted:
+		return "accepted"
+	case Busy:
+		return "busy"
+	case Fenced:
+		return "fenced"
+	default:
+		return "refused"
+	}
+}
+
 // Engine is the model engine beside a tender.
 type Engine interface {
 	// See returns the engine's state.
--- a/io/tend/tender.go
+++ b/io/tend/tender.go
@@ -19,6 +19,7 @@
 	"shallotcleat/io/link"
 	"shallotcleat/io/table"
 	"shallotcleat/io/timer"
+	"shallotcleat/io/trace"
 	"shallotcleat/io/wire"
 )
 
@@ -67,7 +68,8 @@
 	Store   table.Committer
 	Links   *link.Pool
 	Engine  Engine
-	Log     *logrus.Entry
+	// Recorder takes the log lines and the counts.
+	Recorder *trace.Recorder
 }
 
 // Tender is the process beside one engine.
@@ -90,7 +92,7 @@
 	tables := opts.Dialect.Tables()
 	td := &Tender{
 		opts:      opts,
-		log:       opts.Log,
+		log:       opts.Recorder.Log(),
 		operators: feed.NewCopy(tables.Operators),
 		nodes:     feed.NewCopy(tables.Nodes),
 		done:      make(chan struct{}),
--- a/io/tend/weights.go
+++ b/io/tend/weights.go
@@ -79,6 +79,8 @@
 	retold time.Time
 	// said is what the gates were told last.
 	said word
+	// out is when the engine stopped taking calls.
+	out time.Time
 	// busy is the number of the engine's calls that the gates were told last.
 	busy int
 	// short is set while the engine takes short calls only, draining while it takes none, before its load.
@@ -113,7 +115,11 @@
 	wt.draining = wt.draining && behind
 	wt.short = wt.short && behind
 	loading := wt.seen.Look.Busy() || wt.draining
-	if wt.said.loading && !loading {
+	switch {
+	case !wt.said.loading && loading:
+		wt.out = now
+	case wt.said.loading && !loading:
+		td.opts.Recorder.CountWeightLoad(now.Sub(wt.out))
 		td.log.WithFields(logrus.Fields{"event": "weights_loaded", "server": wt.id, "version": wt.seen.Version}).Info("the engine takes calls again")
 	}
 	switch {
@@ -224,12 +230,14 @@
 	})
 	lg := td.log.WithFields(logrus.Fields{
 		"event": "weights_load_ordered", "server": wt.id, "version": ln.Version(), "from": wt.seen.Version,
-		"fence": fence, "sequence": ln.Sequence(), "verdict": vd,
+		"fence": fence, "sequence": ln.Sequence(), "verdict": vd.String(),
 	})
 	if err != nil {
+		td.opts.Recorder.CountWeightOrder("no_answer")
 		lg.WithError(err).Info("order to load weights got no answer")
 		return
 	}
+	td.opts.Recorder.CountWeightOrder(vd.String())
 	lg.Info("order to load weights")
 	if vd != Fenced {
 		return
--- a/io/tend/weights_test.go
+++ b/io/tend/weights_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net"
+	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/sirupsen/logrus"
@@ -15,19 +17,23 @@
 	"shallotcleat/io/gate"
 	"shallotcleat/io/link"
 	"shallotcleat/io/timer"
+	"shallotcleat/io/trace"
 	"shallotcleat/io/wire"
 )
 
-// stillEngine is an engine in whose state nothing changes.
-type stillEngine struct{}
+// stillEngine is an engine in whose state nothing changes, unless a test changes it.
+type stillEngine struct {
+	version uint64
+	busy    bool
+}
 
-func (stillEngine) See(context.Context) (Seen, error) {
-	return Seen{ServerID: "e1", Born: 1, Model: "m1", Version: 1, Look: weight.NewLook(1, false, 0)}, nil
+func (se *stillEngine) See(context.Context) (Seen, error) {
+	return Seen{ServerID: "e1", Born: 1, Model: "m1", Version: se.version, Look: weight.NewLook(se.version, se.busy, 0)}, nil
 }
 
-func (stillEngine) Identify(context.Context) (string, error) { return "e1", nil }
+func (*stillEngine) Identify(context.Context) (string, error) { return "e1", nil }
 
-func (stillEngine) Load(context.Context, Order) (Verdict, error) { return Refused, nil }
+func (*stillEngine) Load(context.Context, Order) (Verdict, error) { return Refused, nil }
 
 // namedTables is a dialect of which only the tables' names are used.
 type namedTables struct{ gate.Dialect }
@@ -59,11 +65,15 @@
 	}()
 }
 
-func newTestTender(seeds ...string) *Tender {
+func newTestTender(t *testing.T, seeds ...string) *Tender {
 	lg := logrus.New()
 	lg.SetOutput(io.Discard)
+	rec, err := trace.New("tender", logrus.NewEntry(lg))
+	if err != nil {
+		t.Fatal(err)
+	}
 	return New(Options{Name: "tender", Zone: "a", Service: "chat", Address: "10.0.0.1:80", Seeds: seeds, Dialect: namedTables{},
-		Source: feed.Source(nil), Links: link.NewPool(), Engine: stillEngine{}, Log: logrus.NewEntry(lg)})
+		Source: feed.Source(nil), Links: link.NewPool(), Engine: &stillEngine{version: 1}, Recorder: rec})
 }
 
 // A gate that could not be reached is told soon after it has come up, though nothing has changed at the engine.
@@ -78,7 +88,7 @@
 	if err := lis.Close(); err != nil {
 		t.Fatal(err)
 	}
-	eye := newWatcher(newTestTender(address))
+	eye := newWatcher(newTestTender(t, address))
 	eye.step(ctx)
 	hg := &hearingGate{words: make(chan *wire.EngineNews, 100)}
 	if lis, err = net.Listen("tcp", address); err != nil {
@@ -95,3 +105,21 @@
 	}
 	t.Error("the gate was not told of the engine")
 }
+
+// A load of weights is counted with the time for which the engine took no calls.
+func TestLoadsAreCounted(t *testing.T) {
+	ctx := context.Background()
+	td := newTestTender(t)
+	engine := &stillEngine{version: 1, busy: true}
+	td.opts.Engine = engine
+	eye := newWatcher(td)
+	eye.step(ctx)
+	engine.version, engine.busy = 2, false
+	eye.step(ctx)
+	eye.step(ctx)
+	wr := httptest.NewRecorder()
+	td.opts.Recorder.Handler().ServeHTTP(wr, httptest.NewRequest("GET", "/metrics", nil))
+	if text := wr.Body.String(); !strings.Contains(text, "weight_load_seconds_count") || !strings.Contains(text, "} 1\n") {
+		t.Errorf("no load is counted:\n%s", text)
+	}
+}
--- a/io/trace/recorder.go
+++ b/io/trace/recorder.go
@@ -44,6 +44,8 @@
 	firstToken   metric.Float64Histogram
 	queueWait    metric.Float64Histogram
 	controlBytes metric.Int64Counter
+	weightOrders metric.Int64Counter
+	weightLoad   metric.Float64Histogram
 }
 
 // New returns the recorder of a process.
@@ -69,7 +71,7 @@
 }
 
 func newMetrics(mt metric.Meter) (*Metrics, error) {
-	var errs [7]error
+	var errs [9]error
 	ms := &Metrics{}
 	ms.requests, errs[0] = mt.Int64Counter("requests", metric.WithDescription("Requests answered, by outcome."))
 	ms.refusals, errs[1] = mt.Int64Counter("refusals", metric.WithDescription("Requests refused, by code."))
@@ -81,6 +83,9 @@
 		metric.WithDescription("Time in an agent's queue."))
 	ms.controlBytes, errs[6] = mt.Int64Counter("control", metric.WithUnit("By"),
 		metric.WithDescription("Bytes of messages that carry no request."))
+	ms.weightOrders, errs[7] = mt.Int64Counter("weight_orders", metric.WithDescription("Orders to load weights, by the engine's verdict."))
+	ms.weightLoad, errs[8] = mt.Float64Histogram("weight_load", metric.WithUnit("s"),
+		metric.WithDescription("Time for which an engine took no calls since it loaded weights."))
 	for _, err := range errs {
 		if err != nil {
 			return nil, fmt.Errorf("instrument: %w", err)
@@ -198,3 +203,13 @@
 func (rc *Recorder) CountControl(size int) {
 	rc.metrics.controlBytes.Add(context.Background(), int64(size))
 }
+
+// CountWeightOrder counts an order to load weights by the engine's verdict.
+func (rc *Recorder) CountWeightOrder(verdict string) {
+	rc.metrics.weightOrders.Add(context.Background(), 1, metric.WithAttributes(attribute.String("verdict", verdict)))
+}
+
+// CountWeightLoad records the time for which an engine took no calls since it loaded weights.
+func (rc *Recorder) CountWeightLoad(elapsed time.Duration) {
+	rc.metrics.weightLoad.Record(context.Background(), elapsed.Seconds())
+}
