--- a/core/pick/weights.go
+++ b/core/pick/weights.go
@@ -82,12 +82,16 @@
 	return ns.version, ns.loading && now.Before(ns.until)
 }
 
-// Expired reports whether no call may begin on a version of a model's weights any more.
-func (pk *Picker) Expired(now time.Time, model string, version uint64) bool {
+// Behind returns how long ago the first version was named that is newer than a version of a model's weights, or zero if there is none.
+func (pk *Picker) Behind(now time.Time, model string, version uint64) time.Duration {
 	pk.mu.Lock()
 	defer pk.mu.Unlock()
-	_, end := pk.weightsCost(now, Call{model: model}, version)
-	return !end.IsZero() && now.After(end)
+	for _, nm := range pk.wanted[model] {
+		if nm.version > version {
+			return now.Sub(nm.since)
+		}
+	}
+	return 0
 }
 
 // weightsCost returns the price of a version of the weights, and the time after which no call may begin on it, which is zero for the
--- a/core/weight/desk.go
+++ b/core/weight/desk.go
@@ -18,6 +18,10 @@
 	// shortPart is the part of the time for which old weights may be used that an engine takes short calls only, so that most of its
 	// long ones end meanwhile.
 	shortPart = 0.35
+	// hurryPart is the part of that time after which all engines that are still behind may leave together.
+	hurryPart = 0.75
+	// expirySlack is how long before the end of that time no call begins on old weights any more.
+	expirySlack = 600 * time.Millisecond
 	// drainLimit is how long an engine ends its calls before it loads; what still runs then is ended by the engine itself.
 	drainLimit = 500 * time.Millisecond
 	// askLife is how long an engine that asks counts as waiting; it asks again sooner.
@@ -33,8 +37,8 @@
 	zone    string
 	version uint64
 	running int
-	// expired is set if no call may begin on the engine's weights any more.
-	expired bool
+	// behind is how long ago the first version that the engine lacks was named.
+	behind time.Duration
 }
 
 // NewAsk returns the wish of an engine of a service in an availability zone, that has a version of the weights and runs some
@@ -43,9 +47,9 @@
 	return Ask{engine: engine, service: service, zone: zone, version: version, running: running}
 }
 
-// Expired returns the ask of an engine on whose weights no call may begin any more.
-func (ak Ask) Expired() Ask {
-	ak.expired = true
+// Behind returns the ask of an engine that lacks a version which was named some time ago.
+func (ak Ask) Behind(age time.Duration) Ask {
+	ak.behind = age
 	return ak
 }
 
@@ -71,8 +75,8 @@
 // many. Before its load an engine first takes short calls only, while its long ones end, and then none. Desks of several processes may each let some load; that makes loads
 // slower and nothing else. One goroutine at a time may call it.
 type Desk struct {
-	// shortLimit is how long an engine takes short calls only.
-	shortLimit time.Duration
+	// oldLimit is how long calls may begin on old weights after newer ones were named.
+	oldLimit time.Duration
 
 	waiting  map[string]place
 	short    map[string]place
@@ -90,7 +94,7 @@
 // NewDesk returns a desk at which nobody waits; oldLimit is how long calls may begin on old weights after newer ones were named.
 func NewDesk(oldLimit time.Duration) *Desk {
 	return &Desk{
-		shortLimit: time.Duration(shortPart * float64(oldLimit)),
+		oldLimit: oldLimit,
 
 		waiting:  make(map[string]place),
 		short:    make(map[string]place),
@@ -106,7 +110,7 @@
 	delete(dk.loading, ask.engine)
 	loads := max(engines/loadsPart, leastLoad)
 	out := max(engines/outPart, loads+1) - count(dk.loading, ask.service) - count(dk.draining, ask.service)
-	if ask.expired && count(dk.loading, ask.service) < max(engines/outPart, loads+1) {
+	if ask.behind >= dk.oldLimit-expirySlack {
 		// The engine serves nobody until it has loaded.
 		dk.load(now, ask)
 		return Load
@@ -117,14 +121,18 @@
 	pl, isShort := dk.short[ask.engine]
 	if !isShort {
 		dk.waiting[ask.engine] = place{ask: ask, at: now}
-		away := max(engines/awayPart, loads+1) - count(dk.loading, ask.service) - count(dk.draining, ask.service) - count(dk.short, ask.service)
+		away := max(engines/awayPart, loads+1)
+		if ask.behind >= dk.part(hurryPart) {
+			away = engines
+		}
+		away -= count(dk.loading, ask.service) + count(dk.draining, ask.service) + count(dk.short, ask.service)
 		if !dk.isNext(ask, away) {
 			return Stay
 		}
 		delete(dk.waiting, ask.engine)
 		pl = place{since: now}
 	}
-	if out > 0 && (ask.running == 0 || now.Sub(pl.since) >= dk.shortLimit) {
+	if out > 0 && (ask.running == 0 || now.Sub(pl.since) >= dk.part(shortPart)) {
 		delete(dk.short, ask.engine)
 		return dk.drain(now, ask, now, loads)
 	}
@@ -132,6 +140,9 @@
 	return Short
 }
 
+// part returns a part of the time for which old weights may be used.
+func (dk *Desk) part(share float64) time.Duration { return time.Duration(share * float64(dk.oldLimit)) }
+
 // drain answers an engine that takes no new calls since a time, of whose service as many as loads may load at once.
 func (dk *Desk) drain(now time.Time, ask Ask, since time.Time, loads int) Grant {
 	if count(dk.loading, ask.service) < loads && (ask.running == 0 || now.Sub(since) >= drainLimit) {
--- a/io/gate/node.go
+++ b/io/gate/node.go
@@ -24,9 +24,7 @@
 	now := time.Now()
 	ask := weight.NewAsk(ns.GetServerId(), ns.GetService(), ns.GetZone(), ns.GetVersion(), int(ns.GetRunning()))
 	if ns.GetAsk() {
-		if gt.picker.Expired(now, ns.GetModel(), ns.GetVersion()) {
-			ask = ask.Expired()
-		}
+		ask = ask.Behind(gt.picker.Behind(now, ns.GetModel(), ns.GetVersion()))
 		grant := gt.desk.grant(now, ask, gt.picker.Serving(now, ns.GetService()))
 		return &wire.Received{Grant: int32(grant)}, nil
 	}
