--- a/core/fleet/list.go
+++ b/core/fleet/list.go
@@ -10,7 +10,7 @@
 // live write their entries anew within about two seconds.
 const returnGrace = 2200 * time.Millisecond
 
-// foundLife is how long a server that is not listed yet is believed without another word of it.
+// foundLife is how long a server that is not listed yet is believed without news of it.
 const foundLife = 5 * time.Second
 
 // View is the set of servers at one moment; it is immutable.
@@ -84,7 +84,7 @@
 	delete(ls.found, sv.id)
 }
 
-// Found takes the word of a process beside a server on the server's id. A start that is not listed yet is taken only if the one before
+// Found takes the id that the process beside a server has reported. A start that is not listed yet is taken only if the one before
 // is still listed at the address: a server that has left is not brought back. Starts before it get no calls any more. Found reports
 // whether anything has changed.
 func (ls *List) Found(now time.Time, id, address string, weights map[string]uint64) bool {
--- a/core/order/attempt.go
+++ b/core/order/attempt.go
@@ -101,7 +101,7 @@
 	return nil
 }
 
-// Abandon returns the effects of an attempt whose caller's time is over, whatever it waits for.
+// Abandon returns the effects of an attempt whose caller's deadline has passed, whatever it waits for.
 func (at *Attempt) Abandon() []Effect {
 	if at.step == stepSettle && at.pending.state == Done {
 		return at.finish(at.pending, nil)
--- a/core/order/event.go
+++ b/core/order/event.go
@@ -62,7 +62,7 @@
 // Gone says that the agent of the last Redeem or Probe gave no answer and that its VM does not exist any more.
 type Gone struct{}
 
-// Woken says that the last Wait is over.
+// Woken reports the end of the last Wait.
 type Woken struct{}
 
 func (Begin) isEvent()       {}
--- a/core/order/ledger.go
+++ b/core/order/ledger.go
@@ -173,7 +173,7 @@
 	return te.report
 }
 
-// expire forgets the granted tickets whose lifetime is over.
+// expire forgets the granted tickets that have expired.
 func (lg *Ledger) expire(now time.Time) {
 	for seq, te := range lg.tickets {
 		if te.phase == granted && now.After(te.expires) {
--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -152,7 +152,7 @@
 }
 
 // Choose returns the cheapest server of a call that is not excluded, and false if there is none. It looks at the call's home and
-// at a random part of the others only: many processes see the same word of an idle server, and would all send to it.
+// at a random part of the others only: many processes get the same report of an idle server, and would all send to it.
 func (pk *Picker) Choose(now time.Time, cl Call, excluded map[string]bool) (Choice, bool) {
 	pk.mu.Lock()
 	defer pk.mu.Unlock()
--- a/core/pick/sent.go
+++ b/core/pick/sent.go
@@ -168,7 +168,7 @@
 	return ok && !st.reported.at.IsZero() && now.Sub(st.reported.at) < aliveLife
 }
 
-// aliveLife is how long the word of a tender counts; it speaks more often, and at once when its engine does not answer.
+// aliveLife is how long a tender's report counts; it reports more often, and at once when its engine does not answer.
 const aliveLife = 5 * time.Second
 
 // Dark notes that a process beside the server got no answer from it.
--- a/core/pick/state.go
+++ b/core/pick/state.go
@@ -129,7 +129,7 @@
 }
 
 // ahead returns the prompt tokens that an engine reads before those of a new call, where as many processes as senders send to
-// it. A fresh word of its tender goes before what this process alone can guess.
+// it. A fresh report of its tender goes before what this process alone can guess.
 func (st *state) ahead(now time.Time, senders int) int {
 	if now.Sub(st.reported.at) > reportLife {
 		return st.backlog * senders
--- a/core/trial/policy.go
+++ b/core/trial/policy.go
@@ -108,7 +108,7 @@
 	or.members.Failed(epochTime.Add(now), addressOf(server))
 }
 
-// roundRobin takes the servers by turns.
+// roundRobin takes the servers in a fixed order.
 type roundRobin struct {
 	count int
 	next  int
--- a/core/trial/run.go
+++ b/core/trial/run.go
@@ -14,7 +14,7 @@
 	// warmUp is how long the rate climbs while the caches fill; it is not measured.
 	warmUp      = 60 * time.Second
 	oneWayDelay = 1500 * time.Microsecond
-	greetPeriod = time.Second
+	pollPeriod  = time.Second
 	giveUpTime  = 60 * time.Second
 )
 
@@ -43,7 +43,7 @@
 func Run(opts Options) Result {
 	rn := newRunner(opts)
 	rn.after(0, rn.arrive)
-	rn.after(greetPeriod, rn.greet)
+	rn.after(pollPeriod, rn.poll)
 	rn.after(opts.Length/2, rn.disturb)
 	rn.clock.Drain()
 	return rn.result
@@ -180,12 +180,12 @@
 	}
 }
 
-// greet lets each entry hear of each engine once a period, as entries do with idle servers.
-func (rn *runner) greet() {
+// poll lets each entry hear of each engine once a period, as entries do with idle servers.
+func (rn *runner) poll() {
 	if rn.now() >= rn.opts.Length {
 		return
 	}
-	rn.after(greetPeriod, rn.greet)
+	rn.after(pollPeriod, rn.poll)
 	for entry := range rn.routers {
 		for server, en := range rn.engines {
 			if en.alive {
--- a/core/weight/desk.go
+++ b/core/weight/desk.go
@@ -26,7 +26,7 @@
 	drainLimit = 500 * time.Millisecond
 	// askLife is how long an engine that asks counts as waiting; it asks again sooner.
 	askLife = 150 * time.Millisecond
-	// loadLife bounds how long a load counts without another word of it.
+	// loadLife bounds how long a load counts without news of it.
 	loadLife = 5 * time.Second
 )
 
@@ -193,7 +193,7 @@
 	return total
 }
 
-// OutOfService notes the word of an engine that takes no calls. If it does not drain by this desk's answer, another desk has let
+// OutOfService notes that an engine takes no calls. If it does not drain by this desk's answer, another desk has let
 // it load.
 func (dk *Desk) OutOfService(now time.Time, ask Ask) {
 	if _, ok := dk.draining[ask.engine]; !ok {
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -205,7 +205,7 @@
 	return nil
 }
 
-// stop refuses new work and returns when all accepted work is done and settled, or the stop's time is over.
+// stop refuses new work and returns when all accepted work is done and settled, or the stop's timeout has passed.
 func (ag *Agent) stop(ctx context.Context) {
 	ag.stopping.Store(true)
 	ag.rec.Note("", trace.LeavingBegan)
@@ -215,7 +215,7 @@
 	for !ag.isIdle() {
 		select {
 		case <-limit:
-			ag.rec.Log().Warn("the stop's time is over; work is cut off")
+			ag.rec.Log().Warn("stop timeout exceeded; requests are cut off")
 			return
 		case <-tick.C:
 			ag.settle(ctx)
--- a/io/agent/run.go
+++ b/io/agent/run.go
@@ -121,7 +121,7 @@
 	var status *server.StatusError
 	switch {
 	case ctx.Err() != nil:
-		er = answer.NewError(answer.Expired, answer.Unknown, leastRetryAfter, "the request's time is over")
+		er = answer.NewError(answer.Expired, answer.Unknown, leastRetryAfter, "deadline exceeded")
 	case errors.As(err, &unreached):
 		er = answer.NewError(answer.ServerUnreached, answer.NotRun, leastRetryAfter, "%v", err)
 	case errors.As(err, &status):
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -79,9 +79,9 @@
 	watcher *watch.Watcher
 	vms     *watch.VMs
 	bill    *bill.Writer
-	// greeted is the next agent to ask by turns; each entry begins at a place of its own. Only the start and then the
+	// polled is the position of the next agent to poll, round robin; each entry begins at a place of its own. Only the start and then the
 	// timer's call use it.
-	greeted uint64
+	polled uint64
 	// leaving is set when the process has been told to stop.
 	leaving atomic.Bool
 	// background runs what follows an answer: confirmations and voided tickets.
@@ -98,7 +98,7 @@
 		store:   opts.Store,
 		board:   board.New(),
 		clock:   timer.New(),
-		greeted: opts.Seed >> 1,
+		polled:  opts.Seed >> 1,
 		bill:    bill.NewWriter(opts.Objects, opts.Recorder, fmt.Sprintf("entry-%x", opts.Seed)),
 		chooser: place.NewChooser(opts.Zone),
 		budget:  retry.NewBudget(),
@@ -138,14 +138,14 @@
 	en.vms.First(background)
 	en.watcher.Boot(background)
 	en.warm(background)
-	en.greetFirst(background)
+	en.pollFirst(background)
 	en.rec.Note("", trace.Started, "role", "entry", "address", callers.Addr().String())
 
 	var loops conc.WaitGroup
 	loops.Go(func() { en.vms.Run(background) })
 	loops.Go(func() { en.watcher.Run(background) })
 	endBill := en.clock.Every(billPeriod, func() { en.flushBill(background) })
-	endGreet := en.clock.Every(greetPeriod, func() { en.greetNext(background) })
+	endPoll := en.clock.Every(pollPeriod, func() { en.pollNext(background) })
 	loops.Go(func() {
 		srv := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: link.ManagerOptions()})
 		_ = srv.Serve(background, peers)
@@ -170,7 +170,7 @@
 	en.flushBill(background)
 	cancel()
 	endBill()
-	endGreet()
+	endPoll()
 	loops.Wait()
 	en.background.Wait()
 	en.rec.Note("", trace.Stopped)
@@ -185,7 +185,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), en.opts.StopTimeout)
 	defer cancel()
 	if err := web.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("the stop's time is over; requests are cut off: %w", err)
+		return fmt.Errorf("stop timeout exceeded; requests are cut off: %w", err)
 	}
 	return nil
 }
--- a/io/entry/lookup.go
+++ b/io/entry/lookup.go
@@ -47,7 +47,7 @@
 	}
 	reply, er := lk.run(ctx)
 	if er != nil {
-		return call.rq.truth(er)
+		return call.rq.finalError(er)
 	}
 	writePlain(wr, reply)
 	en.noteAnswer(call.rq, string(answer.Done))
@@ -79,7 +79,7 @@
 				lk.ask(ctx)
 			}
 		case <-ctx.Done():
-			return nil, answer.NewError(answer.Expired, answer.Unknown, refusedRetryAfter, "the request's time is over")
+			return nil, answer.NewError(answer.Expired, answer.Unknown, refusedRetryAfter, "deadline exceeded")
 		}
 	}
 	return nil, last
--- a/io/entry/members.go
+++ b/io/entry/members.go
@@ -16,11 +16,11 @@
 
 // Limits of the rounds in which an entry asks agents for their status.
 const (
-	greetPeriod  = time.Second
-	greetsAtOnce = 10
-	// greetsAtStart bounds the agents that a starting entry asks before it serves.
-	greetsAtStart = 64
-	greetTimeout  = time.Second
+	pollPeriod  = time.Second
+	pollsAtOnce = 10
+	// pollsAtStart bounds the agents that a starting entry asks before it serves.
+	pollsAtStart = 64
+	pollTimeout  = time.Second
 	// warmPeers is how many peers a starting entry asks for their hot prefixes.
 	warmPeers = 3
 )
@@ -60,7 +60,7 @@
 
 // warm takes the hot prefixes of some peers, so that this entry places as they do from its first request on.
 func (en *Entry) warm(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, greetTimeout/2)
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout/2)
 	defer cancel()
 	var wg conc.WaitGroup
 	peers := en.peers()
@@ -92,41 +92,41 @@
 	}
 }
 
-// greetFirst asks agents for their status at the start, so that the first requests are placed with what they tell. At
+// pollFirst asks agents for their status at the start, so that the first requests are placed with what they tell. At
 // today's sizes these are all agents; with more the number is bounded, since entries may start in herds.
-func (en *Entry) greetFirst(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, greetTimeout/2)
+func (en *Entry) pollFirst(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout/2)
 	defer cancel()
-	en.greetSome(ctx, en.nextServers(greetsAtStart))
+	en.pollSome(ctx, en.nextServers(pollsAtStart))
 }
 
-// greetNext asks the next agents for their status, so that a server without requests is known too and a mended one is
+// pollNext asks the next agents for their status, so that a server without requests is known too and a mended one is
 // found again. The number of questions in a period is bounded, whatever the number of agents.
-func (en *Entry) greetNext(ctx context.Context) {
-	en.greetSome(ctx, en.nextServers(greetsAtOnce))
+func (en *Entry) pollNext(ctx context.Context) {
+	en.pollSome(ctx, en.nextServers(pollsAtOnce))
 }
 
-// nextServers returns the servers whose turn it is, at most limit of them.
+// nextServers returns the next servers to poll, round robin, at most limit of them.
 func (en *Entry) nextServers(limit int) []*member.Server {
 	all := en.board.Members().View().All()
 	turn := make([]*member.Server, 0, limit)
 	for range min(limit, len(all)) {
-		turn = append(turn, all[en.greeted%uint64(len(all))])
-		en.greeted++
+		turn = append(turn, all[en.polled%uint64(len(all))])
+		en.polled++
 	}
 	return turn
 }
 
-func (en *Entry) greetSome(ctx context.Context, servers []*member.Server) {
+func (en *Entry) pollSome(ctx context.Context, servers []*member.Server) {
 	var wg conc.WaitGroup
 	for _, sv := range servers {
-		wg.Go(func() { en.greetOne(ctx, sv.Address()) })
+		wg.Go(func() { en.pollOne(ctx, sv.Address()) })
 	}
 	wg.Wait()
 }
 
-func (en *Entry) greetOne(parent context.Context, address string) {
-	ctx, cancel := context.WithTimeout(parent, greetTimeout)
+func (en *Entry) pollOne(parent context.Context, address string) {
+	ctx, cancel := context.WithTimeout(parent, pollTimeout)
 	defer cancel()
 	rq := &wire.ExchangeRequest{
 		Context:     &wire.Context{Stamp: uint64(en.rec.Stamp()), Epoch: en.board.Epoch()},
--- a/io/entry/model.go
+++ b/io/entry/model.go
@@ -80,14 +80,14 @@
 
 // endModel tells the caller of a failure in the way that is still open: an error event once the stream has begun.
 func (en *Entry) endModel(ctx context.Context, call *modelCall, er *answer.Error) *answer.Error {
-	er = call.rq.truth(er)
+	er = call.rq.finalError(er)
 	en.billModel(call, er)
 	if er == nil {
 		en.noteAnswer(call.rq, string(answer.Done))
 		return nil
 	}
 	if ctx.Err() != nil && er.Code() != answer.Expired {
-		er = answer.NewError(answer.Expired, answer.Unknown, refusedRetryAfter, "the request's time is over: %s", er.Message())
+		er = answer.NewError(answer.Expired, answer.Unknown, refusedRetryAfter, "deadline exceeded: %s", er.Message())
 	}
 	if !call.out.started {
 		return er
@@ -115,7 +115,7 @@
 	return nil
 }
 
-// weightsFor returns the version of the weights that a request runs with. While the engines load new ones by turns, each
+// weightsFor returns the version of the weights that a request runs with. During a rolling update of the engines each
 // version gets as many requests as it has engines; the request's id decides.
 func (en *Entry) weightsFor(rq *request, sv config.Service) string {
 	now := time.Now()
--- a/io/entry/orders.go
+++ b/io/entry/orders.go
@@ -89,7 +89,7 @@
 	attempt *order.Attempt
 }
 
-// run drives the attempt to its end, or abandons it when the request's time is over.
+// run drives the attempt to its end, or abandons it when its deadline has passed.
 func (dr *orderDriver) run(ctx context.Context) order.Finish {
 	effects := dr.attempt.Step(order.Begin{})
 	for {
--- a/io/entry/routes.go
+++ b/io/entry/routes.go
@@ -35,9 +35,9 @@
 	rq.mayHaveRun = rq.mayHaveRun || er.Outcome() == answer.Unknown
 }
 
-// truth returns the error that the caller may be told: a last refusal is no proof that nothing ran, if an earlier sending
+// finalError returns the error that the caller may be told: a last refusal is no proof that nothing ran, if an earlier sending
 // of the same request may have.
-func (rq *request) truth(er *answer.Error) *answer.Error {
+func (rq *request) finalError(er *answer.Error) *answer.Error {
 	if er == nil || !rq.mayHaveRun || er.Outcome() != answer.NotRun {
 		return er
 	}
--- a/io/watch/doc.go
+++ b/io/watch/doc.go
@@ -2,5 +2,5 @@
 // table and between processes.
 //
 // Every process offers what it learns to its board, which never goes back to a lower epoch. A process learns of a
-// change from whichever comes first: the table, a peer that it asks by turns, or a message of the data path.
+// change from whichever comes first: the table, a peer, polled round robin, or a message of the data path.
 package watch
