--- a/io/entry/prompt.go
+++ b/io/entry/prompt.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"strings"
 
 	"shallotcleat/core/answer"
@@ -117,21 +118,43 @@
 // tokens returns the expected length of the prompt.
 func (pt *prompt) tokens() int { return (len(pt.text) + bytesPerToken - 1) / bytesPerToken }
 
-// continueBody returns the body of a call that goes on after the part of the answer that was sent already.
+// continueBody returns the body of a call that goes on after the part of the answer that was sent already. All other fields stay as the
+// caller wrote them.
 func continueBody(body []byte, chat bool, sent string, tokensLeft int) ([]byte, error) {
-	var fields map[string]any
+	var fields map[string]json.RawMessage
 	if err := json.Unmarshal(body, &fields); err != nil {
-		return nil, err
-	}
-	fields["max_tokens"] = tokensLeft
-	if !chat {
-		text, _ := fields["prompt"].(string)
-		fields["prompt"] = text + sent
-		return json.Marshal(fields)
-	}
-	messages, _ := fields["messages"].([]any)
-	fields["messages"] = append(messages, map[string]string{"role": "assistant", "content": sent})
-	fields["continue_final_message"] = true
-	fields["add_generation_prompt"] = false
-	return json.Marshal(fields)
+		return nil, fmt.Errorf("decode the caller's body: %w", err)
+	}
+	changed := map[string]any{"max_tokens": tokensLeft}
+	if chat {
+		var messages []json.RawMessage
+		if err := json.Unmarshal(fields["messages"], &messages); err != nil {
+			return nil, fmt.Errorf("decode messages: %w", err)
+		}
+		said, err := json.Marshal(map[string]string{"role": "assistant", "content": sent})
+		if err != nil {
+			return nil, fmt.Errorf("encode message: %w", err)
+		}
+		changed["messages"] = append(messages, said)
+		changed["continue_final_message"] = true
+		changed["add_generation_prompt"] = false
+	} else {
+		var text string
+		if err := json.Unmarshal(fields["prompt"], &text); err != nil {
+			return nil, fmt.Errorf("decode prompt: %w", err)
+		}
+		changed["prompt"] = text + sent
+	}
+	for name, value := range changed {
+		raw, err := json.Marshal(value)
+		if err != nil {
+			return nil, fmt.Errorf("encode %s: %w", name, err)
+		}
+		fields[name] = raw
+	}
+	out, err := json.Marshal(fields)
+	if err != nil {
+		return nil, fmt.Errorf("encode body: %w", err)
+	}
+	return out, nil
 }
