--- a/io/tend/tender.go
+++ b/io/tend/tender.go
@@ -151,7 +151,8 @@
 	}
 }
 
-// pull keeps the copies up to date from a gate, one of the own zone first; the store is read if no gate answers.
+// pull keeps the copies up to date from a gate, one of the own zone first; it stays with one that answers. The store is read if no gate
+// does.
 func (td *Tender) pull(ctx context.Context) {
 	wants := []feed.Interest{
 		feed.NewInterest(td.operators, td.opts.Dialect.Tables().WeightsPrefix),
@@ -167,7 +168,10 @@
 			timer.Pause(ctx, claimPause)
 			continue
 		}
-		address := gates[failures%len(gates)]
+		address := reached
+		if !slices.Contains(gates, address) {
+			address = gates[failures%len(gates)]
+		}
 		err := td.pullOnce(ctx, address, wants, address == reached)
 		if err == nil {
 			failures, reached = 0, address
--- a/io/tend/weights_test.go
+++ b/io/tend/weights_test.go
@@ -40,10 +40,15 @@
 
 func (namedTables) Tables() gate.Tables { return gate.Tables{Operators: "op", Nodes: "nodes"} }
 
-// hearingGate counts the words of tenders.
+// hearingGate keeps the words and pulls of tenders.
 type hearingGate struct {
 	wire.DRPCNodeUnimplementedServer
 	words chan *wire.EngineNews
+	pulls chan *wire.PullRequest
+}
+
+func newHearingGate() *hearingGate {
+	return &hearingGate{words: make(chan *wire.EngineNews, 100), pulls: make(chan *wire.PullRequest)}
 }
 
 func (hg *hearingGate) Tell(_ context.Context, ns *wire.EngineNews) (*wire.Received, error) {
@@ -51,7 +56,8 @@
 	return &wire.Received{}, nil
 }
 
-func (hg *hearingGate) Pull(context.Context, *wire.PullRequest) (*wire.PullReply, error) {
+func (hg *hearingGate) Pull(_ context.Context, rq *wire.PullRequest) (*wire.PullReply, error) {
+	hg.pulls <- rq
 	return &wire.PullReply{}, nil
 }
 
@@ -90,7 +96,7 @@
 	}
 	eye := newWatcher(newTestTender(t, address))
 	eye.step(ctx)
-	hg := &hearingGate{words: make(chan *wire.EngineNews, 100)}
+	hg := newHearingGate()
 	if lis, err = net.Listen("tcp", address); err != nil {
 		t.Fatal(err)
 	}
@@ -123,3 +129,33 @@
 		t.Errorf("no load is counted:\n%s", text)
 	}
 }
+
+// A tender whose first gate is gone stays with the next one and waits there for changes.
+func TestTenderStaysWithAGateThatAnswers(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := gone.Close(); err != nil {
+		t.Fatal(err)
+	}
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	hg := newHearingGate()
+	hg.serve(ctx, t, lis)
+	td := newTestTender(t, gone.Addr().String(), lis.Addr().String())
+	done := make(chan struct{})
+	go func() { defer close(done); td.pull(ctx) }()
+	defer func() { cancel(); <-done }()
+	if rq := <-hg.pulls; rq.GetWaitMs() != 0 {
+		t.Errorf("the first pull from a gate waits for %d ms", rq.GetWaitMs())
+	}
+	for range 3 {
+		if rq := <-hg.pulls; rq.GetWaitMs() == 0 {
+			t.Fatal("a later pull from the same gate does not wait for changes")
+		}
+	}
+}
