--- a/core/weight/desk.go
+++ b/core/weight/desk.go
@@ -72,8 +72,8 @@
 )
 
 // Desk says which engines may load now, so that enough of them serve meanwhile and the weights' store is not shared by too
-// many. Before its load an engine first takes short calls only, while its long ones end, and then none. Desks of several processes may each let some load; that makes loads
-// slower and nothing else. One goroutine at a time may call it.
+// many. Before its load an engine first takes short calls only, while its long ones end, and then none. Desks of several processes
+// may each let some load; that makes loads slower and nothing else. One goroutine at a time may call it.
 type Desk struct {
 	// oldLimit is how long calls may begin on old weights after newer ones were named.
 	oldLimit time.Duration
@@ -108,38 +108,46 @@
 func (dk *Desk) Grant(now time.Time, ask Ask, engines int) Grant {
 	dk.expire(now)
 	delete(dk.loading, ask.engine)
-	loads := max(engines/loadsPart, leastLoad)
-	out := max(engines/outPart, loads+1) - count(dk.loading, ask.service) - count(dk.draining, ask.service)
 	if ask.behind >= dk.oldLimit-expirySlack {
 		// The engine serves nobody until it has loaded.
 		dk.load(now, ask)
 		return Load
 	}
+	loads := max(engines/loadsPart, leastLoad)
 	if pl, ok := dk.draining[ask.engine]; ok {
 		return dk.drain(now, ask, pl.since, loads)
 	}
-	pl, isShort := dk.short[ask.engine]
-	if !isShort {
-		dk.waiting[ask.engine] = place{ask: ask, at: now}
-		away := max(engines/awayPart, loads+1)
-		if ask.behind >= dk.part(hurryPart) {
-			away = engines
-		}
-		away -= count(dk.loading, ask.service) + count(dk.draining, ask.service) + count(dk.short, ask.service)
-		if !dk.isNext(ask, away) {
-			return Stay
-		}
-		delete(dk.waiting, ask.engine)
-		pl = place{since: now}
+	since, ok := dk.shortSince(now, ask, engines, loads)
+	if !ok {
+		return Stay
 	}
-	if out > 0 && (ask.running == 0 || now.Sub(pl.since) >= dk.part(shortPart)) {
+	out := count(dk.loading, ask.service) + count(dk.draining, ask.service)
+	if out < max(engines/outPart, loads+1) && (ask.running == 0 || now.Sub(since) >= dk.part(shortPart)) {
 		delete(dk.short, ask.engine)
 		return dk.drain(now, ask, now, loads)
 	}
-	dk.short[ask.engine] = place{ask: ask, at: now, since: pl.since}
+	dk.short[ask.engine] = place{ask: ask, at: now, since: since}
 	return Short
 }
 
+// shortSince returns since when an engine takes short calls only, which is now if it is its turn; ok is false if it has to wait.
+func (dk *Desk) shortSince(now time.Time, ask Ask, engines, loads int) (since time.Time, ok bool) {
+	if pl, ok := dk.short[ask.engine]; ok {
+		return pl.since, true
+	}
+	dk.waiting[ask.engine] = place{ask: ask, at: now}
+	away := max(engines/awayPart, loads+1)
+	if ask.behind >= dk.part(hurryPart) {
+		away = engines
+	}
+	away -= count(dk.loading, ask.service) + count(dk.draining, ask.service) + count(dk.short, ask.service)
+	if !dk.isNext(ask, away) {
+		return time.Time{}, false
+	}
+	delete(dk.waiting, ask.engine)
+	return now, true
+}
+
 // part returns a part of the time for which old weights may be used.
 func (dk *Desk) part(share float64) time.Duration { return time.Duration(share * float64(dk.oldLimit)) }
 
