Tenders: the time without calls begins with the drain

Cause, found on rereading: the start of that time was noted only for loads without a drain; for others the histogram got 292 years. Test that failed first: TestDrainCountsAsTimeWithoutCalls. Only the metric is touched.

--- a/io/tend/weights.go
+++ b/io/tend/weights.go
@@ -115,10 +115,7 @@
 	wt.draining = wt.draining && behind
 	wt.short = wt.short && behind
 	loading := wt.seen.Look.Busy() || wt.draining
-	switch {
-	case !wt.said.loading && loading:
-		wt.out = now
-	case wt.said.loading && !loading:
+	if wt.said.loading && !loading {
 		td.opts.Recorder.CountWeightLoad(now.Sub(wt.out))
 		td.log.WithFields(logrus.Fields{"event": "weights_loaded", "server": wt.id, "version": wt.seen.Version}).Info("the engine takes calls again")
 	}
@@ -251,6 +248,9 @@
 
 func (wt *watcher) tell(ctx context.Context, loading bool) {
 	wt.told = time.Now()
+	if loading && !wt.said.loading {
+		wt.out = wt.told
+	}
 	wt.said = wt.word(loading)
 	wt.noteLoad()
 	wt.send(ctx, wt.tender.gates(), wt.news(loading, false))
--- a/io/tend/weights_test.go
+++ b/io/tend/weights_test.go
@@ -5,8 +5,10 @@
 	"io"
 	"net"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"storj.io/drpc/drpcmux"
@@ -159,3 +161,29 @@
 		}
 	}
 }
+
+// The time without calls begins when the engine's tender tells the gates, before the load.
+func TestDrainCountsAsTimeWithoutCalls(t *testing.T) {
+	ctx := context.Background()
+	td := newTestTender(t)
+	engine := &stillEngine{version: 1}
+	td.opts.Engine = engine
+	td.keeper.Want(2)
+	eye := newWatcher(td)
+	eye.step(ctx)
+	eye.leave(ctx, false, true)
+	eye.step(ctx)
+	engine.version = 2
+	eye.step(ctx)
+	wr := httptest.NewRecorder()
+	td.opts.Recorder.Handler().ServeHTTP(wr, httptest.NewRequest("GET", "/metrics", nil))
+	for _, line := range strings.Split(wr.Body.String(), "\n") {
+		if strings.HasPrefix(line, "weight_load_seconds_sum") {
+			if sum, err := strconv.ParseFloat(line[strings.LastIndexByte(line, ' ')+1:], 64); err != nil || sum > time.Hour.Seconds() {
+				t.Errorf("%s: %v", line, err)
+			}
+			return
+		}
+	}
+	t.Errorf("no load is counted:\n%s", wr.Body)
+}
