--- a/io/tend/weights.go
+++ b/io/tend/weights.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -12,7 +11,6 @@
 	"shallotcleat/core/weight"
 	"shallotcleat/io/table"
 	"shallotcleat/io/timer"
-	"shallotcleat/io/wire"
 )
 
 // ownersTable holds one row for each engine; the version at which its holder wrote it is the fencing number of its orders.
@@ -92,13 +90,6 @@
 	return &watcher{tender: td, missed: make(map[string]time.Time)}
 }
 
-// word is what the gates must know of the engine at once.
-type word struct {
-	version uint64
-	loading bool
-	short   bool
-}
-
 // step makes one look and reports whether the next one is due soon.
 func (wt *watcher) step(ctx context.Context) bool {
 	td := wt.tender
@@ -133,14 +124,6 @@
 	return wt.seen.Version < wanted
 }
 
-// isLoadChanged reports whether the gates should be told the engine's load anew.
-func (wt *watcher) isLoadChanged(now time.Time) bool {
-	busy := wt.seen.Running + wt.seen.Waiting
-	change := busy - wt.busy
-	age := now.Sub(wt.toldLoad)
-	return age > loadPeriod && change*change >= loadChange*loadChange || age > queuePeriod && wt.seen.Waiting > 0
-}
-
 // ask asks a gate what to do about the engine's old weights, and does it.
 func (wt *watcher) ask(ctx context.Context, fence uint64) {
 	switch wt.tender.ask(ctx, wt.news(wt.draining, true)) {
@@ -167,10 +150,6 @@
 	wt.tell(ctx, draining)
 }
 
-func (wt *watcher) word(loading bool) word {
-	return word{version: wt.seen.Version, loading: loading, short: wt.short}
-}
-
 // look sees the engine, and learns its id after each of its starts.
 func (wt *watcher) look(parent context.Context) bool {
 	td := wt.tender
@@ -245,87 +224,3 @@
 	td.mu.Unlock()
 	td.claim(parent)
 }
-
-func (wt *watcher) tell(ctx context.Context, loading bool) {
-	wt.told = time.Now()
-	if loading && !wt.said.loading {
-		wt.out = wt.told
-	}
-	wt.said = wt.word(loading)
-	wt.noteLoad()
-	wt.send(ctx, wt.tender.gates(), wt.news(loading, false))
-}
-
-// retell tells the gates again that could not be reached: a gate that has just started knows nothing of the engine.
-func (wt *watcher) retell(ctx context.Context, loading bool) {
-	now := time.Now()
-	wt.retold = now
-	var gates []string
-	for address, since := range wt.missed {
-		if now.Sub(since) < retellLimit {
-			gates = append(gates, address)
-		}
-	}
-	wt.send(ctx, gates, wt.news(loading, false))
-}
-
-// send tells gates and notes which of them could not be reached.
-func (wt *watcher) send(ctx context.Context, gates []string, ns *wire.EngineNews) {
-	missed := wt.tender.tell(ctx, gates, ns)
-	now := time.Now()
-	for _, address := range gates {
-		if _, ok := wt.missed[address]; ok && !slices.Contains(missed, address) {
-			delete(wt.missed, address)
-		}
-	}
-	for _, address := range missed {
-		if _, ok := wt.missed[address]; !ok {
-			wt.missed[address] = now
-		}
-	}
-}
-
-// tellLoad tells the gates how busy the engine is; those of other zones, which send fewer calls, more seldom.
-func (wt *watcher) tellLoad(ctx context.Context, loading bool) {
-	wt.noteLoad()
-	gates, far := wt.tender.gatesByZone()
-	if now := time.Now(); now.Sub(wt.toldFar) > farPeriod {
-		wt.toldFar = now
-		gates = append(gates, far...)
-	}
-	wt.send(ctx, gates, wt.news(loading, false))
-}
-
-func (wt *watcher) noteLoad() {
-	wt.toldLoad = time.Now()
-	wt.busy = wt.seen.Running + wt.seen.Waiting
-}
-
-// tellDark tells the gates that the engine does not answer.
-func (wt *watcher) tellDark(ctx context.Context) {
-	if wt.id == "" {
-		return
-	}
-	ns := wt.news(false, false)
-	ns.Dark = true
-	wt.send(ctx, wt.tender.gates(), ns)
-}
-
-// news returns what the gates are told.
-func (wt *watcher) news(loading, ask bool) *wire.EngineNews {
-	return &wire.EngineNews{
-		ServerId: wt.id,
-		Model:    wt.seen.Model,
-		Version:  wt.seen.Version,
-		Loading:  loading,
-		Running:  int32(wt.seen.Running),
-		Waiting:  int32(wt.seen.Waiting),
-		Free:     int32(wt.seen.Free),
-		Memory:   int32(wt.seen.Memory),
-		Service:  wt.tender.opts.Service,
-		Zone:     wt.tender.opts.Zone,
-		Ask:      ask,
-		Short:    wt.short,
-		Address:  wt.tender.opts.Address,
-	}
-}
