Placement: the depth of a held prompt is found once a server; one slack, one search of the missed version, the project's own mix

Seen on rereading the change: each server's cache was looked up twice for a choice (cost, sample), the price of its weights was added outside cost; pick hashed by itself what core/piece.Mix is for; the slack before old weights expire stood in pick and in weight as two constants that must agree; Behind and weightsCost searched the named versions by the same loop. No change of decisions but for the homes of prompts, which piece.Mix spreads otherwise. Tests as they were.

--- a/core/pick/cost.go
+++ b/core/pick/cost.go
@@ -1,30 +1,25 @@
 package pick
 
-import (
-	"time"
+import "time"
 
-	"shallotcleat/core/fleet"
-)
-
-// cost returns the expected time until a server's answer begins, alone and with the price of its zone and its failures; old says
-// that its weights are. The caller holds mu.
-func (pk *Picker) cost(now time.Time, cl Call, sv *fleet.Server, version uint64, home, old bool) (cost, wait time.Duration) {
-	st := pk.state(sv.ID())
+// cost returns the expected time until a server's answer begins, alone and with the price of its weights, its zone and its failures;
+// the caller holds mu.
+func (pk *Picker) cost(now time.Time, cl Call, cd candidate) (cost, wait time.Duration) {
+	st := pk.state(cd.server.ID())
 	missing := 0
-	if !home {
-		missing = cl.tokensAfter(st.depth(now, cl, version))
+	if !cd.home {
+		missing = cl.tokensAfter(cd.depth)
 	}
 	wait = time.Duration(st.pace * float64(pk.expect(now, st, cl.tokens-cl.tokensAfter(0)+missing, cl.tokens)))
 	wait = max(wait, st.stuck(now, cl.rank))
-	cost = wait
-	cost += spreadPrice(cl, missing, old)
+	cost = wait + cd.penalty + spreadPrice(cl, missing, cd.penalty > 0)
 	if now.Before(st.fullUntil) {
 		cost += fullCost
 	}
 	if cl.isLong() && now.Before(st.shortUntil) {
 		cost += shortOnlyCost
 	}
-	if sv.Zone() != pk.zone {
+	if cd.server.Zone() != pk.zone {
 		cost += otherZoneCost
 	}
 	cost += time.Duration(st.failures * float64(failingCost))
--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -149,6 +149,8 @@
 	// end is when calls may begin on the weights at the latest, or zero.
 	end  time.Time
 	home bool
+	// depth is how many shared parts of the call the server is believed to hold.
+	depth int
 }
 
 // Choose returns the cheapest server of a call that is not excluded, and false if there is none. It looks at the call's home and
@@ -163,7 +165,7 @@
 	seen := make(map[samplePart]int)
 	var best Choice
 	for _, cd := range candidates {
-		cost, wait := pk.cost(now, cl, cd.server, cd.version, cd.home, cd.penalty > 0)
+		cost, wait := pk.cost(now, cl, cd)
 		if !cd.end.IsZero() && now.Add(beginSafety*wait).After(cd.end) {
 			continue
 		}
@@ -171,16 +173,14 @@
 		if seen[sp]++; seen[sp] > limit && !cd.home {
 			continue
 		}
-		cost += cd.penalty
 		if best.server == nil || cost < best.cost {
-			best = Choice{server: cd.server, version: cd.version, cost: cost, wait: wait}
+			best = Choice{server: cd.server, version: cd.version, held: cd.depth, cost: cost, wait: wait}
 		}
 	}
 	if best.server == nil {
 		return Choice{}, false
 	}
 	st := pk.state(best.server.ID())
-	best.held = st.depth(now, cl, best.version)
 	own := cl.tokens - cl.tokensAfter(0) + cl.tokensAfter(best.held)
 	best.queue = max(best.wait-time.Duration(st.pace*float64(baseTime+readTime(own))), 0)
 	best.source = pk.source(now, cl, servers, best)
@@ -197,9 +197,11 @@
 		}
 		version, loading := pk.version(now, sv, cl.model)
 		penalty, end := pk.weightsCost(now, cl, version)
-		if !loading {
-			candidates = append(candidates, candidate{server: sv, version: version, penalty: penalty, end: end, home: sv == home})
+		if loading {
+			continue
 		}
+		depth := pk.state(sv.ID()).depth(now, cl, version)
+		candidates = append(candidates, candidate{server: sv, version: version, penalty: penalty, end: end, home: sv == home, depth: depth})
 	}
 	return candidates
 }
@@ -213,12 +215,11 @@
 }
 
 func (pk *Picker) samplePart(now time.Time, cl Call, cd candidate) samplePart {
-	st := pk.state(cd.server.ID())
 	return samplePart{
 		newest: cd.penalty == 0,
 		near:   cd.server.Zone() == pk.zone,
-		holds:  len(cl.keys) > 0 && st.depth(now, cl, cd.version) == len(cl.keys),
-		paused: st.isPaused(now),
+		holds:  len(cl.keys) > 0 && cd.depth == len(cl.keys),
+		paused: pk.state(cd.server.ID()).isPaused(now),
 	}
 }
 
--- a/core/pick/source.go
+++ b/core/pick/source.go
@@ -3,9 +3,8 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"shallotcleat/core/fleet"
+	"shallotcleat/core/piece"
 )
 
 // home returns the server of a zone where calls with the same shared parts meet, by rendezvous hashing; the caller holds mu.
@@ -19,22 +18,13 @@
 		if st := pk.state(sv.ID()); sv.Zone() != zone || sv.Draining() || st.replaced || st.isPaused(now) {
 			continue
 		}
-		if score := mix(cl.home() ^ sv.Hash()); best == nil || score > bestScore {
+		if score := piece.Mix(piece.Key(cl.home()), sv.Hash()); best == nil || score > bestScore {
 			best, bestScore = sv, score
 		}
 	}
 	return best
 }
 
-// mix spreads the bits of a number.
-func mix(number uint64) uint64 {
-	var bytes [8]byte
-	for i := range bytes {
-		bytes[i] = byte(number >> (8 * i))
-	}
-	return xxhash.Sum64(bytes[:])
-}
-
 // source returns a server that has read more of the shared parts than the chosen one surely holds, as far as it is known; of
 // several the one that had read them last. A copy that was not needed costs a millisecond. The caller holds mu.
 func (pk *Picker) source(now time.Time, cl Call, servers []*fleet.Server, ch Choice) *fleet.Server {
--- a/core/pick/weights.go
+++ b/core/pick/weights.go
@@ -4,14 +4,13 @@
 	"time"
 
 	"shallotcleat/core/fleet"
+	"shallotcleat/core/weight"
 )
 
 // Grace of older weights after newer ones were named.
 const (
 	// freeGrace is how long answers from older weights are as good as others.
 	freeGrace = 1200 * time.Millisecond
-	// limitSlack is how long before the limit the last call is expected to begin on older weights.
-	limitSlack = 600 * time.Millisecond
 	// beginSafety is how many times the expected time may pass until a call begins.
 	beginSafety = 3
 )
@@ -31,7 +30,7 @@
 
 // WantOld notes the newest version of a model's weights that a process finds at its start.
 func (pk *Picker) WantOld(now time.Time, model string, version uint64) {
-	pk.Want(now.Add(limitSlack+unknownAge-pk.oldLimit), model, version)
+	pk.Want(now.Add(weight.ExpirySlack+unknownAge-pk.oldLimit), model, version)
 }
 
 // Want notes the newest version of a model's weights as it is named; older news are ignored.
@@ -82,14 +81,23 @@
 	return ns.version, ns.loading && now.Before(ns.until)
 }
 
+// firstMissed returns the first version of a model's weights that was named and is newer than a given one, whatever was named since; ok
+// is false if there is none. The caller holds mu.
+func (pk *Picker) firstMissed(model string, version uint64) (nm named, ok bool) {
+	for _, nm := range pk.wanted[model] {
+		if nm.version > version {
+			return nm, true
+		}
+	}
+	return named{}, false
+}
+
 // Behind returns how long ago the first version was named that is newer than a version of a model's weights, or zero if there is none.
 func (pk *Picker) Behind(now time.Time, model string, version uint64) time.Duration {
 	pk.mu.Lock()
 	defer pk.mu.Unlock()
-	for _, nm := range pk.wanted[model] {
-		if nm.version > version {
-			return now.Sub(nm.since)
-		}
+	if nm, ok := pk.firstMissed(model, version); ok {
+		return now.Sub(nm.since)
 	}
 	return 0
 }
@@ -97,15 +105,12 @@
 // weightsCost returns the price of a version of the weights, and the time after which no call may begin on it, which is zero for the
 // newest one; the caller holds mu.
 func (pk *Picker) weightsCost(now time.Time, cl Call, version uint64) (penalty time.Duration, end time.Time) {
-	for _, nm := range pk.wanted[cl.model] {
-		if nm.version <= version {
-			continue
-		}
-		// The first version that the server lacks decides, whatever was named since.
-		if now.Sub(nm.since) > freeGrace {
-			penalty = oldWeightsCost
-		}
-		return penalty, nm.since.Add(pk.oldLimit - limitSlack)
+	nm, ok := pk.firstMissed(cl.model, version)
+	if !ok {
+		return 0, time.Time{}
+	}
+	if now.Sub(nm.since) > freeGrace {
+		penalty = oldWeightsCost
 	}
-	return 0, time.Time{}
+	return penalty, nm.since.Add(pk.oldLimit - weight.ExpirySlack)
 }
--- a/core/weight/desk.go
+++ b/core/weight/desk.go
@@ -20,8 +20,6 @@
 	shortPart = 0.35
 	// hurryPart is the part of that time after which all engines that are still behind may leave together.
 	hurryPart = 0.75
-	// expirySlack is how long before the end of that time no call begins on old weights any more.
-	expirySlack = 600 * time.Millisecond
 	// drainLimit is how long an engine ends its calls before it loads; what still runs then is ended by the engine itself.
 	drainLimit = 500 * time.Millisecond
 	// askLife is how long an engine that asks counts as waiting; it asks again sooner.
@@ -30,6 +28,9 @@
 	loadLife = 5 * time.Second
 )
 
+// ExpirySlack is how long before the end of the time for old weights the last call is expected to begin on them.
+const ExpirySlack = 600 * time.Millisecond
+
 // Ask is the wish of an engine's tender to load newer weights.
 type Ask struct {
 	engine  string
@@ -108,7 +109,7 @@
 func (dk *Desk) Grant(now time.Time, ask Ask, engines int) Grant {
 	dk.expire(now)
 	delete(dk.loading, ask.engine)
-	if ask.behind >= dk.oldLimit-expirySlack {
+	if ask.behind >= dk.oldLimit-ExpirySlack {
 		// The engine serves nobody until it has loaded.
 		dk.load(now, ask)
 		return Load
@@ -121,8 +122,7 @@
 	if !ok {
 		return Stay
 	}
-	out := count(dk.loading, ask.service) + count(dk.draining, ask.service)
-	if out < max(engines/outPart, loads+1) && (ask.running == 0 || now.Sub(since) >= dk.part(shortPart)) {
+	if dk.out(ask.service) < max(engines/outPart, loads+1) && (ask.running == 0 || now.Sub(since) >= dk.part(shortPart)) {
 		delete(dk.short, ask.engine)
 		return dk.drain(now, ask, now, loads)
 	}
@@ -140,7 +140,7 @@
 	if ask.behind >= dk.part(hurryPart) {
 		away = engines
 	}
-	away -= count(dk.loading, ask.service) + count(dk.draining, ask.service) + count(dk.short, ask.service)
+	away -= dk.out(ask.service) + count(dk.short, ask.service)
 	if !dk.isNext(ask, away) {
 		return time.Time{}, false
 	}
@@ -148,6 +148,11 @@
 	return now, true
 }
 
+// out returns how many engines of a service load or end their calls.
+func (dk *Desk) out(service string) int {
+	return count(dk.loading, service) + count(dk.draining, service)
+}
+
 // part returns a part of the time for which old weights may be used.
 func (dk *Desk) part(share float64) time.Duration { return time.Duration(share * float64(dk.oldLimit)) }
 
