Tenders and gates decode the nodes' table once a change; a pull leaves no context behind; a tender keeps one grant

Seen on rereading: peers, the tender's gates and the count of senders each decoded all rows of the nodes' table, at each word, hint and repeat; gate.Listed does it at each change of the copy. pullOnce replaced the cancel function of a context that it had made, so that each first pull left one to the tender's end. Two flags of the watcher that excluded each other are the desk's last grant.

--- a/io/gate/directory.go
+++ b/io/gate/directory.go
@@ -82,19 +82,15 @@
 }
 
 // nodesChanged counts the gates whose callers are as near to the servers of a zone as those of this one.
-func (dr *directory) nodesChanged(ch feed.Change) {
-	zone, all := 0, 0
-	for _, rw := range ch.Rows {
-		nd, ok := ParseNode(rw)
-		if !ok || nd.Role != RoleGate {
-			continue
-		}
-		all++
+func (dr *directory) nodesChanged(feed.Change) {
+	zone := 0
+	gates := dr.gate.listed.Gates()
+	for _, nd := range gates {
 		if nd.Zone == dr.gate.opts.Zone {
 			zone++
 		}
 	}
-	dr.gate.picker.SetSenders(zone, all)
+	dr.gate.picker.SetSenders(zone, len(gates))
 }
 
 func (dr *directory) serversChanged(ch feed.Change) {
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -90,6 +90,7 @@
 	operators *feed.Copy
 	servers   *feed.Copy
 	nodes     *feed.Copy
+	listed    *Listed
 	shelf     *feed.Shelf
 	directory *directory
 	desk      desk
@@ -111,6 +112,7 @@
 		desk:      desk{desk: weight.NewDesk(opts.OldWeights)},
 		done:      make(chan struct{}),
 	}
+	gt.listed = NewListed(gt.nodes)
 	gt.budgets = newBudgets(opts.Budget, gt.gateCount)
 	gt.shelf = feed.NewShelf(gt.operators, gt.servers, gt.nodes)
 	gt.directory = newDirectory(gt)
--- /dev/null
+++ b/io/gate/nodes.go
@@ -0,0 +1,53 @@
+package gate
+
+import (
+	"encoding/json"
+	"sync/atomic"
+
+	"shallotcleat/io/feed"
+)
+
+// Node is the entry of one of the system's processes in the nodes' table.
+type Node struct {
+	// Role is RoleGate or RoleTender.
+	Role string `json:"role"`
+	// Address is the peer address of a gate, or that of a tender's engine.
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	// Service is that of a tender's engine.
+	Service string `json:"service,omitempty"`
+}
+
+// The roles of processes.
+const (
+	RoleGate   = "gate"
+	RoleTender = "tender"
+)
+
+// Listed keeps the gates that a copy of the nodes' table names; they are decoded once for each change.
+type Listed struct {
+	gates atomic.Pointer[[]Node]
+}
+
+// NewListed returns the gates of a copy. The copy must be changed as a whole only.
+func NewListed(cp *feed.Copy) *Listed {
+	ls := &Listed{}
+	ls.gates.Store(&[]Node{})
+	cp.Listen(ls.changed)
+	return ls
+}
+
+// Gates returns the gates; the slice must not be changed.
+func (ls *Listed) Gates() []Node { return *ls.gates.Load() }
+
+// changed takes the table's rows; entries that can't be read are passed over.
+func (ls *Listed) changed(ch feed.Change) {
+	gates := make([]Node, 0, len(ch.Rows))
+	for _, rw := range ch.Rows {
+		var nd Node
+		if err := json.Unmarshal(rw.Value(), &nd); err == nil && nd.Address != "" && nd.Role == RoleGate {
+			gates = append(gates, nd)
+		}
+	}
+	ls.gates.Store(&gates)
+}
--- a/io/gate/peers.go
+++ b/io/gate/peers.go
@@ -30,30 +30,6 @@
 	}
 }
 
-// Node is the entry of one of the system's processes in the nodes' table.
-type Node struct {
-	// Role is RoleGate or RoleTender.
-	Role string `json:"role"`
-	// Address is the peer address of a gate, or that of a tender's engine.
-	Address string `json:"address"`
-	Zone    string `json:"zone"`
-	// Service is that of a tender's engine.
-	Service string `json:"service,omitempty"`
-}
-
-// The roles of processes.
-const (
-	RoleGate   = "gate"
-	RoleTender = "tender"
-)
-
-// ParseNode returns the entry of a process in a row of the nodes' table, and false if it can't be read.
-func ParseNode(rw feed.Row) (Node, bool) {
-	var nd Node
-	err := json.Unmarshal(rw.Value(), &nd)
-	return nd, err == nil && nd.Address != ""
-}
-
 // peers returns the peer addresses of the other gates.
 func (gt *Gate) peers() []string {
 	known := map[string]bool{gt.opts.PeerAddress: true}
@@ -64,11 +40,8 @@
 			peers = append(peers, address)
 		}
 	}
-	rows, _ := gt.nodes.Rows("")
-	for _, rw := range rows {
-		if nd, ok := ParseNode(rw); ok && nd.Role == RoleGate {
-			add(nd.Address)
-		}
+	for _, nd := range gt.listed.Gates() {
+		add(nd.Address)
 	}
 	for _, seed := range gt.opts.Seeds {
 		add(seed)
--- a/io/tend/tell.go
+++ b/io/tend/tell.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"shallotcleat/core/weight"
 	"shallotcleat/io/wire"
 )
 
@@ -24,7 +25,7 @@
 }
 
 func (wt *watcher) word(loading bool) word {
-	return word{version: wt.seen.Version, loading: loading, short: wt.short}
+	return word{version: wt.seen.Version, loading: loading, short: wt.grant == weight.Short}
 }
 
 func (wt *watcher) tell(ctx context.Context, loading bool) {
@@ -106,7 +107,7 @@
 		Service:  wt.tender.opts.Service,
 		Zone:     wt.tender.opts.Zone,
 		Ask:      ask,
-		Short:    wt.short,
+		Short:    wt.grant == weight.Short,
 		Address:  wt.tender.opts.Address,
 	}
 }
--- a/io/tend/tender.go
+++ b/io/tend/tender.go
@@ -78,6 +78,7 @@
 	log       *logrus.Entry
 	operators *feed.Copy
 	nodes     *feed.Copy
+	listed    *gate.Listed
 	done      chan struct{}
 
 	// mu guards the fields below.
@@ -99,6 +100,7 @@
 		keeper:    weight.NewKeeper(),
 		wanted:    make(map[string]uint64),
 	}
+	td.listed = gate.NewListed(td.nodes)
 	td.operators.Listen(td.operatorsChanged)
 	return td
 }
@@ -187,14 +189,14 @@
 }
 
 // pullOnce takes later copies from a gate. One that was not reached before must answer at once.
-func (td *Tender) pullOnce(parent context.Context, address string, wants []feed.Interest, reached bool) error {
+func (td *Tender) pullOnce(ctx context.Context, address string, wants []feed.Interest, reached bool) error {
 	wait := pullWait
-	ctx, cancel := context.WithCancel(parent)
 	if !reached {
 		wait = 0
-		ctx, cancel = context.WithTimeout(parent, firstPullLimit)
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, firstPullLimit)
+		defer cancel()
 	}
-	defer cancel()
 	if _, err := feed.Pull(ctx, td.opts.Links, address, wants, wait); err != nil {
 		return fmt.Errorf("pull tables: %w", err)
 	}
@@ -228,14 +230,10 @@
 
 // gatesByZone returns the listed gates of the own zone and the others.
 func (td *Tender) gatesByZone() (near, far []string) {
-	rows, _ := td.nodes.Rows("")
-	for _, rw := range rows {
-		nd, ok := gate.ParseNode(rw)
-		switch {
-		case !ok || nd.Role != gate.RoleGate:
-		case nd.Zone == td.opts.Zone:
+	for _, nd := range td.listed.Gates() {
+		if nd.Zone == td.opts.Zone {
 			near = append(near, nd.Address)
-		default:
+		} else {
 			far = append(far, nd.Address)
 		}
 	}
--- a/io/tend/weights.go
+++ b/io/tend/weights.go
@@ -81,9 +81,8 @@
 	out time.Time
 	// busy is the number of the engine's calls that the gates were told last.
 	busy int
-	// short is set while the engine takes short calls only, draining while it takes none, before its load.
-	short    bool
-	draining bool
+	// grant is the desk's last answer while the engine is behind, beside that it may load.
+	grant weight.Grant
 }
 
 func newWatcher(td *Tender) *watcher {
@@ -103,9 +102,10 @@
 	fence, wanted := td.fence, td.keeper.Wanted()
 	td.mu.Unlock()
 	_, behind := step.(weight.AskDesk)
-	wt.draining = wt.draining && behind
-	wt.short = wt.short && behind
-	loading := wt.seen.Look.Busy() || wt.draining
+	if !behind {
+		wt.grant = weight.Stay
+	}
+	loading := wt.seen.Look.Busy() || wt.grant == weight.Drain
 	if wt.said.loading && !loading {
 		td.opts.Recorder.CountWeightLoad(now.Sub(wt.out))
 		td.log.WithFields(logrus.Fields{"event": "weights_loaded", "server": wt.id, "version": wt.seen.Version}).Info("the engine takes calls again")
@@ -126,28 +126,27 @@
 
 // ask asks a gate what to do about the engine's old weights, and does it.
 func (wt *watcher) ask(ctx context.Context, fence uint64) {
-	switch wt.tender.ask(ctx, wt.news(wt.draining, true)) {
+	gr := wt.tender.ask(ctx, wt.news(wt.grant == weight.Drain, true))
+	switch gr {
 	case weight.Load:
 		wt.order(ctx, fence)
-	case weight.Short:
-		wt.leave(ctx, true, false)
-	case weight.Drain:
-		wt.leave(ctx, false, true)
+	case weight.Short, weight.Drain:
+		wt.leave(ctx, gr)
 	case weight.Stay:
-		wt.short, wt.draining = false, false
+		wt.grant = gr
 	}
 }
 
 // leave tells the gates that the engine takes short calls only, or none, before it loads weights.
-func (wt *watcher) leave(ctx context.Context, short, draining bool) {
-	if wt.short == short && wt.draining == draining {
+func (wt *watcher) leave(ctx context.Context, gr weight.Grant) {
+	if wt.grant == gr {
 		return
 	}
-	wt.short, wt.draining = short, draining
+	wt.grant = gr
 	wt.tender.log.WithFields(logrus.Fields{
-		"event": "weights_drain", "server": wt.id, "version": wt.seen.Version, "running": wt.seen.Running, "short_calls": short,
+		"event": "weights_drain", "server": wt.id, "version": wt.seen.Version, "running": wt.seen.Running, "short_calls": gr == weight.Short,
 	}).Info("the engine ends its calls before it loads weights")
-	wt.tell(ctx, draining)
+	wt.tell(ctx, gr == weight.Drain)
 }
 
 // look sees the engine, and learns its id after each of its starts.
@@ -191,7 +190,7 @@
 	td.mu.Lock()
 	ln := td.keeper.Granted(time.Now())
 	td.mu.Unlock()
-	if !wt.draining {
+	if wt.grant != weight.Drain {
 		wt.tell(parent, true)
 	}
 	ctx, cancel := context.WithTimeout(parent, orderLimit)
--- a/io/tend/weights_test.go
+++ b/io/tend/weights_test.go
@@ -171,7 +171,7 @@
 	td.keeper.Want(2)
 	eye := newWatcher(td)
 	eye.step(ctx)
-	eye.leave(ctx, false, true)
+	eye.leave(ctx, weight.Drain)
 	eye.step(ctx)
 	engine.version = 2
 	eye.step(ctx)
