Gates obey Server-Leaving and a server's Retry-After

A server that leaves says so in each answer, and one that is full may ask for a pause; the gate read neither header, waited for the store's row, and took 300 ms in place of the server's time. Ruled out: the state that the picker keeps of a server (it is dropped while the directory does not list the server, so an outage would end a pause); a server's row alone (it comes later than the answer). Change: pick.restriction, kept by server id until a later start of the server; placement leaves such servers out; if all have asked for a pause, the caller is told the shortest at once; a last check right before the request is written, also of the deadline and of a caller that has left.

--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -68,6 +68,8 @@
 	hints []Hint
 	// slowdowns holds, by server id, the observed ratios that have not been sent to the peers yet.
 	slowdowns map[string]slowdownSum
+	// restrictions holds, by server id, what servers have said about new calls.
+	restrictions map[string]restriction
 }
 
 // New returns a picker for a process in an availability zone. No call starts on old weights later than oldWeightsGrace
@@ -82,6 +84,7 @@
 		view:            fleet.NewRegistry().View(),
 		states:          make(map[string]*state),
 		slowdowns:       make(map[string]slowdownSum),
+		restrictions:    make(map[string]restriction),
 		targets:         make(map[string][]announcedVersion),
 	}
 }
@@ -91,6 +94,7 @@
 	pk.mu.Lock()
 	defer pk.mu.Unlock()
 	pk.view = vw
+	pk.dropEndedRestrictions()
 	for id, st := range pk.states {
 		sv := vw.Server(id)
 		switch {
@@ -200,7 +204,7 @@
 	home := pk.homeServer(now, cl, servers, pk.zone)
 	candidates := make([]candidate, 0, len(servers))
 	for _, sv := range servers {
-		if sv.Draining() || excluded[sv.ID()] || pk.state(sv.ID()).replaced {
+		if sv.Draining() || excluded[sv.ID()] || pk.state(sv.ID()).replaced || pk.restrictions[sv.ID()].forbidsCalls(now) {
 			continue
 		}
 		version, loading := pk.weightVersion(now, sv, cl.model)
--- a/io/client/exchange.go
+++ b/io/client/exchange.go
@@ -30,6 +30,8 @@
 	Body   []byte
 	// AtMostOnce is set if the request must not run more than once; it is then sent only over a new or recently used connection.
 	AtMostOnce bool
+	// Permit is called right before the request is written; if it returns an error, Do fails with a *NotSentError. Nil permits.
+	Permit func() error
 	// Matches reports whether a response with this header belongs to the request; nil accepts every response.
 	Matches func(http.Header) bool
 }
@@ -48,6 +50,15 @@
 // Unwrap returns the cause.
 func (ee *ExchangeError) Unwrap() error { return ee.cause }
 
+// NotSentError means that no byte of the request was sent.
+type NotSentError struct{ cause error }
+
+// Error implements error.
+func (nse *NotSentError) Error() string { return "request not sent: " + nse.cause.Error() }
+
+// Unwrap returns the cause.
+func (nse *NotSentError) Unwrap() error { return nse.cause }
+
 // Response is the response to a request. The caller must close it. It is not safe for concurrent use.
 type Response struct {
 	Status int
@@ -71,7 +82,8 @@
 }
 
 // Do sends a request once and returns the response as soon as its header was received. It fails with *link.DialError if no
-// connection was established, so that no byte of the request was sent, and with *ExchangeError otherwise. Reading the body fails
+// connection was established and with *NotSentError if Permit failed, so that no byte of the request was sent in both cases, and
+// with *ExchangeError otherwise. Reading the body fails
 // once the context is done.
 func (pl *Pool) Do(ctx context.Context, address string, rq *Request) (*Response, error) {
 	usedAfter := time.Time{}
@@ -85,6 +97,12 @@
 			return nil, err
 		}
 	}
+	if rq.Permit != nil {
+		if err := rq.Permit(); err != nil {
+			cn.close()
+			return nil, &NotSentError{cause: err}
+		}
+	}
 	// A deadline in the past interrupts pending reads and writes.
 	stopCancel := context.AfterFunc(ctx, func() { _ = cn.net.SetDeadline(time.Unix(1, 0)) })
 	rs, err := pl.exchange(cn, rq)
--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"shallotcleat/core/answer"
 	"shallotcleat/core/pick"
 	"shallotcleat/io/client"
@@ -42,6 +44,7 @@
 	gt, rq := at.gate, at.rq
 	info := gt.opts.Dialect.DecodeResponse(resp.Status, resp.Header)
 	id := at.choice.Server().ID()
+	at.recordRestrictions(info)
 	if info.WeightVersion > 0 && rq.call.Model() != "" && !info.NotExecuted {
 		gt.picker.SetWeights(time.Now(), id, rq.call.Model(), info.WeightVersion, false)
 	}
@@ -59,6 +62,26 @@
 	return at.relayBuffered(requestCtx, resp)
 }
 
+// recordRestrictions records what the server said about further requests, unless another server responded at its address.
+func (at *attempt) recordRestrictions(info ResponseInfo) {
+	gt, sv := at.gate, at.choice.Server()
+	if info.ServerID != "" && info.ServerID != sv.ID() {
+		return
+	}
+	now := time.Now()
+	if info.Leaving && gt.picker.AcceptsCalls(now, sv.ID()) {
+		gt.log.WithFields(logrus.Fields{"event": "server_leaving", "server": sv.ID()}).Info("server announced that it stops")
+	}
+	if info.Leaving {
+		gt.picker.MarkLeaving(now, sv)
+	}
+	if info.RetryAfter > 0 {
+		gt.picker.Pause(now, sv, info.RetryAfter)
+		gt.log.WithFields(logrus.Fields{"event": "server_paused", "server": sv.ID(), "pause_ms": info.RetryAfter.Milliseconds()}).
+			Info("server asked for no requests for a while")
+	}
+}
+
 func isEventStream(hd http.Header) bool {
 	mediaType, _, err := mime.ParseMediaType(hd.Get("Content-Type"))
 	return err == nil && mediaType == "text/event-stream"
--- a/io/gate/dialect.go
+++ b/io/gate/dialect.go
@@ -59,6 +59,10 @@
 	ServerID string
 	// WeightVersion is the version of the weights that the server used, or zero.
 	WeightVersion uint64
+	// Leaving is set if the server announces that it stops.
+	Leaving bool
+	// RetryAfter is how long the server, which rejected the request, wants no other one; zero if it did not say.
+	RetryAfter time.Duration
 }
 
 // Dialect translates between the headers and rows of a platform and the types of this package.
--- a/io/gate/run.go
+++ b/io/gate/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -55,7 +56,7 @@
 		now := time.Now()
 		ch, ok := gt.picker.Choose(now, rq.call, rq.excluded)
 		if !ok {
-			return last
+			return gt.noServerError(now, rq, last)
 		}
 		if er := gt.shed(rq, ch); er != nil {
 			return er
@@ -80,6 +81,16 @@
 	}
 }
 
+// noServerError returns the error of a request for which no further server can be chosen; last is that of its last attempt. If all
+// servers have asked for a pause, the caller is told to return after the shortest.
+func (gt *Gate) noServerError(now time.Time, rq *request, last *answer.Error) *answer.Error {
+	pause, ok := gt.picker.PausedFor(now, rq.service.Name())
+	if !ok || last.Outcome() != answer.NotRun {
+		return last
+	}
+	return answer.NewError(answer.Overloaded, answer.NotRun, pause, "all servers of service %q asked for a pause", rq.service.Name())
+}
+
 // worseError returns the error to report after two attempts: the response may state that the request did not run only if that
 // is true of both.
 func worseError(last, er *answer.Error) *answer.Error {
@@ -119,7 +130,7 @@
 	}
 	at.watchdog = time.AfterFunc(timeout, onTimeout)
 	defer at.watchdog.Stop()
-	resp, err := gt.connPool.Do(ctx, ch.Server().Address(), gt.encodeRequest(rq, ch))
+	resp, err := gt.connPool.Do(ctx, ch.Server().Address(), gt.encodeRequest(ctx, rq, ch))
 	if err != nil {
 		return at.endNoResponse(parent, err)
 	}
@@ -141,7 +152,7 @@
 }
 
 // encodeRequest returns the request to send to a server.
-func (gt *Gate) encodeRequest(rq *request, ch pick.Choice) *client.Request {
+func (gt *Gate) encodeRequest(ctx context.Context, rq *request, ch pick.Choice) *client.Request {
 	info := AttemptInfo{
 		ServerID:    ch.Server().ID(),
 		Timeout:     time.Until(rq.deadline),
@@ -163,6 +174,7 @@
 		Header:     gt.opts.Dialect.EncodeRequest(rq.header, info),
 		Body:       rq.body,
 		AtMostOnce: rq.route.AtMostOnce(),
+		Permit:     func() error { return gt.permit(ctx, rq, ch) },
 		Matches: func(hd http.Header) bool {
 			id := gt.opts.Dialect.DecodeResponse(0, hd).RequestID
 			return id == "" || id == rq.info.RequestID
@@ -170,6 +182,24 @@
 	}
 }
 
+// errServerRestricted is the reason why a request is not sent to its chosen server after all.
+var errServerRestricted = errors.New("server is leaving or has asked for a pause")
+
+// permit checks, right before a request is sent, that its caller still waits and its server still takes requests: the connection may
+// have taken a while.
+func (gt *Gate) permit(ctx context.Context, rq *request, ch pick.Choice) error {
+	now := time.Now()
+	switch {
+	case ctx.Err() != nil:
+		return fmt.Errorf("request ended: %w", ctx.Err())
+	case !now.Before(rq.deadline):
+		return context.DeadlineExceeded
+	case !gt.picker.AcceptsCalls(now, ch.Server().ID()):
+		return errServerRestricted
+	}
+	return nil
+}
+
 // cacheSalt returns a salt that separates cached prompt prefixes of different weight versions and of isolated workspaces. If the
 // version is unknown, the salt is unique to the request, so that nothing is shared.
 func cacheSalt(rq *request, version uint64) string {
@@ -186,8 +216,15 @@
 // endNoResponse ends an attempt that got no response.
 func (at *attempt) endNoResponse(requestCtx context.Context, err error) (attemptResult, *answer.Error) {
 	var de *link.DialError
+	var nse *client.NotSentError
 	now := time.Now()
 	switch {
+	case errors.As(err, &nse):
+		at.pickAttempt.End(now, pick.Abandoned)
+		if errors.Is(err, errServerRestricted) {
+			return notRun, answer.NewError(answer.Overloaded, answer.NotRun, busyRetryAfter, "%v", err)
+		}
+		return notRun, answer.NewError(answer.DeadlineExceeded, answer.NotRun, serverRetryAfter, "%v", err)
 	case errors.As(err, &de) && requestCtx.Err() == nil:
 		at.pickAttempt.End(now, pick.NoResponse)
 		return notRun, answer.NewError(answer.ServerUnreachable, answer.NotRun, serverRetryAfter, "%v", err)
