Responses without end are bounded in bytes and time

Ruled out: a lower bound on one body alone (many of them still exceed the memory). Change: 64 KB for a header with its interim responses, on the gate's, the store's and the engine's client; at most 16 KB and 20 ms to drain a rejection; bodies share 16 MB beyond 64 KB each; a skipped response must end, and two are skipped as the constant says, not three; comments do not stop the watchdog of a stream's first event.

--- a/io/client/exchange.go
+++ b/io/client/exchange.go
@@ -124,6 +124,7 @@
 	} else {
 		writeResult <- nil
 	}
+	cn.limit.beginHead()
 	for {
 		resp, err := http.ReadResponse(cn.reader, &http.Request{Method: rq.Method})
 		if err != nil {
@@ -132,15 +133,13 @@
 		if resp.StatusCode < 200 {
 			continue
 		}
+		cn.limit.beginBody()
 		if rq.Matches != nil && !rq.Matches(resp.Header) {
 			// The server sent a late second response to an earlier request; the response to this request follows it.
-			if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBodyBytes)); err != nil || resp.Close {
-				return nil, &ExchangeError{address: cn.address, cause: errUnmatchedResponse}
-			}
-			cn.skipped++
-			if cn.skipped > maxSkippedResponses+1 {
+			if !cn.skip(resp) {
 				return nil, &ExchangeError{address: cn.address, cause: errUnmatchedResponse}
 			}
+			cn.limit.beginHead()
 			continue
 		}
 		cn.skipped = 0
@@ -159,6 +158,17 @@
 	}
 }
 
+// skip reads an unmatched response to its end and reports whether the connection may still be used: the response was not too long,
+// and not too many were skipped since the last matching one.
+func (cn *conn) skip(resp *http.Response) bool {
+	cn.skipped++
+	if resp.Close || cn.skipped > maxSkippedResponses {
+		return false
+	}
+	count, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBodyBytes+1))
+	return err == nil && count <= maxSkippedBodyBytes
+}
+
 // Limits of skipped responses to other requests.
 const (
 	maxSkippedBodyBytes = 1 << 20
@@ -223,16 +233,20 @@
 	return rs.reader
 }
 
-// ReadAll returns the whole body; it fails if the body is longer than limit bytes.
-func (rs *Response) ReadAll(limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(rs, limit+1))
-	if err != nil {
-		return nil, fmt.Errorf("read body: %w", err)
+// Drain reads the rest of the body and ignores it, so that Close can return the connection to the pool. If that takes longer than
+// timeout or more than limit bytes, it stops, and Close closes the connection.
+func (rs *Response) Drain(limit int64, timeout time.Duration) error {
+	if err := rs.conn.net.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		return &ExchangeError{address: rs.conn.address, cause: err}
 	}
-	if int64(len(body)) > limit {
-		return nil, &ExchangeError{address: rs.conn.address, cause: errors.New("body exceeds the length limit")}
+	if _, err := io.Copy(io.Discard, io.LimitReader(rs, limit)); err != nil {
+		return fmt.Errorf("drain body: %w", err)
 	}
-	return body, nil
+	if err := rs.conn.net.SetReadDeadline(time.Time{}); err != nil {
+		rs.reusable = false
+		return &ExchangeError{address: rs.conn.address, cause: err}
+	}
+	return nil
 }
 
 // Close returns the connection to the pool if it may be reused, the whole response was read and nothing follows it. Otherwise it
--- a/io/client/pool.go
+++ b/io/client/pool.go
@@ -41,7 +41,9 @@
 
 // conn is a connection; it serves one request at a time.
 type conn struct {
-	net     net.Conn
+	net net.Conn
+	// limit bounds the bytes that reader takes from net; it is set for each header.
+	limit   *readLimit
 	reader  *bufio.Reader
 	address string
 	// expires is the time from which the idle connection must not be reused.
@@ -127,7 +129,8 @@
 	if err != nil {
 		return nil, link.NewDialError(address, err)
 	}
-	return &conn{net: nc, reader: bufio.NewReaderSize(nc, bufferBytes), address: address, idleTime: maxIdleTime}, nil
+	limit := &readLimit{reader: nc}
+	return &conn{net: nc, limit: limit, reader: bufio.NewReaderSize(limit, bufferBytes), address: address, idleTime: maxIdleTime}, nil
 }
 
 func setUserTimeout(_, _ string, rc syscall.RawConn) error {
--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -91,7 +91,7 @@
 func (at *attempt) endRejected(resp *client.Response, info ResponseInfo) (attemptResult, *answer.Error) {
 	at.watchdog.Stop()
 	// The body is drained so that the connection can be reused; its content is ignored.
-	if _, err := resp.ReadAll(maxResponseBytes); err != nil {
+	if err := resp.Drain(maxDrainBytes, drainTimeout); err != nil {
 		at.gate.log.WithError(err).Debug("reading the body of a rejection failed")
 	}
 	at.pickAttempt.End(time.Now(), pick.Rejected)
@@ -107,7 +107,7 @@
 
 // relayBuffered reads a response that is not a stream and relays it once it is complete.
 func (at *attempt) relayBuffered(requestCtx context.Context, resp *client.Response) (attemptResult, *answer.Error) {
-	body, err := resp.ReadAll(maxResponseBytes)
+	body, err := at.gate.bodies.readAll(resp)
 	if err != nil {
 		return at.endBroken(requestCtx, err)
 	}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -88,6 +88,7 @@
 	stopping         atomic.Bool
 	closeConnections atomic.Bool
 	retryBudgets     *retryBudgets
+	bodies           bodies
 	// meter measures how much work each workspace sends to engines.
 	meter *share.Meter
 
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -39,7 +39,9 @@
 			continue
 		}
 		if len(bytes.TrimSpace(event)) > 0 {
-			at.recordFirstEvent()
+			if hasField(event) {
+				at.recordFirstEvent()
+			}
 			if err := rq.response.writeEvent(resp, event); err != nil {
 				at.pickAttempt.End(time.Now(), pick.Abandoned)
 				return mayHaveRun, answer.NewError(answer.StreamBroken, answer.Unknown, 0, "write to caller: %v", err)
@@ -67,6 +69,16 @@
 	return responded, nil
 }
 
+// hasField reports whether an event has a field; one of comments only is no sign of progress.
+func hasField(event []byte) bool {
+	for _, line := range bytes.Split(event, []byte("\n")) {
+		if line = bytes.TrimSpace(line); len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // eventID returns the id of an event, and whether the event has a numeric id.
 func eventID(event []byte) (int64, bool) {
 	for _, line := range strings.Split(string(event), "\n") {
--- a/io/gate/run.go
+++ b/io/gate/run.go
@@ -28,8 +28,9 @@
 	aliveTimeoutFraction = 0.6
 	// aliveTimeoutFactor is the minimum response timeout of such an engine as a multiple of the expected time to the first event.
 	aliveTimeoutFactor = 4
-	// maxResponseBytes is the maximum size of a response body that is not a stream.
-	maxResponseBytes = 8 << 20
+	// maxDrainBytes and drainTimeout bound the reading of a rejection's body, which keeps the connection for the next request.
+	maxDrainBytes = 16 << 10
+	drainTimeout  = 20 * time.Millisecond
 )
 
 // attemptResult is the result of an attempt for the request.
