A restore of the store from a backup regresses nothing in gates and tenders

A copy refused every lower revision, so a gate kept rows that no longer existed and missed new ones under reused versions, reading the whole table again and again; nobody wrote the rows of gates and tenders again; a fencing number could go down; a gate that started after the restore took back a withdrawn key and a server that had left. Ruled out: clearing the copies (a configuration once in force would regress); a position of two numbers in each message (one ordered number, generation above count as in ZooKeeper's transaction ids, needs no change of messages and of what compares revisions, and fencing numbers grow). Also: a pull hears of deletions under a prefix and of changes in every copy; a follower pauses between reads of a whole table.

--- a/core/fleet/registry.go
+++ b/core/fleet/registry.go
@@ -10,6 +10,13 @@
 // after the outage. Running servers write their entries again within about two seconds.
 const reregisterGrace = 2200 * time.Millisecond
 
+// departureTTL is how long a server that has left is remembered; a restored directory may be as old.
+const departureTTL = 2 * time.Minute
+
+// outdatedTTL is how long the entry of a server that has left may stay in a restored directory. Directories delete an entry that is not
+// written again sooner; one that stays was written again after all.
+const outdatedTTL = 10 * time.Second
+
 // unlistedTTL is how long a server that the directory does not list yet stays in use after its tender's last report.
 const unlistedTTL = 5 * time.Second
 
@@ -54,6 +61,50 @@
 	superseded map[string]bool
 	// trustedFrom is the time from which a missing entry means that the server has left.
 	trustedFrom time.Time
+	// departed holds the servers that were deleted within the last departureTTL.
+	departed map[string]departedServer
+	// outdated holds entries that a restored directory still has of servers that have left or are draining, until they are written
+	// again or outdatedTTL has passed.
+	outdated map[string]outdatedEntry
+}
+
+// Departure identifies a run of a server that has left or is draining, and the last directory entry that it wrote.
+type Departure struct {
+	id             string
+	startUnixMilli int64
+	sequence       uint64
+}
+
+// NewDeparture returns a departure: the id of the run, its start time, and the sequence number of its last entry.
+func NewDeparture(id string, startUnixMilli int64, sequence uint64) Departure {
+	return Departure{id: id, startUnixMilli: startUnixMilli, sequence: sequence}
+}
+
+func (sv *Server) departure() Departure { return NewDeparture(sv.id, sv.startUnixMilli, sv.sequence) }
+
+// ID returns the id of the run.
+func (dp Departure) ID() string { return dp.id }
+
+// StartUnixMilli returns the start time of the run in milliseconds since the Unix epoch, or zero if unknown.
+func (dp Departure) StartUnixMilli() int64 { return dp.startUnixMilli }
+
+// Sequence returns the sequence number of the last entry.
+func (dp Departure) Sequence() uint64 { return dp.sequence }
+
+// covers reports whether a directory entry is from before the departure.
+func (dp Departure) covers(sv *Server) bool {
+	return dp.id == sv.id && dp.startUnixMilli == sv.startUnixMilli && sv.sequence <= dp.sequence
+}
+
+// departedServer is a departure with the time at which it was noticed.
+type departedServer struct {
+	departure Departure
+	at        time.Time
+}
+
+type outdatedEntry struct {
+	server  *Server
+	expires time.Time
 }
 
 // NewRegistry returns an empty registry.
@@ -64,6 +115,8 @@
 		unlistedUntil: make(map[string]time.Time),
 		latestRun:     make(map[string]string),
 		superseded:    make(map[string]bool),
+		departed:      make(map[string]departedServer),
+		outdated:      make(map[string]outdatedEntry),
 	}
 }
 
@@ -75,8 +128,66 @@
 	}
 }
 
+// PutRestored is Put for an entry of a directory that was just restored from a backup. The entry may be from before the server
+// began to drain or left; it is ignored unless the server has written it since.
+func (rg *Registry) PutRestored(now time.Time, sv *Server) {
+	last, ok := rg.departed[sv.id]
+	departure := last.departure
+	if listed := rg.servers[sv.id]; listed != nil {
+		departure, ok = listed.departure(), listed.draining
+	}
+	if ok && departure.covers(sv) {
+		rg.outdated[sv.id] = outdatedEntry{server: sv, expires: now.Add(outdatedTTL)}
+		return
+	}
+	rg.Put(sv)
+}
+
+// Departures returns the servers that have left lately or are draining.
+func (rg *Registry) Departures() []Departure {
+	var departures []Departure
+	for _, dp := range rg.departed {
+		departures = append(departures, dp.departure)
+	}
+	for _, sv := range rg.servers {
+		if sv.draining {
+			departures = append(departures, sv.departure())
+		}
+	}
+	return departures
+}
+
+// AddDepartures records servers that a peer has seen leave, and reports whether one of them was in use: its entry comes from a restored
+// directory, or is not yet written again.
+func (rg *Registry) AddDepartures(now time.Time, departures []Departure) bool {
+	changed := false
+	for _, dp := range departures {
+		if sv := rg.servers[dp.id]; sv != nil {
+			if sv.draining || !dp.covers(sv) {
+				continue
+			}
+			rg.outdated[dp.id] = outdatedEntry{server: sv, expires: now.Add(outdatedTTL)}
+			rg.deleteServer(now, dp.id)
+			changed = true
+		}
+		rg.departed[dp.id] = departedServer{departure: dp, at: now}
+	}
+	return changed
+}
+
+// isOutdated reports whether an entry is the one that PutRestored has ignored.
+func (rg *Registry) isOutdated(sv *Server) bool {
+	oe, ok := rg.outdated[sv.id]
+	return ok && oe.server.startUnixMilli == sv.startUnixMilli && oe.server.sequence == sv.sequence && oe.server.draining == sv.draining
+}
+
 // Put adds or replaces a server according to its current directory entry. A later run under the same id is not superseded.
 func (rg *Registry) Put(sv *Server) {
+	if rg.isOutdated(sv) {
+		return
+	}
+	delete(rg.outdated, sv.id)
+	delete(rg.departed, sv.id)
 	if old, ok := rg.servers[sv.id]; ok && sv.startUnixMilli > old.startUnixMilli {
 		delete(rg.superseded, sv.id)
 	}
@@ -128,12 +239,13 @@
 // Remove records that the entry of a server has disappeared. During and right after an outage, the server stays in use for a grace
 // period unless it is draining; otherwise Remove deletes it. Servers that are not listed yet are kept.
 func (rg *Registry) Remove(now time.Time, id string) {
+	delete(rg.outdated, id)
 	sv, ok := rg.servers[id]
 	if _, unlisted := rg.unlistedUntil[id]; !ok || unlisted {
 		return
 	}
 	if sv.draining || !now.Before(rg.trustedFrom) {
-		rg.deleteServer(id)
+		rg.deleteServer(now, id)
 		return
 	}
 	if _, ok := rg.missingUntil[id]; !ok {
@@ -150,25 +262,41 @@
 	}
 }
 
-// Expire deletes the missing and unlisted servers whose deadline has passed, and reports whether there were any.
+// Expire deletes the missing and unlisted servers whose deadline has passed, takes outdated entries that the directory has kept after
+// all, and reports whether there were any.
 func (rg *Registry) Expire(now time.Time) bool {
-	deleted := false
+	changed := false
 	for id, deadline := range rg.missingUntil {
 		if !now.Before(deadline) {
-			rg.deleteServer(id)
-			deleted = true
+			rg.deleteServer(now, id)
+			changed = true
 		}
 	}
 	for id, deadline := range rg.unlistedUntil {
 		if !now.Before(deadline) {
-			rg.deleteServer(id)
-			deleted = true
+			rg.deleteServer(now, id)
+			changed = true
 		}
 	}
-	return deleted
+	for id, oe := range rg.outdated {
+		if !now.Before(oe.expires) {
+			delete(rg.outdated, id)
+			rg.Put(oe.server)
+			changed = true
+		}
+	}
+	for id, dp := range rg.departed {
+		if now.Sub(dp.at) > departureTTL {
+			delete(rg.departed, id)
+		}
+	}
+	return changed
 }
 
-func (rg *Registry) deleteServer(id string) {
+func (rg *Registry) deleteServer(now time.Time, id string) {
+	if sv, ok := rg.servers[id]; ok {
+		rg.departed[id] = departedServer{departure: sv.departure(), at: now}
+	}
 	if sv, ok := rg.servers[id]; ok && rg.latestRun[sv.address] == id {
 		delete(rg.latestRun, sv.address)
 	}
--- a/core/fleet/registry_test.go
+++ b/core/fleet/registry_test.go
@@ -110,3 +110,67 @@
 		t.Error("repeated report counted as a change")
 	}
 }
+
+func sequencedServer(id string, draining bool, sequence uint64) *Server {
+	return newTestServer(id, "10.0.0.1:80", draining).WithSequence(sequence)
+}
+
+// A restored directory neither brings back servers that have left nor ends a drain, unless the server has written its entry since. An
+// entry that stays in the directory is taken after outdatedTTL.
+func TestRestoredEntriesOfDepartedServersAreIgnored(t *testing.T) {
+	now := time.Unix(1000, 0)
+	rg := NewRegistry()
+	for _, id := range []string{"left", "draining", "alive", "restarted"} {
+		rg.Put(sequencedServer(id, false, 5))
+	}
+	rg.Remove(now, "left")
+	rg.Remove(now, "restarted")
+	rg.Put(sequencedServer("draining", true, 6))
+	rg.RecordOutage(now)
+	for _, id := range []string{"left", "draining", "alive"} {
+		rg.PutRestored(now, sequencedServer(id, false, 4))
+	}
+	rg.PutRestored(now, NewServer("restarted", "10.0.0.1:80", "a", "chat", 8, false, 2, nil).WithSequence(1))
+	vw := rg.View()
+	if vw.Server("left") != nil || !vw.Server("draining").Draining() || vw.Server("alive") == nil || vw.Server("restarted") == nil {
+		t.Errorf("got left %v, draining %v, alive %v, restarted %v", vw.Server("left"), vw.Server("draining"), vw.Server("alive"),
+			vw.Server("restarted"))
+	}
+	// Another full read reports the same entry; then the server writes it.
+	rg.Put(sequencedServer("left", false, 4))
+	if rg.View().Server("left") != nil {
+		t.Error("a second read restored the server that left")
+	}
+	rg.Put(sequencedServer("left", false, 7))
+	if rg.View().Server("left") == nil {
+		t.Error("the server is not used although it wrote its entry again")
+	}
+	rg.Expire(now.Add(outdatedTTL))
+	if rg.View().Server("draining").Draining() {
+		t.Error("the entry that stays in the directory is still ignored")
+	}
+}
+
+// A process learns from a peer of servers that have left, but not of those that have written their entries since.
+func TestDeparturesOfPeer(t *testing.T) {
+	now := time.Unix(1000, 0)
+	peer, rg := NewRegistry(), NewRegistry()
+	for _, id := range []string{"left", "back", "draining"} {
+		peer.Put(sequencedServer(id, false, 5))
+	}
+	peer.Remove(now, "left")
+	peer.Remove(now, "back")
+	peer.Put(sequencedServer("draining", true, 6))
+	rg.Put(sequencedServer("left", false, 4))
+	rg.Put(sequencedServer("back", false, 7))
+	rg.Put(sequencedServer("draining", false, 4))
+	if !rg.AddDepartures(now, peer.Departures()) {
+		t.Error("no change reported")
+	}
+	if vw := rg.View(); vw.Server("left") != nil || vw.Server("draining") != nil || vw.Server("back") == nil {
+		t.Errorf("got left %v, draining %v, back %v", vw.Server("left"), vw.Server("draining"), vw.Server("back"))
+	}
+	if rg.AddDepartures(now, peer.Departures()) {
+		t.Error("the same departures reported as a change again")
+	}
+}
--- a/core/fleet/server.go
+++ b/core/fleet/server.go
@@ -13,6 +13,8 @@
 	draining bool
 	// startUnixMilli is the start time of the process in milliseconds since the Unix epoch, or zero if unknown.
 	startUnixMilli int64
+	// sequence counts the writes of the directory entry since the start.
+	sequence       uint64
 	weightVersions map[string]uint64
 }
 
@@ -32,6 +34,13 @@
 	}
 }
 
+// WithSequence returns a copy of the server with the number of times that its directory entry was written since its start.
+func (sv *Server) WithSequence(sequence uint64) *Server {
+	out := *sv
+	out.sequence = sequence
+	return &out
+}
+
 // ID returns the id of the run; the server rejects calls that are addressed to another id.
 func (sv *Server) ID() string { return sv.id }
 
--- a/io/feed/copy.go
+++ b/io/feed/copy.go
@@ -1,6 +1,8 @@
 package feed
 
 import (
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 )
@@ -11,23 +13,39 @@
 	Rows []Row
 	// Full reports that Rows holds all rows of the copy and no tombstones.
 	Full bool
+	// Restored reports that the store was restored from a backup since the last change: rows that were written shortly before are
+	// missing or old, and rows that were deleted shortly before are back.
+	Restored bool
 }
 
+// ContentVersion returns the version that the writer of a row gave its content, which the writer never lowers; ok is false if the row
+// has none.
+type ContentVersion func(rw Row) (version uint64, ok bool)
+
 // Copy is a local copy of one table. Its methods are safe for concurrent use.
 type Copy struct {
 	table string
+	// contentVersion is nil if the rows have no versions of their own.
+	contentVersion ContentVersion
 
 	// mu guards the fields below. It is held while listeners run, so that they receive changes in order.
 	mu        sync.Mutex
 	rows      map[string]Row
 	revision  uint64
-	changed   chan struct{}
 	listeners []func(Change)
 }
 
 // NewCopy returns an empty copy of the table at revision 0.
 func NewCopy(table string) *Copy {
-	return &Copy{table: table, rows: make(map[string]Row), changed: make(chan struct{})}
+	return &Copy{table: table, rows: make(map[string]Row)}
+}
+
+// NewVersionedCopy returns an empty copy of a table whose rows have content versions. Across a restore of the store, it keeps a row with
+// a later content version than the restored one until the row is written again.
+func NewVersionedCopy(table string, version ContentVersion) *Copy {
+	cp := NewCopy(table)
+	cp.contentVersion = version
+	return cp
 }
 
 // Table returns the name of the table.
@@ -48,13 +66,6 @@
 	return cp.revision
 }
 
-// Changed returns a channel that is closed on the next change.
-func (cp *Copy) Changed() <-chan struct{} {
-	cp.mu.Lock()
-	defer cp.mu.Unlock()
-	return cp.changed
-}
-
 // Rows returns the rows whose keys begin with prefix, in unspecified order, and the revision of the copy.
 func (cp *Copy) Rows(prefix string) ([]Row, uint64) {
 	cp.mu.Lock()
@@ -76,15 +87,73 @@
 	if revision < cp.revision || revision == 0 {
 		return false
 	}
+	restored := cp.revision > 0 && Generation(revision) > Generation(cp.revision)
+	old := cp.rows
 	cp.revision = revision
 	cp.rows = make(map[string]Row, len(rows))
 	for _, rw := range rows {
 		cp.rows[rw.key] = rw
 	}
-	cp.notify(Change{Rows: rows, Full: true})
+	for _, rw := range old {
+		if cp.isKept(rw) && cp.hasNewerContent(rw, cp.rows[rw.key]) {
+			cp.rows[rw.key] = rw
+		}
+	}
+	cp.notify(Change{Rows: slices.Collect(maps.Values(cp.rows)), Full: true, Restored: restored})
 	return true
 }
 
+// Keep adds those rows of a peer's copy that the peer has kept from before the last restore and whose content is newer, and reports
+// whether there were any.
+func (cp *Copy) Keep(rows []Row) bool {
+	cp.mu.Lock()
+	defer cp.mu.Unlock()
+	var newer []Row
+	for _, rw := range rows {
+		if cp.isKept(rw) && cp.hasNewerContent(rw, cp.rows[rw.key]) {
+			cp.rows[rw.key] = rw
+			newer = append(newer, rw)
+		}
+	}
+	if len(newer) > 0 {
+		cp.notify(Change{Rows: newer})
+	}
+	return len(newer) > 0
+}
+
+// KeptVersions returns the sum of the content versions of the rows whose keys begin with prefix and that were kept from before the last
+// restore. Of two copies, the one with the lower sum lacks content.
+func (cp *Copy) KeptVersions(prefix string) uint64 {
+	cp.mu.Lock()
+	defer cp.mu.Unlock()
+	var sum uint64
+	for key, rw := range cp.rows {
+		if cp.contentVersion == nil || !cp.isKept(rw) || !strings.HasPrefix(key, prefix) {
+			continue
+		}
+		if version, ok := cp.contentVersion(rw); ok {
+			sum += version
+		}
+	}
+	return sum
+}
+
+// isKept reports whether a row was written before the last restore of the store. The caller holds mu.
+func (cp *Copy) isKept(rw Row) bool { return Generation(rw.revision) < Generation(cp.revision) }
+
+// hasNewerContent reports whether a row has a later content version than another, which may be the zero row. The caller holds mu.
+func (cp *Copy) hasNewerContent(rw, other Row) bool {
+	if cp.contentVersion == nil || other.deleted {
+		return false
+	}
+	version, ok := cp.contentVersion(rw)
+	if !ok {
+		return false
+	}
+	otherVersion, ok := cp.contentVersion(other)
+	return !ok || version > otherVersion
+}
+
 // Apply applies the changes that follow revision after, up to the given revision. It skips rows that a concurrent Replace has
 // already covered, and does nothing if the copy is older than after or not older than revision.
 func (cp *Copy) Apply(rows []Row, after, revision uint64) {
@@ -98,6 +167,9 @@
 		if rw.revision <= cp.revision {
 			continue
 		}
+		if old, ok := cp.rows[rw.key]; ok && cp.isKept(old) && cp.hasNewerContent(old, rw) {
+			continue
+		}
 		newer = append(newer, rw)
 		if rw.deleted {
 			delete(cp.rows, rw.key)
@@ -111,11 +183,9 @@
 	}
 }
 
-// notify calls the listeners and closes the channel that Changed returned. The caller holds mu.
+// notify calls the listeners. The caller holds mu.
 func (cp *Copy) notify(ch Change) {
 	for _, listener := range cp.listeners {
 		listener(ch)
 	}
-	close(cp.changed)
-	cp.changed = make(chan struct{})
 }
--- a/io/feed/copy_test.go
+++ b/io/feed/copy_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
 
 	"shallotcleat/io/wire"
 )
@@ -122,3 +123,93 @@
 		}
 	}
 }
+
+// Checks that a pull under a key prefix hears of a deletion, and that a change of any copy ends its wait.
+func TestPullHearsOfDeletionsInEveryCopy(t *testing.T) {
+	var copies []*Copy
+	for _, table := range []string{"t1", "t2", "t3", "t4"} {
+		cp := NewCopy(table)
+		cp.Replace([]Row{NewRow("x/1", []byte("1"), 3), NewRow("x/2", []byte("2"), 3)}, 4)
+		copies = append(copies, cp)
+	}
+	ps := NewPullServer(copies...)
+	for _, cp := range copies {
+		rq := &wire.PullRequest{WaitMs: 10_000, Known: []*wire.KnownTable{
+			{Table: cp.Table(), Prefix: "x/", Revision: 4, Rows: proto.Uint32(2)}}}
+		go func() {
+			time.Sleep(20 * time.Millisecond)
+			cp.Apply([]Row{NewTombstone("x/1", 5)}, 4, 5)
+		}()
+		start := time.Now()
+		reply := ps.Serve(t.Context(), rq)
+		if len(reply.GetCopies()) != 1 || len(reply.GetCopies()[0].GetRows()) != 1 {
+			t.Errorf("%s: got reply %v after %s, want the remaining row", cp.Table(), reply, time.Since(start))
+		}
+	}
+}
+
+// versionByValue takes the length of a row's value as its content version.
+func versionByValue(rw Row) (uint64, bool) { return uint64(len(rw.Value())), len(rw.Value()) > 0 }
+
+// Checks that a copy takes the rows of a restored store, but keeps a row with newer content until it is written again, and that peers
+// pass such rows on.
+func TestCopyKeepsNewerContentAcrossRestore(t *testing.T) {
+	cp := NewVersionedCopy("t", versionByValue)
+	var restores int
+	cp.Subscribe(func(ch Change) {
+		if ch.Restored {
+			restores++
+		}
+	})
+	cp.Replace([]Row{NewRow("a", []byte("vvv"), NewRevision(1, 9)), NewRow("b", []byte("v"), NewRevision(1, 8))}, NewRevision(1, 9))
+	if !cp.Replace([]Row{NewRow("a", []byte("v"), NewRevision(2, 3)), NewRow("b", []byte("vv"), NewRevision(2, 4))}, NewRevision(2, 5)) {
+		t.Fatal("the restored rows were refused")
+	}
+	if values := valuesByKey(cp); values["a"] != "vvv" || values["b"] != "vv" || restores != 1 {
+		t.Errorf("got rows %v after %d restores", values, restores)
+	}
+	if cp.Replace([]Row{NewRow("b", []byte("v"), NewRevision(1, 20))}, NewRevision(1, 20)) {
+		t.Error("rows of before the restore were accepted")
+	}
+
+	peer := NewVersionedCopy("t", versionByValue)
+	peer.Replace([]Row{NewRow("a", []byte("v"), NewRevision(2, 3)), NewRow("b", []byte("vv"), NewRevision(2, 4))}, NewRevision(2, 5))
+	ps := NewPullServer(cp)
+	rq := &wire.PullRequest{Known: []*wire.KnownTable{{Table: "t", Revision: peer.Revision(), Kept: peer.KeptVersions("")}}}
+	reply := ps.Serve(t.Context(), rq)
+	if len(reply.GetCopies()) != 1 || !peer.Keep(fromWire(reply.GetCopies()[0].GetRows())) || valuesByKey(peer)["a"] != "vvv" {
+		t.Fatalf("got reply %v, rows %v", reply, valuesByKey(peer))
+	}
+	rq.Known[0].Kept = peer.KeptVersions("")
+	if reply = ps.Serve(t.Context(), rq); len(reply.GetCopies()) != 0 {
+		t.Errorf("the same rows were sent again: %v", reply)
+	}
+
+	cp.Apply([]Row{NewRow("a", []byte("vv"), NewRevision(2, 6))}, NewRevision(2, 5), NewRevision(2, 6))
+	if values := valuesByKey(cp); values["a"] != "vvv" {
+		t.Errorf("an older version replaced a kept row: %v", values)
+	}
+	cp.Apply([]Row{NewRow("a", []byte("vvvv"), NewRevision(2, 7))}, NewRevision(2, 6), NewRevision(2, 7))
+	if values := valuesByKey(cp); values["a"] != "vvvv" || cp.KeptVersions("") != 0 {
+		t.Errorf("a newer version did not replace a kept row: %v", values)
+	}
+}
+
+// Checks that a follower pauses between reads of the whole table if the source answers each watch with ErrCompacted.
+func TestFollowerPausesBetweenReads(t *testing.T) {
+	src := &scriptedSource{}
+	for range 1000 {
+		src.steps = append(src.steps,
+			func() ([]Row, uint64, error) { return nil, 1, nil },
+			func() ([]Row, uint64, error) { return nil, 0, ErrCompacted })
+	}
+	lg := logrus.New()
+	lg.SetOutput(io.Discard)
+	fw := NewFollower(NewCopy("t"), src, logrus.NewEntry(lg), 0, func() {})
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	fw.Run(ctx)
+	if len(src.calls) > 12 {
+		t.Errorf("%d calls within a second, want at most 12", len(src.calls))
+	}
+}
--- a/io/feed/follower.go
+++ b/io/feed/follower.go
@@ -63,10 +63,17 @@
 	defer close(fw.done)
 	backoff := minBackoff
 	full := true
+	// reads counts the reads of the whole table since the last successful watch.
+	reads := 0
 	for ctx.Err() == nil {
 		err := fw.update(ctx, full)
 		switch {
 		case err == nil:
+			if full {
+				reads++
+			} else {
+				reads = 0
+			}
 			full = false
 			backoff = minBackoff
 			if fw.stale.Swap(false) {
@@ -78,7 +85,10 @@
 		case errors.Is(err, ErrCompacted):
 			full = true
 			fw.log.WithField("revision", fw.copy.Revision()).
-				Info("the store has compacted the watched revision; reading the whole table")
+				Info("the store no longer has the watched revision; reading the whole table")
+			if reads > 1 {
+				timer.Sleep(ctx, maxBackoff)
+			}
 			continue
 		}
 		if !fw.stale.Swap(true) {
--- a/io/feed/pull.go
+++ b/io/feed/pull.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"shallotcleat/io/link"
 	"shallotcleat/io/wire"
 )
@@ -24,25 +27,39 @@
 // Pull requests copies that are newer than the local ones from the gate at address and stores them. If the gate has none, it
 // waits for one up to the duration wait. Pull reports whether any local copy was replaced.
 func Pull(ctx context.Context, pool *link.Pool, address string, selectors []Selector, wait time.Duration) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+pullMargin)
+	newer, _, err := pull(ctx, pool, address, selectors, &wire.PullRequest{WaitMs: wait.Milliseconds()})
+	return newer, err
+}
+
+// PullWithDepartures is Pull without a wait; it also returns the servers that the gate has seen leave.
+func PullWithDepartures(ctx context.Context, pool *link.Pool, address string, selectors []Selector) (bool, []*wire.DepartedServer, error) {
+	return pull(ctx, pool, address, selectors, &wire.PullRequest{WantDeparted: true})
+}
+
+func pull(ctx context.Context, pool *link.Pool, address string, selectors []Selector, rq *wire.PullRequest) (bool, []*wire.DepartedServer,
+	error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(rq.GetWaitMs())*time.Millisecond+pullMargin)
 	defer cancel()
-	rq := &wire.PullRequest{WaitMs: wait.Milliseconds()}
 	for _, sel := range selectors {
-		rq.Known = append(rq.Known, &wire.KnownTable{Table: sel.copy.table, Revision: sel.copy.Revision(), Prefix: sel.prefix})
+		rows, revision := sel.copy.Rows(sel.prefix)
+		rq.Known = append(rq.Known, &wire.KnownTable{Table: sel.copy.table, Revision: revision, Prefix: sel.prefix,
+			Rows: proto.Uint32(uint32(len(rows))), Kept: sel.copy.KeptVersions(sel.prefix)})
 	}
 	reply, err := pool.Node(address).Pull(ctx, rq)
 	if err != nil {
-		return false, fmt.Errorf("pull from %s: %w", address, err)
+		return false, nil, fmt.Errorf("pull from %s: %w", address, err)
 	}
 	newer := false
 	for _, tc := range reply.GetCopies() {
 		for _, sel := range selectors {
 			if sel.copy.table == tc.GetTable() {
-				newer = sel.copy.Replace(fromWire(tc.GetRows()), tc.GetRevision()) || newer
+				rows := fromWire(tc.GetRows())
+				newer = sel.copy.Replace(rows, tc.GetRevision()) || newer
+				newer = sel.copy.Keep(rows) || newer
 			}
 		}
 	}
-	return newer, nil
+	return newer, reply.GetDeparted(), nil
 }
 
 func fromWire(rows []*wire.TableRow) []Row {
@@ -56,10 +73,34 @@
 // PullServer serves copies to peers.
 type PullServer struct {
 	copies []*Copy
+
+	// mu guards changed, which is closed on the next change of any copy.
+	mu      sync.Mutex
+	changed chan struct{}
 }
 
-// NewPullServer returns a server of the given copies. Only changes of the first three end the wait of a pull.
-func NewPullServer(copies ...*Copy) *PullServer { return &PullServer{copies: copies} }
+// NewPullServer returns a server of the given copies.
+func NewPullServer(copies ...*Copy) *PullServer {
+	ps := &PullServer{copies: copies, changed: make(chan struct{})}
+	for _, cp := range copies {
+		cp.Subscribe(ps.notify)
+	}
+	return ps
+}
+
+func (ps *PullServer) notify(Change) {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	close(ps.changed)
+	ps.changed = make(chan struct{})
+}
+
+// nextChange returns a channel that is closed on the next change of any copy.
+func (ps *PullServer) nextChange() <-chan struct{} {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	return ps.changed
+}
 
 // Serve returns the copies that are newer than those in the request. If there are none, it waits for one up to the requested
 // time, but at most maxPullWait; the reply is empty if the time runs out or ctx is canceled.
@@ -68,7 +109,7 @@
 	tm := time.NewTimer(wait)
 	defer tm.Stop()
 	for {
-		changed := ps.changeChannels()
+		changed := ps.nextChange()
 		if reply := ps.newerCopies(rq); len(reply.GetCopies()) > 0 || wait == 0 {
 			return reply
 		}
@@ -77,9 +118,7 @@
 			return &wire.PullReply{}
 		case <-tm.C:
 			return &wire.PullReply{}
-		case <-changed[0]:
-		case <-changed[1]:
-		case <-changed[2]:
+		case <-changed:
 		}
 	}
 }
@@ -87,18 +126,9 @@
 // maxPullWait bounds the wait that a peer may request.
 const maxPullWait = 10 * time.Second
 
-// changeChannels returns the Changed channels of the first three copies. The channel of an absent copy is nil, and a receive
-// from it blocks forever.
-func (ps *PullServer) changeChannels() [3]<-chan struct{} {
-	var channels [3]<-chan struct{}
-	for i, cp := range ps.copies[:min(len(ps.copies), len(channels))] {
-		channels[i] = cp.Changed()
-	}
-	return channels
-}
-
-// newerCopies returns the copies that are newer than those of the peer. For a request with a key prefix, a copy counts as
-// newer only if one of the selected rows was written after the peer's revision.
+// newerCopies returns the copies that are newer than those of the peer, or that have kept newer rows from before a restore. For a
+// request with a key prefix, a copy counts as newer only if one of the selected rows was written after the peer's revision or deleted, or
+// if the store was restored since.
 func (ps *PullServer) newerCopies(rq *wire.PullRequest) *wire.PullReply {
 	reply := &wire.PullReply{}
 	for _, kt := range rq.GetKnown() {
@@ -107,7 +137,7 @@
 				continue
 			}
 			rows, revision := cp.Rows(kt.GetPrefix())
-			if revision > kt.GetRevision() && (kt.GetPrefix() == "" || anyNewer(rows, kt.GetRevision())) {
+			if revision > kt.GetRevision() && isSelectionNewer(rows, revision, kt) || cp.KeptVersions(kt.GetPrefix()) > kt.GetKept() {
 				reply.Copies = append(reply.Copies, toWire(cp.table, rows, revision))
 			}
 		}
@@ -115,6 +145,12 @@
 	return reply
 }
 
+// isSelectionNewer reports whether the selected rows of a copy at a later revision than the peer's differ from those of the peer.
+func isSelectionNewer(rows []Row, revision uint64, kt *wire.KnownTable) bool {
+	return kt.GetPrefix() == "" || anyNewer(rows, kt.GetRevision()) || kt.Rows != nil && len(rows) != int(kt.GetRows()) ||
+		kt.GetRevision() > 0 && Generation(revision) > Generation(kt.GetRevision())
+}
+
 func anyNewer(rows []Row, revision uint64) bool {
 	for _, rw := range rows {
 		if rw.revision > revision {
--- a/io/feed/source.go
+++ b/io/feed/source.go
@@ -30,7 +30,7 @@
 // Value returns the value of the row; the caller must not modify it.
 func (rw Row) Value() []byte { return rw.value }
 
-// Revision returns the revision of the store at which the row was last written or deleted.
+// Revision returns the revision of the store, as NewRevision makes it, at which the row was last written or deleted.
 func (rw Row) Revision() uint64 { return rw.revision }
 
 // Deleted reports whether the row is a tombstone.
@@ -45,6 +45,6 @@
 	Read(ctx context.Context, table string) ([]Row, uint64, error)
 	// Watch returns the rows that changed after revision after, and the revision up to which the changes are complete. It
 	// blocks until the first change, but at most for the duration wait. It returns ErrCompacted if the store no longer has
-	// all changes after that revision.
+	// all changes after that revision, also because it was restored since.
 	Watch(ctx context.Context, table string, after uint64, wait time.Duration) ([]Row, uint64, error)
 }
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -111,7 +111,7 @@
 		picker:        pick.New(opts.Zone, opts.OldWeightsGrace, opts.RandomSeed),
 		connPool:      client.NewPool(),
 		meter:         share.NewMeter(),
-		configTable:   feed.NewCopy(tables.Config),
+		configTable:   feed.NewVersionedCopy(tables.Config, ContentVersion(opts.Dialect)),
 		serverTable:   feed.NewCopy(tables.Servers),
 		nodeTable:     feed.NewCopy(tables.Nodes),
 		loadScheduler: loadScheduler{scheduler: weight.NewScheduler(opts.OldWeightsGrace)},
--- a/io/gate/node.go
+++ b/io/gate/node.go
@@ -13,9 +13,13 @@
 // nodeHandler implements the Node service of wire.
 type nodeHandler struct{ gate *Gate }
 
-// Pull handles the Pull RPC: it returns newer rows of the tables.
+// Pull handles the Pull RPC: it returns newer rows of the tables, and the servers that have left if the request asks for them.
 func (nh *nodeHandler) Pull(ctx context.Context, rq *wire.PullRequest) (*wire.PullReply, error) {
-	return nh.gate.tableServer.Serve(ctx, rq), nil
+	reply := nh.gate.tableServer.Serve(ctx, rq)
+	if rq.GetWantDeparted() {
+		reply.Departed = nh.gate.watcher.departures()
+	}
+	return reply, nil
 }
 
 // Tell handles the Tell RPC of tenders. If a tender requests a load of newer weights, it decides whether the engine may begin;
--- a/io/gate/peers.go
+++ b/io/gate/peers.go
@@ -20,11 +20,12 @@
 	}
 	address := peers[rand.IntN(len(peers))]
 	selectors := []feed.Selector{feed.NewSelector(gt.configTable, ""), feed.NewSelector(gt.serverTable, "")}
-	updated, err := feed.Pull(ctx, gt.opts.Links, address, selectors, 0)
+	updated, departed, err := feed.PullWithDepartures(ctx, gt.opts.Links, address, selectors)
 	if err != nil {
 		gt.log.WithError(err).Debug("pulling tables from peer failed")
 		return
 	}
+	gt.watcher.addDepartures(departed)
 	if updated {
 		gt.log.WithField("peer", address).WithField("revision", gt.configTable.Revision()).Info("tables updated from peer")
 	}
--- a/io/gate/watcher.go
+++ b/io/gate/watcher.go
@@ -29,6 +29,8 @@
 // watcher updates the gate's configuration and servers from the store tables.
 type watcher struct {
 	gate *Gate
+	// restored receives a value after the store was restored from a backup.
+	restored chan struct{}
 
 	// mu guards registry.
 	mu       sync.Mutex
@@ -36,13 +38,24 @@
 }
 
 func newWatcher(gt *Gate) *watcher {
-	wt := &watcher{gate: gt, registry: fleet.NewRegistry()}
+	wt := &watcher{gate: gt, restored: make(chan struct{}, 1), registry: fleet.NewRegistry()}
 	gt.configTable.Subscribe(wt.configChanged)
 	gt.serverTable.Subscribe(wt.serversChanged)
 	gt.nodeTable.Subscribe(wt.nodesChanged)
 	return wt
 }
 
+// signalRestore wakes repairRestored if the change follows a restore of the store.
+func (wt *watcher) signalRestore(ch feed.Change) {
+	if !ch.Restored {
+		return
+	}
+	select {
+	case wt.restored <- struct{}{}:
+	default:
+	}
+}
+
 // configChanged applies the configurations and weight versions in a change of the config table; those older than the current
 // ones are ignored.
 func (wt *watcher) configChanged(ch feed.Change) {
@@ -70,6 +83,7 @@
 			wt.adopt(sp)
 		}
 	}
+	wt.signalRestore(ch)
 }
 
 // adopt applies a configuration unless the current one has the same or a later version. Changes of the config table arrive one
@@ -103,6 +117,10 @@
 	defer wt.mu.Unlock()
 	now := time.Now()
 	present := make(map[string]bool)
+	if ch.Restored {
+		// Servers whose entries the restore lost write them again.
+		wt.registry.RecordOutage(now)
+	}
 	for _, rw := range ch.Rows {
 		if rw.Deleted() {
 			wt.registry.Remove(now, rw.Key())
@@ -115,12 +133,17 @@
 			continue
 		}
 		present[rw.Key()] = true
-		wt.registry.Put(sv)
+		if ch.Restored {
+			wt.registry.PutRestored(now, sv)
+		} else {
+			wt.registry.Put(sv)
+		}
 	}
 	if ch.Full {
 		wt.registry.Retain(now, present)
 	}
 	wt.publish()
+	wt.signalRestore(ch)
 }
 
 // recordStart records the id of the current run of an engine, which the servers table may not list yet.
@@ -144,6 +167,30 @@
 	wt.registry.RecordOutage(time.Now())
 }
 
+// departures returns the servers that have left lately or are draining.
+func (wt *watcher) departures() []*wire.DepartedServer {
+	wt.mu.Lock()
+	defer wt.mu.Unlock()
+	var departed []*wire.DepartedServer
+	for _, dp := range wt.registry.Departures() {
+		departed = append(departed, &wire.DepartedServer{Id: dp.ID(), StartUnixMilli: dp.StartUnixMilli(), Sequence: dp.Sequence()})
+	}
+	return departed
+}
+
+// addDepartures records servers that a peer has seen leave.
+func (wt *watcher) addDepartures(departed []*wire.DepartedServer) {
+	departures := make([]fleet.Departure, 0, len(departed))
+	for _, ds := range departed {
+		departures = append(departures, fleet.NewDeparture(ds.GetId(), ds.GetStartUnixMilli(), ds.GetSequence()))
+	}
+	wt.mu.Lock()
+	defer wt.mu.Unlock()
+	if wt.registry.AddDepartures(time.Now(), departures) {
+		wt.publish()
+	}
+}
+
 func (wt *watcher) expire() {
 	wt.mu.Lock()
 	defer wt.mu.Unlock()
@@ -161,6 +208,8 @@
 	wg.Go(func() { servers.Run(ctx) })
 	wg.Go(func() { gt.readNodes(ctx) })
 	wg.Go(func() { gt.register(ctx) })
+	wg.Go(func() { gt.exchangeKept(ctx) })
+	wg.Go(func() { gt.repairRestored(ctx) })
 	every := func(interval time.Duration, fn func()) {
 		cancel := gt.opts.Timer.Every(interval, fn)
 		wg.Go(func() { <-ctx.Done(); cancel() })
--- a/io/tend/tender.go
+++ b/io/tend/tender.go
@@ -54,7 +54,9 @@
 	// firstPullTimeout bounds the first pull from a gate, which does not wait for changes.
 	firstPullTimeout = 150 * time.Millisecond
 	storeRetryDelay  = 500 * time.Millisecond
-	storeTimeout     = 2 * time.Second
+	// maxRepairDelay spreads the writes of many tenders after a restore of the store.
+	maxRepairDelay = time.Second
+	storeTimeout   = 2 * time.Second
 )
 
 // Options are the settings and dependencies of a tender.
@@ -83,6 +85,8 @@
 	config   *feed.Copy
 	nodes    *feed.Copy
 	gateList *gate.GateList
+	// restored receives a value after the store was restored from a backup.
+	restored chan struct{}
 	done     chan struct{}
 
 	// mu guards the fields below.
@@ -98,16 +102,19 @@
 func New(opts Options) *Tender {
 	tables := opts.Dialect.Tables()
 	td := &Tender{
-		opts:    opts,
-		log:     opts.Recorder.Log(),
-		config:  feed.NewCopy(tables.Config),
-		nodes:   feed.NewCopy(tables.Nodes),
-		done:    make(chan struct{}),
-		updater: weight.NewUpdater(),
-		targets: make(map[string]uint64),
+		opts:   opts,
+		log:    opts.Recorder.Log(),
+		config: feed.NewVersionedCopy(tables.Config, gate.ContentVersion(opts.Dialect)),
+		nodes:  feed.NewCopy(tables.Nodes),
+		done:   make(chan struct{}),
+
+		restored: make(chan struct{}, 1),
+		updater:  weight.NewUpdater(),
+		targets:  make(map[string]uint64),
 	}
 	td.gateList = gate.NewGateList(td.nodes)
 	td.config.Subscribe(td.applyConfig)
+	td.nodes.Subscribe(td.signalRestore)
 	return td
 }
 
@@ -121,6 +128,7 @@
 	wg.Go(func() { td.register(ctx) })
 	wg.Go(func() { td.claim(ctx) })
 	wg.Go(func() { td.pull(ctx) })
+	wg.Go(func() { td.repairRestored(ctx) })
 	wg.Go(func() { td.runWatcher(ctx) })
 	wg.Wait()
 	return nil
@@ -128,6 +136,7 @@
 
 // applyConfig takes the target versions from changed rows of the config table.
 func (td *Tender) applyConfig(ch feed.Change) {
+	td.signalRestore(ch)
 	td.mu.Lock()
 	defer td.mu.Unlock()
 	for _, rw := range ch.Rows {
@@ -146,6 +155,33 @@
 	}
 }
 
+// signalRestore wakes repairRestored if the change follows a restore of the store.
+func (td *Tender) signalRestore(ch feed.Change) {
+	if !ch.Restored {
+		return
+	}
+	select {
+	case td.restored <- struct{}{}:
+	default:
+	}
+}
+
+// repairRestored writes the rows of this tender again after each restore of the store. The fencing number of the new claim is higher than
+// all those of before the restore.
+func (td *Tender) repairRestored(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-td.restored:
+		}
+		td.log.WithField("event", "store_restored").Warn("the store was restored from a backup; writing the rows of this tender again")
+		timer.Sleep(ctx, rand.N(maxRepairDelay))
+		td.register(ctx)
+		td.claim(ctx)
+	}
+}
+
 // register writes this tender's row into the nodes table.
 func (td *Tender) register(ctx context.Context) {
 	nd := gate.Node{Role: gate.RoleTender, Address: td.opts.Address, Zone: td.opts.Zone, Service: td.opts.Service}
--- a/io/tend/watcher.go
+++ b/io/tend/watcher.go
@@ -23,7 +23,7 @@
 		fence, err := td.claimOnce(ctx)
 		if err == nil {
 			td.mu.Lock()
-			td.fence = fence
+			td.fence = max(td.fence, fence)
 			td.mu.Unlock()
 			td.log.WithField("fence", fence).Info("claimed the engine")
 			return
