core/weight: requests for loads are paced by the number of engines

Cause: with 144 engines behind one scheduler, each tender asked every 20 ms, 7,200 requests a second, and each request searched the 144 waiting engines up to 72 times; the gate that schedules may have 0.109 of a core. Ruled out: fewer engines at once (the rollout must end within the grace period). Change: RepeatDelay, 2 ms for each engine with the same grant, at most 1 s and never past the end of the grace period; candidates are sorted once. Measured: TestHundredsOfEnginesAskOneScheduler: 7,200 requests a second before, at most 1,500 now, for 9 to 400 engines.

--- a/core/weight/scheduler.go
+++ b/core/weight/scheduler.go
@@ -24,8 +24,13 @@
 	urgentFraction = 0.75
 	// drainTimeout is how long a drain waits for running calls; the engine itself finishes those that still run then.
 	drainTimeout = 500 * time.Millisecond
-	// requestTTL is how long a load request stays valid; a tender repeats its request sooner.
-	requestTTL = 150 * time.Millisecond
+	// requestTTL is how long a load request stays valid after the tender should have repeated it.
+	requestTTL = 130 * time.Millisecond
+	// repeatDelayPerEngine, times the number of engines that got the same grant, is the time after which tenders repeat their requests,
+	// between minRepeatDelay and maxRepeatDelay. It bounds the requests per second that a scheduler gets from any number of engines.
+	repeatDelayPerEngine = 2 * time.Millisecond
+	minRepeatDelay       = 20 * time.Millisecond
+	maxRepeatDelay       = time.Second
 	// loadTTL is how long an engine counts as loading without a message from its tender.
 	loadTTL = 5 * time.Second
 )
@@ -97,6 +102,8 @@
 	request LoadRequest
 	// lastSeen is when the request or report arrived.
 	lastSeen time.Time
+	// repeatDelay is when, after lastSeen, the tender repeats the request.
+	repeatDelay time.Duration
 	// since is when the engine began to take short calls only, or to drain; it is not used in other phases.
 	since time.Time
 }
@@ -141,6 +148,23 @@
 	return ShortOnly
 }
 
+// RepeatDelay returns the time after which the tender of an engine repeats its request. It is zero if the engine loads.
+func (sc *Scheduler) RepeatDelay(request LoadRequest) time.Duration {
+	for _, records := range []map[string]engineRecord{sc.waiting, sc.shortOnly, sc.draining} {
+		rec, ok := records[request.engine]
+		if !ok {
+			continue
+		}
+		total := time.Duration(countService(records, request.service))
+		// At the end of the grace period, the load is granted at once.
+		remaining := sc.oldWeightsGrace - ExpirySlack - request.staleness
+		rec.repeatDelay = max(min(total*repeatDelayPerEngine, maxRepeatDelay, remaining), minRepeatDelay)
+		records[request.engine] = rec
+		return rec.repeatDelay
+	}
+	return 0
+}
+
 // shortOnlySince returns the time since which an engine takes short calls only; this is now if that begins with this call. ok is false
 // if the engine has to wait.
 func (sc *Scheduler) shortOnlySince(now time.Time, request LoadRequest, engines, maxLoading int) (since time.Time, ok bool) {
@@ -198,20 +222,52 @@
 			candidates = append(candidates, rec.request)
 		}
 	}
-	for ; n > 0 && len(candidates) > 0; n-- {
-		first := slices.MinFunc(candidates, func(a, b LoadRequest) int {
-			return cmp.Or(cmp.Compare(a.version, b.version), cmp.Compare(restrictedInZone[a.zone], restrictedInZone[b.zone]),
-				cmp.Compare(a.running, b.running), cmp.Compare(a.engine, b.engine))
-		})
-		if first.engine == request.engine {
-			return true
+	slices.SortFunc(candidates, func(a, b LoadRequest) int { return cmp.Or(cmp.Compare(a.version, b.version), compareLoad(a, b)) })
+	for len(candidates) > 0 {
+		sameVersion := 1
+		for sameVersion < len(candidates) && candidates[sameVersion].version == candidates[0].version {
+			sameVersion++
+		}
+		byZone := make(map[string][]LoadRequest)
+		for _, candidate := range candidates[:sameVersion] {
+			byZone[candidate.zone] = append(byZone[candidate.zone], candidate)
+		}
+		for range sameVersion {
+			if n--; n < 0 {
+				return false
+			}
+			first := firstByZone(byZone, restrictedInZone)
+			if first.engine == request.engine {
+				return true
+			}
+			byZone[first.zone] = byZone[first.zone][1:]
+			restrictedInZone[first.zone]++
 		}
-		restrictedInZone[first.zone]++
-		candidates = slices.DeleteFunc(candidates, func(candidate LoadRequest) bool { return candidate.engine == first.engine })
+		candidates = candidates[sameVersion:]
 	}
 	return false
 }
 
+// compareLoad orders engines with the same weights in the same zone by load.
+func compareLoad(a, b LoadRequest) int {
+	return cmp.Or(cmp.Compare(a.running, b.running), cmp.Compare(a.engine, b.engine))
+}
+
+// firstByZone returns the engine that is restricted next, of the first ones of each zone.
+func firstByZone(byZone map[string][]LoadRequest, restrictedInZone map[string]int) LoadRequest {
+	var first LoadRequest
+	for zone, candidates := range byZone {
+		if len(candidates) == 0 {
+			continue
+		}
+		if order := cmp.Compare(restrictedInZone[zone], restrictedInZone[first.zone]); first.engine == "" || order < 0 ||
+			order == 0 && compareLoad(candidates[0], first) < 0 {
+			first = candidates[0]
+		}
+	}
+	return first
+}
+
 // countService returns the number of records that belong to a service.
 func countService(records map[string]engineRecord, service string) int {
 	total := 0
@@ -245,11 +301,11 @@
 	delete(sc.draining, engine)
 }
 
-// expire removes records that were not renewed for requestTTL, or for loadTTL if the engine loads.
+// expire removes records that were not renewed for requestTTL after their repeatDelay, or for loadTTL if the engine loads.
 func (sc *Scheduler) expire(now time.Time) {
 	for _, records := range []map[string]engineRecord{sc.waiting, sc.shortOnly, sc.draining} {
 		for id, rec := range records {
-			if now.Sub(rec.lastSeen) > requestTTL {
+			if now.Sub(rec.lastSeen) > rec.repeatDelay+requestTTL {
 				delete(records, id)
 			}
 		}
--- a/core/weight/scheduler_test.go
+++ b/core/weight/scheduler_test.go
@@ -127,3 +127,57 @@
 		t.Errorf("%d of %d engines were granted a load after the grace period, want all", loads, engines)
 	}
 }
+
+// Hundreds of engines that all lack the newest weights ask one scheduler, which may be a VM with a tenth of a core: its requests per
+// second stay bounded, and all engines load within the grace period.
+func TestHundredsOfEnginesAskOneScheduler(t *testing.T) {
+	const (
+		loadTime     = 270 * time.Millisecond
+		callTime     = 400 * time.Millisecond
+		grace        = 8 * time.Second
+		step         = 10 * time.Millisecond
+		maxPerSecond = 1500
+	)
+	for _, engines := range []int{9, 40, 144, 400} {
+		sc := NewScheduler(grace)
+		start := time.Unix(1000, 0)
+		nextAsk, loaded := make([]time.Time, engines), make([]time.Time, engines)
+		requests, remaining, busiest := 0, engines, 0
+		now := start
+		for ; remaining > 0 && now.Sub(start) < 2*grace; now = now.Add(step) {
+			if now.Sub(start)%time.Second == 0 {
+				busiest, requests = max(busiest, requests), 0
+			}
+			for i := range engines {
+				id := fmt.Sprint("engine-", i)
+				if !loaded[i].IsZero() {
+					if now.Sub(loaded[i]) == loadTime {
+						sc.MarkInService(id)
+						remaining--
+					}
+					continue
+				}
+				if now.Before(nextAsk[i]) {
+					continue
+				}
+				requests++
+				// The calls of a drained engine end soon.
+				running := 3
+				if rec, ok := sc.draining[id]; ok && now.Sub(rec.since) > callTime {
+					running = 0
+				}
+				request := NewLoadRequest(id, "chat", fmt.Sprint("zone-", i%5), 1, running).WithStaleness(now.Sub(start))
+				if sc.Grant(now, request, engines) == Load {
+					loaded[i] = now
+				}
+				nextAsk[i] = now.Add(sc.RepeatDelay(request))
+			}
+		}
+		if remaining > 0 || now.Sub(start) > grace {
+			t.Errorf("%d engines: %d are behind after %s", engines, remaining, now.Sub(start))
+		}
+		if busiest > maxPerSecond {
+			t.Errorf("%d engines: %d requests within a second, want at most %d", engines, busiest, maxPerSecond)
+		}
+	}
+}
