Messages to other zones go through one gate of each zone; load requests are paced

One gate, chosen without regard to its size, answered the load requests of all tenders. Ruled out: rarer messages (precision of the choice would suffer on all deployments); a new process as aggregator. Change: a tender tells the gates of its own zone and one of each other zone, which passes the message on with its next hints; hints likewise; at most one call to a peer is in progress and one that fails is left alone for a second, so a removed gate delays nobody; the gates that relay and schedule are chosen by rendezvous hashing weighted by processor time, which a gate states in its row; tenders repeat load requests when the scheduler says. A removed gate is forgotten by tenders.

--- a/io/cmds/gate.go
+++ b/io/cmds/gate.go
@@ -26,6 +26,7 @@
 	Listen         string `long:"listen" env:"SHALLOTCLEAT_LISTEN" description:"IP address and port for callers"`
 	Ready          string `long:"ready" env:"SHALLOTCLEAT_READY" description:"IP address and port for the load balancer's readiness checks"`
 	Peer           string `long:"peer" env:"SHALLOTCLEAT_PEER" description:"IP address and port at which other gates and tenders reach this gate"`
+	CPU            string `long:"cpu" env:"SHALLOTCLEAT_CPU" description:"processor time of this VM in cores; gates with more do more of the work that one gate does for all" default:"1"`
 	StopTimeout    string `long:"stop-timeout" env:"SHALLOTCLEAT_STOP_TIMEOUT" description:"time from the stop signal until the process is killed; the graceful stop ends earlier" default:"8s"`
 	RetryWindow    string `long:"retry-span" env:"SHALLOTCLEAT_RETRY_SPAN" description:"period over which retries are counted" default:"10s"`
 	RetryRatio     string `long:"retry-ratio" env:"SHALLOTCLEAT_RETRY_RATIO" description:"retries allowed for each first attempt of a service" default:"0.2"`
@@ -45,6 +46,7 @@
 	opts := gate.Options{
 		Zone:        cm.Zone,
 		PeerAddress: vd.address("peer", cm.Peer),
+		Capacity:    vd.float("cpu", cm.CPU, 0.001, 1024),
 		Dialect:     platform.Dialect{},
 		Links:       link.NewPool(),
 		Timer:       timer.New(),
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -50,12 +50,15 @@
 	// PeerAddress is the address at which other processes reach the gate; SeedPeers are such addresses of other gates.
 	PeerAddress string
 	SeedPeers   []string
-	Dialect     Dialect
-	Source      feed.Source
-	Store       table.Committer
-	Links       *link.Pool
-	Recorder    *trace.Recorder
-	Timer       clock.Clock
+	// Capacity is the processor time of the VM in cores, or zero if unknown. Gates with more of it do more of the work that one gate
+	// does for others.
+	Capacity float64
+	Dialect  Dialect
+	Source   feed.Source
+	Store    table.Committer
+	Links    *link.Pool
+	Recorder *trace.Recorder
+	Timer    clock.Clock
 	// RetryBudget limits the retries for each service.
 	RetryBudget RetryBudgetOptions
 	// OldWeightsGrace is how long after newer weights were announced a request may begin on older ones.
@@ -89,6 +92,7 @@
 	closeConnections atomic.Bool
 	retryBudgets     *retryBudgets
 	bodies           bodies
+	hints            *hintExchange
 	// meter measures how much work each workspace sends to engines.
 	meter *share.Meter
 
@@ -118,6 +122,7 @@
 		done:          make(chan struct{}),
 	}
 	gt.gateList = NewGateList(gt.nodeTable)
+	gt.hints = newHintExchange(gt)
 	gt.retryBudgets = newRetryBudgets(opts.RetryBudget, gt.gateCount)
 	gt.tableServer = feed.NewPullServer(gt.configTable, gt.serverTable, gt.nodeTable)
 	gt.watcher = newWatcher(gt)
--- a/io/gate/hint.go
+++ b/io/gate/hint.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -12,53 +13,199 @@
 
 // Parameters of the exchange of hints. A lost hint costs at most another prefill of a prompt prefix.
 const (
-	hintInterval = 40 * time.Millisecond
-	hintTimeout  = 300 * time.Millisecond
+	// hintInterval is the time between messages to the other gates of the zone, remoteHintInterval between those to other zones.
+	hintInterval       = 40 * time.Millisecond
+	remoteHintInterval = 160 * time.Millisecond
+	hintTimeout        = 300 * time.Millisecond
+	// peerBackoff is how long a gate that could not be reached gets no messages.
+	peerBackoff = time.Second
+	// maxRelayedHints bounds the hints of other zones that wait to be passed on.
+	maxRelayedHints = 4096
 )
 
-// sendHints tells the other gates to which servers this gate has sent prompts, and how slow servers are.
-func (gt *Gate) sendHints(ctx context.Context) {
-	hints, slowdowns := gt.picker.TakeHints(), gt.picker.TakeSlowdowns()
-	if len(hints) == 0 && len(slowdowns) == 0 {
-		return
+// hintExchange tells the other gates to which servers this gate has sent prompts, and how slow servers are. A message goes to each
+// other gate of the zone and to one gate of each other zone, which passes it on within its zone, so that the messages of a gate do not
+// grow with the number of gates in other zones. Messages of tenders of other zones are passed on in the same way.
+type hintExchange struct {
+	gate *Gate
+	// calls are the calls in progress.
+	calls conc.WaitGroup
+
+	// mu guards the fields below.
+	mu sync.Mutex
+	// relayed is what gates of other zones sent to pass on, and news the latest message of each tender of another zone by server id.
+	relayed hintBatch
+	news    map[string]*wire.EngineNews
+	// remote is what this gate has not sent to other zones yet, since remoteSentAt.
+	remote       hintBatch
+	remoteSentAt time.Time
+	// peers holds the state of the calls to each other gate.
+	peers map[string]peerCalls
+}
+
+// hintBatch holds hints and slowdowns.
+type hintBatch struct {
+	hints     []pick.Hint
+	slowdowns []pick.Slowdown
+}
+
+// peerCalls is the state of the calls to one gate; at most one is in progress.
+type peerCalls struct {
+	busy    bool
+	retryAt time.Time
+}
+
+func newHintExchange(gt *Gate) *hintExchange {
+	return &hintExchange{gate: gt, news: make(map[string]*wire.EngineNews), peers: make(map[string]peerCalls)}
+}
+
+func (hb *hintBatch) add(other hintBatch) {
+	if len(hb.hints)+len(hb.slowdowns) < maxRelayedHints {
+		hb.hints = append(hb.hints, other.hints...)
+		hb.slowdowns = append(hb.slowdowns, other.slowdowns...)
 	}
+}
+
+func (hb *hintBatch) isEmpty() bool { return len(hb.hints) == 0 && len(hb.slowdowns) == 0 }
+
+// message returns the batch as a message.
+func (hb *hintBatch) message() *wire.CacheHints {
 	message := &wire.CacheHints{}
-	for _, hn := range hints {
+	for _, hn := range hb.hints {
 		message.Servers = append(message.Servers, hn.Server())
 		message.Keys = append(message.Keys, hn.Key())
 		message.Versions = append(message.Versions, hn.Version())
 	}
-	for _, sd := range slowdowns {
+	for _, sd := range hb.slowdowns {
 		message.Paced = append(message.Paced, sd.Server())
 		message.Ratios = append(message.Ratios, float32(sd.Ratio()))
 		message.Calls = append(message.Calls, uint32(sd.Calls()))
 	}
-	ctx, cancel := context.WithTimeout(ctx, hintTimeout)
-	defer cancel()
-	var wg conc.WaitGroup
-	for _, address := range gt.peers() {
-		wg.Go(func() {
-			if _, err := gt.opts.Links.Node(address).Hint(ctx, message); err != nil {
-				gt.log.WithError(err).WithField("peer", address).Debug("sending hints to peer failed")
-			}
-		})
+	return message
+}
+
+// decodeHints returns the batch in a message.
+func decodeHints(ch *wire.CacheHints) hintBatch {
+	var hb hintBatch
+	for i := range min(len(ch.GetServers()), len(ch.GetKeys()), len(ch.GetVersions())) {
+		hb.hints = append(hb.hints, pick.NewHint(ch.GetServers()[i], ch.GetKeys()[i], ch.GetVersions()[i]))
+	}
+	for i := range min(len(ch.GetPaced()), len(ch.GetRatios()), len(ch.GetCalls())) {
+		hb.slowdowns = append(hb.slowdowns, pick.NewSlowdown(ch.GetPaced()[i], float64(ch.GetRatios()[i]), int(ch.GetCalls()[i])))
 	}
-	wg.Wait()
+	return hb
+}
+
+// relayNews passes a tender's message on to the other gates of the zone with the next hints. A later message replaces it.
+func (hx *hintExchange) relayNews(ns *wire.EngineNews) {
+	hx.mu.Lock()
+	defer hx.mu.Unlock()
+	ns.Relay = false
+	hx.news[ns.GetServerId()] = ns
+}
+
+// relayHints passes hints of another zone on to the other gates of the zone.
+func (hx *hintExchange) relayHints(hb hintBatch) {
+	hx.mu.Lock()
+	defer hx.mu.Unlock()
+	hx.relayed.add(hb)
 }
 
-// Hint handles the Hint RPC: it applies what another gate knows about engines' caches and speed.
+// send sends what has come together since the last call. It does not wait for the calls to end.
+func (hx *hintExchange) send(ctx context.Context) {
+	gt := hx.gate
+	own := hintBatch{hints: gt.picker.TakeHints(), slowdowns: gt.picker.TakeSlowdowns()}
+	now := time.Now()
+	hx.mu.Lock()
+	local, news := own, hx.news
+	local.add(hx.relayed)
+	hx.relayed, hx.news = hintBatch{}, make(map[string]*wire.EngineNews)
+	hx.remote.add(own)
+	var remote hintBatch
+	if now.Sub(hx.remoteSentAt) >= remoteHintInterval {
+		remote, hx.remote, hx.remoteSentAt = hx.remote, hintBatch{}, now
+	}
+	hx.mu.Unlock()
+	if !local.isEmpty() || len(news) > 0 {
+		message := local.message()
+		for _, ns := range news {
+			message.News = append(message.News, ns)
+		}
+		for _, address := range gt.zonePeers() {
+			hx.call(ctx, address, message)
+		}
+	}
+	if !remote.isEmpty() {
+		message := remote.message()
+		message.Relay = true
+		relays := gt.gateList.Relays(gt.opts.Zone, gt.opts.PeerAddress, func(address string) bool { return hx.isUsable(now, address) })
+		for _, address := range relays {
+			hx.call(ctx, address, message)
+		}
+	}
+}
+
+// introduce makes this gate known to the other gates of its zone, whose nodes table may not have its row yet.
+func (hx *hintExchange) introduce(ctx context.Context) {
+	opts := hx.gate.opts
+	message := &wire.CacheHints{Sender: &wire.GateInfo{Address: opts.PeerAddress, Zone: opts.Zone, Capacity: opts.Capacity}}
+	for _, address := range hx.gate.zonePeers() {
+		hx.call(ctx, address, message)
+	}
+}
+
+// isUsable reports whether a gate may be called now.
+func (hx *hintExchange) isUsable(now time.Time, address string) bool {
+	hx.mu.Lock()
+	defer hx.mu.Unlock()
+	pc := hx.peers[address]
+	return !pc.busy && !now.Before(pc.retryAt)
+}
+
+// call sends a message to a gate in the background, unless another call to it is in progress or failed within peerBackoff.
+func (hx *hintExchange) call(parent context.Context, address string, message *wire.CacheHints) {
+	if !hx.isUsable(time.Now(), address) {
+		return
+	}
+	hx.setPeer(address, peerCalls{busy: true})
+	hx.calls.Go(func() {
+		ctx, cancel := context.WithTimeout(parent, hintTimeout)
+		defer cancel()
+		var done peerCalls
+		if _, err := hx.gate.opts.Links.Node(address).Hint(ctx, message); err != nil {
+			hx.gate.log.WithError(err).WithField("peer", address).Debug("sending hints to peer failed")
+			done.retryAt = time.Now().Add(peerBackoff)
+		}
+		hx.setPeer(address, done)
+	})
+}
+
+// setPeer sets the state of the calls to a gate; a state without restrictions is not kept.
+func (hx *hintExchange) setPeer(address string, pc peerCalls) {
+	hx.mu.Lock()
+	defer hx.mu.Unlock()
+	if pc == (peerCalls{}) {
+		delete(hx.peers, address)
+		return
+	}
+	hx.peers[address] = pc
+}
+
+// Hint handles the Hint RPC: it applies what another gate knows about engines' caches and speed, and passes it on if asked to.
 func (nh *nodeHandler) Hint(_ context.Context, ch *wire.CacheHints) (*wire.Received, error) {
-	count := min(len(ch.GetServers()), len(ch.GetKeys()), len(ch.GetVersions()))
-	hints := make([]pick.Hint, 0, count)
-	for i := range count {
-		hints = append(hints, pick.NewHint(ch.GetServers()[i], ch.GetKeys()[i], ch.GetVersions()[i]))
+	gt, now := nh.gate, time.Now()
+	if gi := ch.GetSender(); gi.GetAddress() != "" {
+		gt.gateList.add(Node{Role: RoleGate, Address: gi.GetAddress(), Zone: gi.GetZone(), Capacity: gi.GetCapacity()})
+		gt.watcher.countSenders()
+	}
+	hb := decodeHints(ch)
+	gt.picker.ApplyHints(now, hb.hints)
+	gt.picker.ApplySlowdowns(now, hb.slowdowns)
+	for _, ns := range ch.GetNews() {
+		gt.applyNews(now, ns)
 	}
-	nh.gate.picker.ApplyHints(time.Now(), hints)
-	count = min(len(ch.GetPaced()), len(ch.GetRatios()), len(ch.GetCalls()))
-	slowdowns := make([]pick.Slowdown, 0, count)
-	for i := range count {
-		slowdowns = append(slowdowns, pick.NewSlowdown(ch.GetPaced()[i], float64(ch.GetRatios()[i]), int(ch.GetCalls()[i])))
+	if ch.GetRelay() {
+		gt.hints.relayHints(hb)
 	}
-	nh.gate.picker.ApplySlowdowns(time.Now(), slowdowns)
 	return &wire.Received{}, nil
 }
--- a/io/gate/node.go
+++ b/io/gate/node.go
@@ -23,28 +23,39 @@
 }
 
 // Tell handles the Tell RPC of tenders. If a tender requests a load of newer weights, it decides whether the engine may begin;
-// otherwise it applies the state of the engine that the tender reports.
+// otherwise it applies the state of the engine that the tender reports, and passes it on if asked to.
 func (nh *nodeHandler) Tell(_ context.Context, ns *wire.EngineNews) (*wire.Received, error) {
 	gt := nh.gate
 	now := time.Now()
-	req := weight.NewLoadRequest(ns.GetServerId(), ns.GetService(), ns.GetZone(), ns.GetVersion(), int(ns.GetRunning()))
 	if ns.GetAsk() {
-		req = req.WithStaleness(gt.picker.StaleFor(now, ns.GetModel(), ns.GetVersion()))
-		grant := gt.loadScheduler.grant(now, req, gt.picker.CountAvailable(now, ns.GetService()))
-		return &wire.Received{Grant: int32(grant)}, nil
+		req := loadRequest(ns).WithStaleness(gt.picker.StaleFor(now, ns.GetModel(), ns.GetVersion()))
+		grant, repeatDelay := gt.loadScheduler.grant(now, req, gt.picker.CountAvailable(now, ns.GetService()))
+		return &wire.Received{Grant: int32(grant), RepeatMs: int32(repeatDelay.Milliseconds())}, nil
 	}
+	gt.applyNews(now, ns)
+	if ns.GetRelay() {
+		gt.hints.relayNews(ns)
+	}
+	return &wire.Received{}, nil
+}
+
+// applyNews applies the state of an engine that its tender reports.
+func (gt *Gate) applyNews(now time.Time, ns *wire.EngineNews) {
 	if ns.GetDark() {
 		gt.picker.MarkDown(now, ns.GetServerId())
 		gt.log.WithField("server", ns.GetServerId()).Info("dependency lost: the engine does not answer its tender")
-		return &wire.Received{}, nil
+		return
 	}
 	gt.watcher.recordStart(now, ns)
-	gt.loadScheduler.recordState(now, req, ns.GetLoading())
+	gt.loadScheduler.recordState(now, loadRequest(ns), ns.GetLoading())
 	gt.picker.SetWeights(now, ns.GetServerId(), ns.GetModel(), ns.GetVersion(), ns.GetLoading())
 	gt.picker.SetShortOnly(now, ns.GetServerId(), ns.GetShort())
 	gt.picker.SetUtilization(ns.GetServerId(),
 		pick.NewUtilization(int(ns.GetRunning()), int(ns.GetWaiting()), int(ns.GetFree()), int(ns.GetMemory()), now))
-	return &wire.Received{}, nil
+}
+
+func loadRequest(ns *wire.EngineNews) weight.LoadRequest {
+	return weight.NewLoadRequest(ns.GetServerId(), ns.GetService(), ns.GetZone(), ns.GetVersion(), int(ns.GetRunning()))
 }
 
 // loadScheduler is a weight.Scheduler that is safe for concurrent use.
@@ -54,10 +65,12 @@
 	scheduler *weight.Scheduler
 }
 
-func (ls *loadScheduler) grant(now time.Time, req weight.LoadRequest, engines int) weight.Grant {
+// grant decides a request and returns the time after which the tender repeats it.
+func (ls *loadScheduler) grant(now time.Time, req weight.LoadRequest, engines int) (weight.Grant, time.Duration) {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
-	return ls.scheduler.Grant(now, req, engines)
+	grant := ls.scheduler.Grant(now, req, engines)
+	return grant, ls.scheduler.RepeatDelay(req)
 }
 
 // recordState marks the engine of req as out of service while it loads weights, and as in service otherwise.
--- a/io/gate/peers.go
+++ b/io/gate/peers.go
@@ -50,6 +50,21 @@
 	return peers
 }
 
+// zonePeers returns the peer addresses of the other known gates of this gate's zone. While no gate is known, it returns the seed peers.
+func (gt *Gate) zonePeers() []string {
+	gates := gt.gateList.Gates()
+	if len(gates) == 0 {
+		return gt.peers()
+	}
+	var peers []string
+	for _, nd := range gates {
+		if nd.Zone == gt.opts.Zone && nd.Address != gt.opts.PeerAddress {
+			peers = append(peers, nd.Address)
+		}
+	}
+	return peers
+}
+
 // gateCount returns the number of known gates, including this one.
 func (gt *Gate) gateCount() int { return len(gt.peers()) + 1 }
 
@@ -96,11 +111,12 @@
 
 // register writes this gate's entry into the nodes table, retrying until that succeeds, and then reads the table.
 func (gt *Gate) register(ctx context.Context) {
-	nd := Node{Role: RoleGate, Address: gt.opts.PeerAddress, Zone: gt.opts.Zone}
+	nd := Node{Role: RoleGate, Address: gt.opts.PeerAddress, Zone: gt.opts.Zone, Capacity: gt.opts.Capacity}
 	for ctx.Err() == nil {
 		err := WriteNode(ctx, gt.opts.Store, gt.nodeTable.Table(), nd)
 		if err == nil {
 			gt.readNodesOnce(ctx)
+			gt.hints.introduce(ctx)
 			return
 		}
 		gt.log.WithError(err).Debug("registering in nodes table failed; retrying")
--- a/io/gate/watcher.go
+++ b/io/gate/watcher.go
@@ -98,9 +98,12 @@
 		Info("configuration adopted")
 }
 
-// nodesChanged passes two counts to the picker: the gates in this gate's zone, which are as close to the servers of the zone as
+// nodesChanged applies a change of the nodes table.
+func (wt *watcher) nodesChanged(feed.Change) { wt.countSenders() }
+
+// countSenders passes two counts to the picker: the gates in this gate's zone, which are as close to the servers of the zone as
 // this one, and all gates.
-func (wt *watcher) nodesChanged(feed.Change) {
+func (wt *watcher) countSenders() {
 	inZone := 0
 	gates := wt.gate.gateList.Gates()
 	for _, nd := range gates {
@@ -215,7 +218,8 @@
 		wg.Go(func() { <-ctx.Done(); cancel() })
 	}
 	every(expireInterval, gt.watcher.expire)
-	every(hintInterval, func() { gt.sendHints(ctx) })
+	wg.Go(func() { <-ctx.Done(); gt.hints.calls.Wait() })
+	every(hintInterval, func() { gt.hints.send(ctx) })
 	every(pullInterval, func() {
 		if config.Stale() || servers.Stale() || gt.configTable.Revision() == 0 {
 			gt.pullFromPeer(ctx)
--- a/io/tend/notify.go
+++ b/io/tend/notify.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -40,7 +41,7 @@
 	}
 	wt.notified = wt.servingState(outOfService)
 	wt.recordUtilizationNotified()
-	wt.send(ctx, wt.tender.gates(), wt.engineNews(outOfService, false))
+	wt.send(ctx, wt.allRecipients(wt.notifiedAt), wt.engineNews(outOfService, false))
 }
 
 // notifyUnreached retries the notification of gates that could not be reached, for notifyRetryLimit after the first failure. A gate
@@ -48,41 +49,90 @@
 func (wt *watcher) notifyUnreached(ctx context.Context, outOfService bool) {
 	now := time.Now()
 	wt.retriedAt = now
-	var gates []string
+	var rc recipients
 	for address, since := range wt.unreached {
 		if now.Sub(since) < notifyRetryLimit {
-			gates = append(gates, address)
+			rc.direct = append(rc.direct, address)
 		}
 	}
-	wt.send(ctx, gates, wt.engineNews(outOfService, false))
+	if wt.relaysDue {
+		rc.relays = wt.relays(now)
+	}
+	wt.send(ctx, rc, wt.engineNews(outOfService, false))
+}
+
+// recipients are the gates that get a message: gates of the tender's own zone, and one gate of each other zone, which passes the message
+// on within its zone.
+type recipients struct {
+	direct []string
+	relays []string
+}
+
+// allRecipients returns the recipients of a message for all gates. While no gate is listed, these are the seed peers.
+func (wt *watcher) allRecipients(now time.Time) recipients {
+	td := wt.tender
+	local, remote := td.gatesByZone()
+	if len(local)+len(remote) == 0 {
+		return recipients{direct: td.gates()}
+	}
+	return recipients{direct: local, relays: wt.relays(now)}
+}
+
+// relays returns one gate of each other zone, and avoids those that could not be reached lately.
+func (wt *watcher) relays(now time.Time) []string {
+	td := wt.tender
+	return td.gateList.Relays(td.opts.Zone, td.opts.Address, func(address string) bool {
+		failedAt, ok := wt.relayFailedAt[address]
+		return !ok || now.Sub(failedAt) > relayBackoff
+	})
 }
 
 // send notifies gates and records which of them could not be reached.
-func (wt *watcher) send(ctx context.Context, gates []string, ns *wire.EngineNews) {
-	unreached := wt.tender.notify(ctx, gates, ns)
+func (wt *watcher) send(ctx context.Context, rc recipients, ns *wire.EngineNews) {
+	unreached := wt.tender.notify(ctx, rc, ns)
 	now := time.Now()
-	for _, address := range gates {
-		if _, ok := wt.unreached[address]; ok && !slices.Contains(unreached, address) {
+	for _, address := range rc.direct {
+		if !slices.Contains(unreached, address) {
 			delete(wt.unreached, address)
+		} else if _, ok := wt.unreached[address]; !ok {
+			wt.unreached[address] = now
 		}
 	}
-	for _, address := range unreached {
-		if _, ok := wt.unreached[address]; !ok {
-			wt.unreached[address] = now
+	if len(rc.relays) == 0 {
+		return
+	}
+	wt.relaysDue = false
+	for _, address := range rc.relays {
+		if slices.Contains(unreached, address) {
+			wt.relayFailedAt[address] = now
+			wt.relaysDue = true
+		} else {
+			delete(wt.relayFailedAt, address)
 		}
 	}
+	wt.forgetUnlistedGates()
+}
+
+// forgetUnlistedGates drops what is recorded of gates that are no longer listed.
+func (wt *watcher) forgetUnlistedGates() {
+	gates := wt.tender.gates()
+	unlisted := func(address string, _ time.Time) bool { return !slices.Contains(gates, address) }
+	maps.DeleteFunc(wt.unreached, unlisted)
+	maps.DeleteFunc(wt.relayFailedAt, unlisted)
 }
 
 // notifyUtilization notifies the gates of the engine's utilization. Gates of other zones send fewer calls and are notified less
 // often.
 func (wt *watcher) notifyUtilization(ctx context.Context, outOfService bool) {
 	wt.recordUtilizationNotified()
-	gates, remote := wt.tender.gatesByZone()
-	if now := time.Now(); now.Sub(wt.remoteNotifiedAt) > remoteNotifyPeriod {
+	now := time.Now()
+	rc := wt.allRecipients(now)
+	if now.Sub(wt.remoteNotifiedAt) > remoteNotifyPeriod {
 		wt.remoteNotifiedAt = now
-		gates = append(gates, remote...)
+	} else {
+		rc.relays = nil
 	}
-	wt.send(ctx, gates, wt.engineNews(outOfService, false))
+	wt.send(ctx, rc, wt.engineNews(outOfService, false))
 }
 
 // recordUtilizationNotified records the utilization that the gates are notified of.
@@ -98,7 +148,7 @@
 	}
 	ns := wt.engineNews(false, false)
 	ns.Dark = true
-	wt.send(ctx, wt.tender.gates(), ns)
+	wt.send(ctx, wt.allRecipients(time.Now()), ns)
 }
 
 // engineNews returns the message to the gates; loadRequest is set if it requests a load.
--- a/io/tend/tender.go
+++ b/io/tend/tender.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
+	"google.golang.org/protobuf/proto"
 
 	"shallotcleat/core/weight"
 	"shallotcleat/io/feed"
@@ -53,7 +54,9 @@
 	pullRetryDelay = 100 * time.Millisecond
 	// firstPullTimeout bounds the first pull from a gate, which does not wait for changes.
 	firstPullTimeout = 150 * time.Millisecond
-	storeRetryDelay  = 500 * time.Millisecond
+	// relayBackoff is how long a gate of another zone that could not be reached is not used to reach its zone.
+	relayBackoff    = 2 * time.Second
+	storeRetryDelay = 500 * time.Millisecond
 	// maxRepairDelay spreads the writes of many tenders after a restore of the store.
 	maxRepairDelay = time.Second
 	storeTimeout   = 2 * time.Second
@@ -125,7 +128,6 @@
 func (td *Tender) Serve(ctx context.Context) error {
 	defer close(td.done)
 	var wg conc.WaitGroup
-	wg.Go(func() { td.register(ctx) })
 	wg.Go(func() { td.claim(ctx) })
 	wg.Go(func() { td.pull(ctx) })
 	wg.Go(func() { td.repairRestored(ctx) })
@@ -166,8 +168,8 @@
 	}
 }
 
-// repairRestored writes the rows of this tender again after each restore of the store. The fencing number of the new claim is higher than
-// all those of before the restore.
+// repairRestored claims the engine again after each restore of the store. The fencing number of the new claim is higher than all those
+// of before the restore.
 func (td *Tender) repairRestored(ctx context.Context) {
 	for {
 		select {
@@ -175,26 +177,12 @@
 			return
 		case <-td.restored:
 		}
-		td.log.WithField("event", "store_restored").Warn("the store was restored from a backup; writing the rows of this tender again")
+		td.log.WithField("event", "store_restored").Warn("the store was restored from a backup; claiming the engine again")
 		timer.Sleep(ctx, rand.N(maxRepairDelay))
-		td.register(ctx)
 		td.claim(ctx)
 	}
 }
 
-// register writes this tender's row into the nodes table.
-func (td *Tender) register(ctx context.Context) {
-	nd := gate.Node{Role: gate.RoleTender, Address: td.opts.Address, Zone: td.opts.Zone, Service: td.opts.Service}
-	for ctx.Err() == nil {
-		err := gate.WriteNode(ctx, td.opts.Store, td.nodes.Table(), nd)
-		if err == nil {
-			return
-		}
-		td.log.WithError(err).Info("cannot write the tender's row to the nodes table; retrying")
-		timer.Sleep(ctx, storeRetryDelay)
-	}
-}
-
 // pull keeps the copies up to date. It pulls from a gate, one of its own zone first, and stays with a gate that replies. If no gate
 // replies, it reads the store.
 func (td *Tender) pull(ctx context.Context) {
@@ -296,13 +284,13 @@
 }
 
 // notify notifies gates concurrently, waits for at most notifyTimeout and returns those that were not reached.
-func (td *Tender) notify(ctx context.Context, gates []string, ns *wire.EngineNews) (unreached []string) {
+func (td *Tender) notify(ctx context.Context, rc recipients, ns *wire.EngineNews) (unreached []string) {
 	ctx, cancel := context.WithTimeout(ctx, notifyTimeout)
 	defer cancel()
 	var wg conc.WaitGroup
 	// mu guards unreached.
 	var mu sync.Mutex
-	for _, address := range gates {
+	tell := func(address string, ns *wire.EngineNews) {
 		wg.Go(func() {
 			if _, err := td.opts.Links.Node(address).Tell(ctx, ns); err != nil {
 				td.log.WithError(err).WithField("gate", address).Debug("cannot notify a gate; retrying soon")
@@ -312,25 +300,38 @@
 			}
 		})
 	}
+	for _, address := range rc.direct {
+		tell(address, ns)
+	}
+	if len(rc.relays) > 0 {
+		relayed := proto.CloneOf(ns)
+		relayed.Relay = true
+		for _, address := range rc.relays {
+			tell(address, relayed)
+		}
+	}
 	wg.Wait()
 	return unreached
 }
 
-// requestLoad asks a gate whether the engine may load now. All tenders of a service ask the same gate, unless it does not reply.
+// requestLoad asks a gate whether the engine may load now. All tenders of a service ask the same gate, unless it does not reply; gates with
+// more processor time are more likely to be that gate.
 // If no gate replies, the engine may load, since no gate sends it requests.
-func (td *Tender) requestLoad(ctx context.Context, ns *wire.EngineNews) weight.Grant {
-	gates := td.gates()
-	slices.SortFunc(gates, func(a, b string) int {
-		return cmp.Compare(xxhash.Sum64String(a+td.opts.Service), xxhash.Sum64String(b+td.opts.Service))
-	})
+//
+// It also returns the time after which the request is to be repeated.
+func (td *Tender) requestLoad(ctx context.Context, ns *wire.EngineNews) (weight.Grant, time.Duration) {
+	gates := td.gateList.Ranked(td.opts.Service)
+	if len(gates) == 0 {
+		gates = td.gates()
+	}
 	for _, address := range gates {
 		reply, err := td.requestLoadFrom(ctx, address, ns)
 		if err == nil {
-			return weight.Grant(reply.GetGrant())
+			return weight.Grant(reply.GetGrant()), time.Duration(reply.GetRepeatMs()) * time.Millisecond
 		}
 		td.log.WithError(err).WithField("gate", address).Info("dependency lost: a gate does not answer; trying the next gate")
 	}
-	return weight.Load
+	return weight.Load, 0
 }
 
 func (td *Tender) requestLoadFrom(parent context.Context, address string, ns *wire.EngineNews) (*wire.Received, error) {
--- a/io/tend/watcher.go
+++ b/io/tend/watcher.go
@@ -81,6 +81,10 @@
 	// unreached maps each gate that could not be reached to the time of the first failure. retriedAt is the time of the last retry.
 	unreached map[string]time.Time
 	retriedAt time.Time
+	// relayFailedAt maps each gate of another zone that could not be reached to the time of the last failure. relaysDue is set if the last
+	// message did not reach all other zones.
+	relayFailedAt map[string]time.Time
+	relaysDue     bool
 	// notified is the state that the gates were last notified of.
 	notified servingState
 	// outOfServiceSince is when the engine stopped taking calls.
@@ -89,10 +93,12 @@
 	notifiedCalls int
 	// grant is the last reply to a load request, other than Load; it is KeepServing while no load is due.
 	grant weight.Grant
+	// nextRequest is when the next load request is due.
+	nextRequest time.Time
 }
 
 func newWatcher(td *Tender) *watcher {
-	return &watcher{tender: td, unreached: make(map[string]time.Time)}
+	return &watcher{tender: td, unreached: make(map[string]time.Time), relayFailedAt: make(map[string]time.Time)}
 }
 
 // poll observes the engine, acts on its state and reports whether its weights are behind the target version.
@@ -122,10 +128,10 @@
 		wt.notify(ctx, outOfService)
 	case wt.isUtilizationNotifyDue(now):
 		wt.notifyUtilization(ctx, outOfService)
-	case len(wt.unreached) > 0 && now.Sub(wt.retriedAt) > notifyRetryPeriod:
+	case (len(wt.unreached) > 0 || wt.relaysDue) && now.Sub(wt.retriedAt) > notifyRetryPeriod:
 		wt.notifyUnreached(ctx, outOfService)
 	}
-	if loadDue && fence > 0 {
+	if loadDue && fence > 0 && !now.Before(wt.nextRequest) {
 		wt.requestLoad(ctx, fence)
 	}
 	return wt.state.Version < target
@@ -133,7 +139,8 @@
 
 // requestLoad asks a gate whether the engine may load and follows the reply.
 func (wt *watcher) requestLoad(ctx context.Context, fence uint64) {
-	grant := wt.tender.requestLoad(ctx, wt.engineNews(wt.grant == weight.Drain, true))
+	grant, repeatDelay := wt.tender.requestLoad(ctx, wt.engineNews(wt.grant == weight.Drain, true))
+	wt.nextRequest = time.Now().Add(repeatDelay)
 	switch grant {
 	case weight.Load:
 		wt.sendOrder(ctx, fence)
--- a/io/tend/watcher_test.go
+++ b/io/tend/watcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http/httptest"
@@ -41,6 +42,8 @@
 // fakeDialect is a dialect that provides only the names of the tables.
 type fakeDialect struct{ gate.Dialect }
 
+func (fakeDialect) DecodeWeights(feed.Row) (string, uint64, bool, error) { return "", 0, false, nil }
+
 func (fakeDialect) Tables() gate.Tables { return gate.Tables{Config: "op", Nodes: "nodes"} }
 
 // fakeGate sends the messages and pull requests of tenders to channels.
@@ -189,3 +192,79 @@
 	}
 	t.Errorf("no load was counted:\n%s", wr.Body)
 }
+
+// startFakeGate returns a gate and its address, which takes connections until the test ends.
+func startFakeGate(t *testing.T) (*fakeGate, string, net.Listener) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	fg := newFakeGate()
+	fg.serve(t.Context(), t, lis)
+	return fg, lis.Addr().String(), lis
+}
+
+// With many gates in other zones, a tender sends one message to each of these zones, to be passed on there. If the gate that it chose
+// can't be reached, another one of the zone gets the message. A gate that is no longer listed is forgotten.
+func TestTenderSendsOneMessageToEachOtherZone(t *testing.T) {
+	ctx := t.Context()
+	td := newTestTender(t)
+	gates := make(map[string]*fakeGate)
+	listeners := make(map[string]net.Listener)
+	zones := make(map[string]string)
+	var rows []feed.Row
+	for i := range 14 {
+		fg, address, lis := startFakeGate(t)
+		gates[address], listeners[address] = fg, lis
+		zones[address] = []string{"a", "a", "b", "b", "b", "b", "b", "b", "c", "c", "c", "c", "c", "c"}[i]
+		nd, _ := json.Marshal(gate.Node{Role: gate.RoleGate, Address: address, Zone: zones[address], Capacity: 0.1})
+		rows = append(rows, feed.NewRow("gate-"+address, nd, 1))
+	}
+	td.nodes.Replace(rows, 1)
+	received := func() (count map[string]int, relays map[string]string) {
+		count, relays = make(map[string]int), make(map[string]string)
+		for address, fg := range gates {
+			for len(fg.news) > 0 {
+				ns := <-fg.news
+				count[zones[address]]++
+				if ns.GetRelay() != (zones[address] != "a") {
+					t.Errorf("a gate of zone %s got a message with relay %v", zones[address], ns.GetRelay())
+				}
+				if ns.GetRelay() {
+					relays[zones[address]] = address
+				}
+			}
+		}
+		return count, relays
+	}
+	wt := newWatcher(td)
+	wt.poll(ctx)
+	count, relays := received()
+	if count["a"] != 2 || count["b"] != 1 || count["c"] != 1 {
+		t.Fatalf("got %v messages by zone, want 2 in zone a and one in each other zone", count)
+	}
+	down := relays["b"]
+	_ = listeners[down].Close()
+	td.opts.Links = link.NewPool()
+	wt.notified = servingState{}
+	wt.poll(ctx)
+	received()
+	for range 20 {
+		timer.Sleep(ctx, idlePollPeriod)
+		wt.poll(ctx)
+		if count, relays = received(); relays["b"] != "" {
+			break
+		}
+	}
+	if relays["b"] == "" || relays["b"] == down {
+		t.Errorf("got relays %v while %s is down", relays, down)
+	}
+	td.nodes.Replace(rows[:2], 2)
+	wt.unreached["gone"] = time.Now()
+	wt.notified = servingState{version: 9}
+	wt.poll(ctx)
+	wt.forgetUnlistedGates()
+	if len(wt.unreached) > 0 || len(wt.relayFailedAt) > 0 {
+		t.Errorf("unlisted gates are still recorded: %v, %v", wt.unreached, wt.relayFailedAt)
+	}
+}
