--- a/io/cmds/gate.go
+++ b/io/cmds/gate.go
@@ -31,6 +31,9 @@
 	RetryWindow    string `long:"retry-span" env:"SHALLOTCLEAT_RETRY_SPAN" description:"period over which retries are counted" default:"10s"`
 	RetryRatio     string `long:"retry-ratio" env:"SHALLOTCLEAT_RETRY_RATIO" description:"retries allowed for each first attempt of a service" default:"0.2"`
 	RetryAllowance string `long:"retry-allowance" env:"SHALLOTCLEAT_RETRY_ALLOWANCE" description:"retries allowed in addition to the ratio, shared by all gates" default:"50"`
+	Settle         string `long:"settle" env:"SHALLOTCLEAT_SETTLE" description:"time after a connection was cut or stalled from which the deadlines for changes hold again" default:"3s"`
+	ConfigDeadline string `long:"config-deadline" env:"SHALLOTCLEAT_CONFIG_DEADLINE" description:"time within which a change of the configuration must be in force" default:"2s"`
+	DrainDeadline  string `long:"drain-deadline" env:"SHALLOTCLEAT_DRAIN_DEADLINE" description:"time after which a leaving server must get no requests" default:"2s"`
 	OldWeights     string `long:"old-weights" env:"SHALLOTCLEAT_OLD_WEIGHTS" description:"how long after newer weights are announced a request may start on older ones" default:"6s"`
 }
 
@@ -55,6 +58,11 @@
 			Ratio:     vd.float("retry-ratio", cm.RetryRatio, 0, 10),
 			Allowance: vd.float("retry-allowance", cm.RetryAllowance, 0, 1e6),
 		},
+		Deadlines: gate.Deadlines{
+			Settle: vd.duration("settle", cm.Settle, 0, time.Minute),
+			Config: vd.duration("config-deadline", cm.ConfigDeadline, 100*time.Millisecond, time.Minute),
+			Drain:  vd.duration("drain-deadline", cm.DrainDeadline, 100*time.Millisecond, time.Minute),
+		},
 		OldWeightsGrace: vd.duration("old-weights", cm.OldWeights, time.Second, time.Hour),
 		StopTimeout:     vd.duration("stop-timeout", cm.StopTimeout, 2*time.Second, time.Hour) - stopMargin,
 		BalancerLag:     balancerLag,
--- a/io/feed/copy_test.go
+++ b/io/feed/copy_test.go
@@ -82,7 +82,7 @@
 	lg.SetOutput(io.Discard)
 	cp := NewCopy("t")
 	failures := 0
-	fw := NewFollower(cp, src, logrus.NewEntry(lg), 0, func() { failures++ })
+	fw := NewFollower(cp, src, logrus.NewEntry(lg), time.Second, 0, func() { failures++ })
 	ctx, cancel := context.WithCancel(t.Context())
 	go fw.Run(ctx)
 	for cp.Revision() != 9 {
@@ -205,7 +205,7 @@
 	}
 	lg := logrus.New()
 	lg.SetOutput(io.Discard)
-	fw := NewFollower(NewCopy("t"), src, logrus.NewEntry(lg), 0, func() {})
+	fw := NewFollower(NewCopy("t"), src, logrus.NewEntry(lg), time.Second, 0, func() {})
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
 	fw.Run(ctx)
--- a/io/feed/follower.go
+++ b/io/feed/follower.go
@@ -14,10 +14,8 @@
 
 // Timeouts and delays of calls to the source.
 const (
-	// watchWait is how long one Watch call waits for a change. A stalled connection is noticed after watchWait + watchMargin.
-	watchWait = 3 * time.Second
-	// watchMargin is added to watchWait for the timeout of a Watch call.
-	watchMargin = 700 * time.Millisecond
+	// WatchMargin is added to the wait of a Watch call for its timeout. A stalled connection is noticed after both.
+	WatchMargin = 700 * time.Millisecond
 	// readTimeout bounds a read of a whole table.
 	readTimeout = 2 * time.Second
 	// minBackoff and maxBackoff bound the delay after a failed call.
@@ -30,6 +28,8 @@
 	copy   *Copy
 	source Source
 	log    *logrus.Entry
+	// wait is how long one Watch call waits for a change.
+	wait time.Duration
 	// batchDelay is the pause after a change, so that the next Watch call returns several changes at once.
 	batchDelay time.Duration
 	// onError is called after each failed call to the source, except for ErrCompacted.
@@ -39,13 +39,15 @@
 	done  chan struct{}
 }
 
-// NewFollower returns a follower that is started by Run. After each change it pauses for batchDelay, so that the next call
-// returns several changes at once. It calls onError after each failed call to the source, except for ErrCompacted.
-func NewFollower(cp *Copy, src Source, lg *logrus.Entry, batchDelay time.Duration, onError func()) *Follower {
+// NewFollower returns a follower that is started by Run. One Watch call waits for a change up to wait. After each change the follower
+// pauses for batchDelay, so that the next call returns several changes at once. It calls onError after each failed call to the source,
+// except for ErrCompacted.
+func NewFollower(cp *Copy, src Source, lg *logrus.Entry, wait, batchDelay time.Duration, onError func()) *Follower {
 	return &Follower{
 		copy:       cp,
 		source:     src,
 		log:        lg.WithField("table", cp.table),
+		wait:       wait,
 		batchDelay: batchDelay,
 		onError:    onError,
 		done:       make(chan struct{}),
@@ -113,9 +115,9 @@
 		return nil
 	}
 	after := fw.copy.Revision()
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchMargin)
+	ctx, cancel := context.WithTimeout(ctx, fw.wait+WatchMargin)
 	defer cancel()
-	rows, revision, err := fw.source.Watch(ctx, fw.copy.table, after, watchWait)
+	rows, revision, err := fw.source.Watch(ctx, fw.copy.table, after, fw.wait)
 	if err != nil {
 		return fmt.Errorf("watch source: %w", err)
 	}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -65,6 +65,8 @@
 	OldWeightsGrace time.Duration
 	// RandomSeed seeds the random selection among backend servers.
 	RandomSeed uint64
+	// Deadlines state within which time the gate must follow the store.
+	Deadlines Deadlines
 	// StopTimeout is the maximum duration of a graceful stop; BalancerLag is the part of it in which the load balancer may still
 	// send new callers.
 	StopTimeout time.Duration
--- a/io/gate/peers.go
+++ b/io/gate/peers.go
@@ -68,11 +68,12 @@
 // gateCount returns the number of known gates, including this one.
 func (gt *Gate) gateCount() int { return len(gt.peers()) + 1 }
 
-// readNodes polls the nodes table until ctx is done. Its rows change only when VMs are added or removed.
+// readNodes polls the nodes table until ctx is done, after register has read it first. Its rows change only when VMs are added or
+// removed.
 func (gt *Gate) readNodes(ctx context.Context) {
 	for ctx.Err() == nil {
-		gt.readNodesOnce(ctx)
 		timer.Sleep(ctx, nodesInterval)
+		gt.readNodesOnce(ctx)
 	}
 }
 
@@ -120,6 +121,9 @@
 			return
 		}
 		gt.log.WithError(err).Debug("registering in nodes table failed; retrying")
+		if gt.nodeTable.Revision() == 0 {
+			gt.readNodesOnce(ctx)
+		}
 		timer.Sleep(ctx, registerInterval)
 	}
 }
--- a/io/gate/watcher.go
+++ b/io/gate/watcher.go
@@ -21,11 +21,35 @@
 	nodesInterval    = 15 * time.Second
 	registerInterval = time.Second
 	storeTimeout     = 2 * time.Second
-	// serverChangeDelay batches changes to servers' entries. It is below the two seconds for which a leaving server may still get
-	// requests.
-	serverChangeDelay = time.Second
+	// applyMargin is the part of a deadline for a change that is kept for calls to the store and for applying it.
+	applyMargin = time.Second
+	// minWatchWait, maxWatchWait and minServerChangeDelay bound the values where deadlines are short or long.
+	minWatchWait         = time.Second
+	maxWatchWait         = 25 * time.Second
+	minServerChangeDelay = 200 * time.Millisecond
 )
 
+// Deadlines state within which time a process must follow the store.
+type Deadlines struct {
+	// Settle is how long after a connection was cut or stalled the other deadlines hold again.
+	Settle time.Duration
+	// Config is the time within which a change of the configuration must be in force.
+	Config time.Duration
+	// Drain is the time after which a server that is leaving must get no requests.
+	Drain time.Duration
+}
+
+// watchWait returns how long a watch of a table may wait for a change, given the deadline for changes of the table: a connection that
+// stalls right after the call must be noticed before the deadline holds again.
+func (dl Deadlines) watchWait(deadline time.Duration) time.Duration {
+	return min(max(dl.Settle+deadline-applyMargin-feed.WatchMargin, minWatchWait), maxWatchWait)
+}
+
+// serverChangeDelay returns the delay that batches changes to servers' entries.
+func (dl Deadlines) serverChangeDelay() time.Duration {
+	return max(dl.Drain-applyMargin, minServerChangeDelay)
+}
+
 // watcher updates the gate's configuration and servers from the store tables.
 type watcher struct {
 	gate *Gate
@@ -205,8 +229,10 @@
 // followTables starts the goroutines that keep the tables up to date.
 func (gt *Gate) followTables(ctx context.Context, wg *conc.WaitGroup) {
 	noop := func() {}
-	config := feed.NewFollower(gt.configTable, gt.opts.Source, gt.log, 0, noop)
-	servers := feed.NewFollower(gt.serverTable, gt.opts.Source, gt.log, serverChangeDelay, gt.watcher.recordOutage)
+	dl := gt.opts.Deadlines
+	config := feed.NewFollower(gt.configTable, gt.opts.Source, gt.log, dl.watchWait(dl.Config), 0, noop)
+	servers := feed.NewFollower(gt.serverTable, gt.opts.Source, gt.log, dl.watchWait(dl.Drain), dl.serverChangeDelay(),
+		gt.watcher.recordOutage)
 	wg.Go(func() { config.Run(ctx) })
 	wg.Go(func() { servers.Run(ctx) })
 	wg.Go(func() { gt.readNodes(ctx) })
