Shared parts of prompts are kept in the cache store and copied from there

Cause: 11 to 28 in 100 of the shared tokens that calls asked for were read again. Saving with each call fills the store's link. Change: a part is saved by the second call with it, once per weight version, the store chosen by rendezvous hashing; all processes together use at most 0.4 of its link for that; gates tell each other what was saved; a call copies from the store what no engine has used within a second.

--- a/core/pick/attempt.go
+++ b/core/pick/attempt.go
@@ -15,6 +15,8 @@
 	tokens   int
 	priority int
 	sentAt   time.Time
+	// saveStore is the cache store to which the server saves the prefixes, or nil.
+	saveStore *storeState
 	// expectedTime is the time expected from sentAt to the first event.
 	expectedTime time.Duration
 	firstEventAt time.Time
@@ -45,12 +47,18 @@
 	defer pk.mu.Unlock()
 	st := pk.state(ch.server.ID())
 	tokens := max(cl.tokens-cl.tokensAfter(0)+cl.tokensAfter(st.cachedDepth(now, cl, ch.version)), 0)
+	if len(cl.keys) > 0 {
+		pk.recordSeen(now, cl.affinityKey())
+	}
 	for _, key := range cl.keys {
 		pf := prefixKey{key: key, version: ch.version}
+		if ch.saveStore != nil {
+			ch.saveStore.saving[pf] = now
+		}
 		st.recordUse(pf, prefixUse{sentAt: now, prefilledAt: st.prefixes[pf].prefilledAt})
 	}
 	att := &Attempt{picker: pk, id: ch.server.ID(), keys: cl.keys, version: ch.version, tokens: tokens, priority: cl.priority,
-		sentAt: now, expectedTime: pk.expectedTime(now, st, tokens, cl.tokens)}
+		sentAt: now, saveStore: ch.saveStore, expectedTime: pk.expectedTime(now, st, tokens, cl.tokens)}
 	st.recordSent(tokens, cl.tokens)
 	if tokens > 0 {
 		st.pending = append(st.pending, att)
@@ -73,6 +81,9 @@
 	if att.tokens > 0 {
 		att.picker.observeSlowdown(now, att.id, st, now.Sub(att.sentAt), att.expectedTime)
 	}
+	if att.saveStore != nil {
+		att.picker.recordSave(now, att.saveStore, att.keys, att.version)
+	}
 	for _, key := range att.keys {
 		att.picker.recordPrefill(now, att.id, prefixKey{key: key, version: att.version})
 	}
--- a/core/pick/call.go
+++ b/core/pick/call.go
@@ -90,6 +90,7 @@
 	server           *fleet.Server
 	version          uint64
 	cacheSource      *fleet.Server
+	saveStore        *storeState
 	cachedParts      int
 	cost             time.Duration
 	timeToFirstEvent time.Duration
@@ -102,9 +103,17 @@
 // Version returns the weight version that the server is assumed to have, or zero if unknown.
 func (ch Choice) Version() uint64 { return ch.version }
 
-// CacheSource returns a server from which the chosen one may copy the cached shared parts of the prompt, or nil.
+// CacheSource returns a server or cache store from which the chosen one may copy the cached shared parts of the prompt, or nil.
 func (ch Choice) CacheSource() *fleet.Server { return ch.cacheSource }
 
+// SaveAddress returns the address of the cache store to which the chosen server is to save the shared parts, or "".
+func (ch Choice) SaveAddress() string {
+	if ch.saveStore == nil {
+		return ""
+	}
+	return ch.saveStore.store.server.Address()
+}
+
 // CachedParts returns how many shared parts of the prompt the server is assumed to have cached.
 func (ch Choice) CachedParts() int { return ch.cachedParts }
 
--- a/core/pick/hint.go
+++ b/core/pick/hint.go
@@ -8,7 +8,7 @@
 	cachedTTL = 7 * time.Second
 	// freshTTL is how long after its last use a prompt is so likely to be cached that no copy is requested; engines may
 	// evict within seconds.
-	freshTTL = 2 * time.Second
+	freshTTL = 300 * time.Millisecond
 	// sourceTTL is how long after a prompt was prefilled its engine may be asked for a copy; a miss costs 1 ms.
 	sourceTTL = 10 * time.Second
 	// hintInterval is the least time between two hints about the same prefix and server.
@@ -113,7 +113,10 @@
 	pk.mu.Lock()
 	defer pk.mu.Unlock()
 	for _, hn := range hints {
-		if sv := pk.view.ByHash(hn.server); sv != nil {
+		pk.recordSeen(now, hn.key)
+		if st, ok := pk.stores[hn.server]; ok {
+			st.recordSaved(now, prefixKey{key: hn.key, version: hn.version})
+		} else if sv := pk.view.ByHash(hn.server); sv != nil {
 			pk.state(sv.ID()).recordUse(prefixKey{key: hn.key, version: hn.version}, prefixUse{sentAt: now, prefilledAt: now})
 		}
 	}
--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -70,6 +70,9 @@
 	slowdowns map[string]slowdownSum
 	// restrictions holds, by server id, what servers have said about new calls.
 	restrictions map[string]restriction
+	// stores holds the cache stores by the hash of their ids, and seen the last use of each prefix under any weights.
+	stores map[uint64]*storeState
+	seen   map[uint64]time.Time
 }
 
 // New returns a picker for a process in an availability zone. No call starts on old weights later than oldWeightsGrace
@@ -85,6 +88,8 @@
 		states:          make(map[string]*state),
 		slowdowns:       make(map[string]slowdownSum),
 		restrictions:    make(map[string]restriction),
+		stores:          make(map[uint64]*storeState),
+		seen:            make(map[uint64]time.Time),
 		targets:         make(map[string][]announcedVersion),
 	}
 }
@@ -195,6 +200,7 @@
 	ownTokens := cl.tokens - cl.tokensAfter(0) + cl.tokensAfter(best.cachedParts)
 	best.queueTime = max(best.timeToFirstEvent-time.Duration(st.slowdown*float64(baseLatency+prefillTime(ownTokens))), 0)
 	best.cacheSource = pk.cacheSource(now, cl, servers, best)
+	best.saveStore = pk.saveStore(now, cl, best)
 	return best, true
 }
 
--- a/core/pick/source.go
+++ b/core/pick/source.go
@@ -27,8 +27,8 @@
 }
 
 // cacheSource returns a server that is assumed to have prefilled more of the shared parts than the chosen one almost
-// certainly has cached, or nil. It prefers the one with the most parts, then the one that prefilled them last. An
-// unneeded copy costs 1 ms. The caller holds mu.
+// certainly has cached, or nil. It prefers the one with the most parts, then the one that prefilled them last, and a
+// cache store to an engine that prefilled them before recentTTL. An unneeded copy costs 1 ms. The caller holds mu.
 func (pk *Picker) cacheSource(now time.Time, cl Call, servers []*fleet.Server, ch Choice) *fleet.Server {
 	if len(cl.keys) == 0 || ch.version == 0 {
 		return nil
@@ -49,5 +49,16 @@
 			best, bestDepth, bestPrefilledAt = sv, depth, prefilledAt
 		}
 	}
+	st := pk.cacheStore(cl)
+	if st == nil {
+		return best
+	}
+	saved := st.savedDepth(now, cl, ch.version)
+	if saved > bestDepth || best != nil && saved == bestDepth && now.Sub(bestPrefilledAt) > recentTTL {
+		for _, key := range cl.keys[:saved] {
+			st.recordSaved(now, prefixKey{key: key, version: ch.version})
+		}
+		return st.store.server
+	}
 	return best
 }
--- /dev/null
+++ b/core/pick/store.go
@@ -0,0 +1,163 @@
+package pick
+
+import (
+	"time"
+
+	"shallotcleat/core/fleet"
+	"shallotcleat/core/prefix"
+)
+
+// Limits of the use of cache stores.
+const (
+	// savedTTL is how long a prefix is assumed to stay in a store after its last use.
+	savedTTL = 60 * time.Second
+	// reuseTTL is how long after a call a prefix counts as used before, so that the next call saves it.
+	reuseTTL = 60 * time.Second
+	// savingTTL is how long a prefix is not saved again while a save of it is assumed to be in progress.
+	savingTTL = 2 * time.Second
+	// recentTTL is how long after a prefill or a use an engine is a better source than a store: it is unlikely to have evicted the
+	// prefix, and its link is its own.
+	recentTTL = time.Second
+	// saveShare is the share of a store's link that all processes may use for saves.
+	saveShare = 0.4
+	// maxSaveCredit bounds the link time that a process may use for saves at once.
+	maxSaveCredit = 400 * time.Millisecond
+	// maxSeenPrefixes bounds the prefixes whose last use is kept.
+	maxSeenPrefixes = 32768
+)
+
+// CacheStore keeps cached prompt prefixes apart from the engines. Engines save prefixes there and fetch them from there.
+type CacheStore struct {
+	server *fleet.Server
+	// tokensPerSecond is the rate at which its link carries the prefixes of a token.
+	tokensPerSecond float64
+}
+
+// NewCacheStore returns a store at an address in an availability zone whose link carries the given number of tokens a second.
+func NewCacheStore(address, zone string, tokensPerSecond float64) CacheStore {
+	return CacheStore{server: fleet.NewServer("cache-store-"+address, address, zone, "", 0, false, 0, nil), tokensPerSecond: tokensPerSecond}
+}
+
+// storeState is what this process knows of one cache store. The picker's lock guards it.
+type storeState struct {
+	store CacheStore
+	// saved holds the last use of each prefix that was saved, by this process or according to its peers.
+	saved map[prefixKey]time.Time
+	// saving holds the prefixes that this process is saving, with the time at which the save began.
+	saving map[prefixKey]time.Time
+	// saveCredit is the link time that this process may use for saves, as of creditAt.
+	saveCredit time.Duration
+	creditAt   time.Time
+}
+
+// SetCacheStores sets the cache stores; what is known of those that stay is kept.
+func (pk *Picker) SetCacheStores(stores []CacheStore) {
+	pk.mu.Lock()
+	defer pk.mu.Unlock()
+	states := make(map[uint64]*storeState, len(stores))
+	for _, cs := range stores {
+		st, ok := pk.stores[cs.server.Hash()]
+		if !ok {
+			st = &storeState{saved: make(map[prefixKey]time.Time), saving: make(map[prefixKey]time.Time)}
+		}
+		st.store = cs
+		states[cs.server.Hash()] = st
+	}
+	pk.stores = states
+}
+
+// cacheStore returns the store that keeps the prefixes of a call, by rendezvous hashing, or nil if there is none. The caller holds mu.
+func (pk *Picker) cacheStore(cl Call) *storeState {
+	if len(cl.keys) == 0 {
+		return nil
+	}
+	var best *storeState
+	var bestScore uint64
+	for hash, st := range pk.stores {
+		if score := prefix.Mix(prefix.Key(cl.affinityKey()), hash); best == nil || score > bestScore {
+			best, bestScore = st, score
+		}
+	}
+	return best
+}
+
+// savedDepth returns how many of a call's shared parts the store is assumed to have under a weight version.
+func (st *storeState) savedDepth(now time.Time, cl Call, version uint64) int {
+	for depth := len(cl.keys); depth > 0; depth-- {
+		if usedAt, ok := st.saved[prefixKey{key: cl.keys[depth-1], version: version}]; ok && now.Sub(usedAt) < savedTTL {
+			return depth
+		}
+	}
+	return 0
+}
+
+// recordSaved records that the store has a prefix. At the limit it drops the prefixes that the store has likely evicted, and at least
+// one.
+func (st *storeState) recordSaved(now time.Time, key prefixKey) {
+	if _, ok := st.saved[key]; !ok && len(st.saved) >= maxSeenPrefixes {
+		for old, usedAt := range st.saved {
+			if now.Sub(usedAt) >= savedTTL || len(st.saved) >= maxSeenPrefixes {
+				delete(st.saved, old)
+			}
+		}
+	}
+	st.saved[key] = now
+}
+
+// saveStore returns the store to which the engine of a choice is to save the call's prefix, or nil: it was used before, the store lacks
+// it, and saves use less than their share of the store's link. The caller holds mu.
+func (pk *Picker) saveStore(now time.Time, cl Call, ch Choice) *storeState {
+	st := pk.cacheStore(cl)
+	if st == nil || st.store.tokensPerSecond <= 0 || ch.version == 0 || st.savedDepth(now, cl, ch.version) == len(cl.keys) || !pk.isReused(now, cl) {
+		return nil
+	}
+	key := prefixKey{key: cl.affinityKey(), version: ch.version}
+	if startedAt, ok := st.saving[key]; ok && now.Sub(startedAt) < savingTTL {
+		return nil
+	}
+	if !st.takeSaveCredit(now, cl.tokens, pk.processCount) {
+		return nil
+	}
+	return st
+}
+
+// takeSaveCredit reports whether this process may save a prompt now, and counts the save if so.
+func (st *storeState) takeSaveCredit(now time.Time, tokens, processCount int) bool {
+	earned := time.Duration(saveShare / float64(processCount) * float64(now.Sub(st.creditAt)))
+	st.saveCredit, st.creditAt = min(st.saveCredit+earned, maxSaveCredit), now
+	if st.saveCredit <= 0 {
+		return false
+	}
+	st.saveCredit -= time.Duration(float64(tokens) / st.store.tokensPerSecond * float64(time.Second))
+	return true
+}
+
+// isReused reports whether a call with the same shared parts was seen lately, under any weights. The caller holds mu.
+func (pk *Picker) isReused(now time.Time, cl Call) bool {
+	seenAt, ok := pk.seen[cl.affinityKey()]
+	return ok && now.Sub(seenAt) < reuseTTL
+}
+
+// recordSeen records the use of a prefix, by this process or a peer. The caller holds mu.
+func (pk *Picker) recordSeen(now time.Time, key uint64) {
+	if _, ok := pk.seen[key]; !ok && len(pk.seen) >= maxSeenPrefixes {
+		for old, seenAt := range pk.seen {
+			if now.Sub(seenAt) >= reuseTTL || len(pk.seen) >= maxSeenPrefixes {
+				delete(pk.seen, old)
+			}
+		}
+	}
+	pk.seen[key] = now
+}
+
+// recordSave records that a store has the prefixes of an attempt, and queues hints for the peers. The caller holds mu.
+func (pk *Picker) recordSave(now time.Time, st *storeState, keys []uint64, version uint64) {
+	for _, key := range keys {
+		pf := prefixKey{key: key, version: version}
+		delete(st.saving, pf)
+		if _, ok := st.saved[pf]; !ok && len(pk.hints) < maxPendingHints {
+			pk.hints = append(pk.hints, NewHint(st.store.server.Hash(), key, version))
+		}
+		st.recordSaved(now, pf)
+	}
+}
--- /dev/null
+++ b/core/pick/store_test.go
@@ -0,0 +1,125 @@
+package pick
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+const testStoreAddress = "172.20.0.2:80"
+
+// newStorePicker returns a picker with two engines in one zone and a cache store.
+func newStorePicker() *Picker {
+	pk := New("a", 6*time.Second, 1)
+	pk.SetView(viewOf("a", "a"))
+	pk.SetCacheStores([]CacheStore{NewCacheStore(testStoreAddress, "a", 250_000)})
+	return pk
+}
+
+// serveChosen sends a call to its chosen server, whose response begins after the given time and ends then, and returns the choice.
+func serveChosen(t *testing.T, pk *Picker, now time.Time, cl Call, excluded map[string]bool) Choice {
+	t.Helper()
+	ch, ok := pk.Choose(now, cl, excluded)
+	if !ok {
+		t.Fatal("no server")
+	}
+	att := pk.StartAttempt(now, cl, ch)
+	att.MarkFirstEvent(now.Add(100 * time.Millisecond))
+	att.End(now.Add(100*time.Millisecond), Served)
+	return ch
+}
+
+// A prefix is saved when it is used for the second time, once for each weight version. From then on, calls copy it from the store if no
+// engine has used it within recentTTL.
+func TestPrefixIsSavedOnceForEachVersion(t *testing.T) {
+	pk, now := newStorePicker(), time.Unix(1000, 0)
+	cl := promptCall("s", false)
+	saves := 0
+	for i := range 10 {
+		now = now.Add(3 * time.Second)
+		ch := serveChosen(t, pk, now, cl, nil)
+		if ch.SaveAddress() != "" {
+			saves++
+			if i != 1 || ch.SaveAddress() != testStoreAddress {
+				t.Errorf("call %d saves to %q, want a save by the second call only", i, ch.SaveAddress())
+			}
+		}
+		if sv := ch.CacheSource(); i > 1 && (sv == nil || sv.Address() != testStoreAddress) {
+			t.Errorf("call %d copies from %v, want the store", i, sv)
+		}
+	}
+	for _, id := range []string{"server-0", "server-1"} {
+		pk.SetWeights(now, id, testModel, 2, false)
+	}
+	ch := serveChosen(t, pk, now.Add(time.Second), cl, nil)
+	if ch.SaveAddress() == "" {
+		t.Error("the prefix is not saved under new weights although it was used before")
+	}
+	if ch.CacheSource() != nil {
+		t.Errorf("a prefix of older weights is copied from %s", ch.CacheSource().ID())
+	}
+	if saves != 1 {
+		t.Errorf("%d saves, want 1", saves)
+	}
+}
+
+// Peers that hear of a save neither save again nor read the prefix again.
+func TestPeersLearnOfSaves(t *testing.T) {
+	saver, peer, now := newStorePicker(), newStorePicker(), time.Unix(1000, 0)
+	cl := promptCall("s", false)
+	serveChosen(t, saver, now, cl, nil)
+	serveChosen(t, saver, now.Add(time.Second), cl, nil)
+	peer.ApplyHints(now.Add(time.Second), saver.TakeHints())
+	ch := serveChosen(t, peer, now.Add(20*time.Second), cl, nil)
+	if ch.SaveAddress() != "" || ch.CacheSource() == nil || ch.CacheSource().Address() != testStoreAddress {
+		t.Errorf("got save to %q, source %v", ch.SaveAddress(), ch.CacheSource())
+	}
+}
+
+// A rollout under load, in which every prefix has to be saved again at once, leaves most of the store's link to copies, however many
+// processes there are.
+func TestSavesLeaveLinkToCopies(t *testing.T) {
+	const tokensPerSecond, processes = 250_000, 10
+	now := time.Unix(1000, 0)
+	var pickers []*Picker
+	for range processes {
+		pk := newStorePicker()
+		pk.SetSenders(processes, processes)
+		for i := range 1000 {
+			serveChosen(t, pk, now, promptCall(fmt.Sprint("s", i), false), nil)
+		}
+		pickers = append(pickers, pk)
+	}
+	const seconds = 10
+	saved := 0
+	for i := range 1000 {
+		for _, pk := range pickers {
+			cl := promptCall(fmt.Sprint("s", i), false)
+			if ch := serveChosen(t, pk, now.Add(time.Duration(i)*seconds*time.Millisecond), cl, nil); ch.SaveAddress() != "" {
+				saved += cl.tokens
+			}
+		}
+	}
+	limit := (saveShare*seconds + processes*(maxSaveCredit.Seconds()+0.03)) * tokensPerSecond
+	if float64(saved) > limit || saved == 0 {
+		t.Errorf("%d tokens were saved in %d s, want at most %.0f and more than none", saved, seconds, limit)
+	}
+}
+
+// Isolated workspaces share no saved prefixes, and a store whose rate is unknown is not saved to.
+func TestStoreKeepsWorkspacesApart(t *testing.T) {
+	pk, now := newStorePicker(), time.Unix(1000, 0)
+	parts := []Part{NewPart("system", 500), NewPart("s", 5000), NewPart("own", 1000)}
+	open, isolated := NewCall("chat", testModel, "", parts, 6500, false), NewCall("chat", testModel, "walled", parts, 6500, false)
+	serveChosen(t, pk, now, open, nil)
+	serveChosen(t, pk, now.Add(time.Second), open, nil)
+	if ch := serveChosen(t, pk, now.Add(20*time.Second), isolated, nil); ch.CacheSource() != nil {
+		t.Errorf("an isolated workspace copies another one's prefix from %s", ch.CacheSource().ID())
+	}
+	pk.SetCacheStores([]CacheStore{NewCacheStore(testStoreAddress, "a", 0)})
+	for i := range 3 {
+		if ch := serveChosen(t, pk, now.Add(time.Duration(30+i)*time.Second), promptCall("other", false), nil); ch.SaveAddress() != "" {
+			t.Error("a call saves to a store whose rate is unknown")
+		}
+	}
+}
--- a/core/route/spec.go
+++ b/core/route/spec.go
@@ -5,11 +5,13 @@
 // Spec is the content of a configuration, decoded from an operator's file or the platform's store.
 type Spec struct {
 	// Version increases with each configuration.
-	Version    uint64
-	Routes     []RouteSpec
-	Services   []ServiceSpec
-	Workspaces []WorkspaceSpec
-	Limits     Limits
+	Version  uint64
+	Routes   []RouteSpec
+	Services []ServiceSpec
+	// CacheStores keep cached prompt prefixes of all engines.
+	CacheStores []CacheStoreSpec
+	Workspaces  []WorkspaceSpec
+	Limits      Limits
 }
 
 // RouteSpec describes a route.
@@ -49,6 +51,16 @@
 	Name string
 	// Engine is set if the servers are model engines.
 	Engine bool
+	// CacheTokenBytes is the size of the cached prefix of one token at the service's engines, or zero.
+	CacheTokenBytes int
+}
+
+// CacheStoreSpec describes a store of cached prompt prefixes.
+type CacheStoreSpec struct {
+	Address string
+	Zone    string
+	// LinkBytesPerSecond is the rate of the store's link.
+	LinkBytesPerSecond float64
 }
 
 // WorkspaceSpec describes a workspace.
--- a/io/gate/dialect.go
+++ b/io/gate/dialect.go
@@ -43,6 +43,8 @@
 	WeightVersion uint64
 	// CacheSourceAddress is the address of a server from which to copy cached parts, or empty.
 	CacheSourceAddress string
+	// CacheSaveAddress is the address of a store to which to save the cached parts, or empty.
+	CacheSaveAddress string
 	// LastEventID is the id of the event after which a stream continues, or empty.
 	LastEventID string
 }
--- a/io/gate/watcher.go
+++ b/io/gate/watcher.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc"
 
 	"shallotcleat/core/fleet"
+	"shallotcleat/core/pick"
 	"shallotcleat/core/route"
 	"shallotcleat/io/feed"
 	"shallotcleat/io/wire"
@@ -118,10 +119,24 @@
 		return
 	}
 	wt.gate.routes.Store(route.Compile(sp))
+	wt.gate.picker.SetCacheStores(cacheStores(sp))
 	wt.gate.log.WithField("event", "epoch_adopted").WithField("version", sp.Version).WithField("routes", len(sp.Routes)).
 		Info("configuration adopted")
 }
 
+// cacheStores returns the cache stores of a configuration. Their rates in tokens are those of the engines with the largest tokens.
+func cacheStores(sp route.Spec) []pick.CacheStore {
+	tokenBytes := 1
+	for _, sv := range sp.Services {
+		tokenBytes = max(tokenBytes, sv.CacheTokenBytes)
+	}
+	var stores []pick.CacheStore
+	for _, cs := range sp.CacheStores {
+		stores = append(stores, pick.NewCacheStore(cs.Address, cs.Zone, cs.LinkBytesPerSecond/float64(tokenBytes)))
+	}
+	return stores
+}
+
 // nodesChanged applies a change of the nodes table.
 func (wt *watcher) nodesChanged(feed.Change) { wt.countSenders() }
 
