Gates watch the cache stores; saves come in small bursts

Ruled out: noticing it by slow first events (as many other causes); a connection held by each gate (a store bounds its waiting calls). Change: three gates by rendezvous hashing hold one waiting call each at a store; it ends at once if the store dies and names the store's run; they tell the others with their hints. A store that is down is not used, one that started again is empty. The credit for saves is bounded for all gates together.

--- a/core/pick/source.go
+++ b/core/pick/source.go
@@ -49,7 +49,7 @@
 			best, bestDepth, bestPrefilledAt = sv, depth, prefilledAt
 		}
 	}
-	st := pk.cacheStore(cl)
+	st := pk.cacheStore(now, cl)
 	if st == nil {
 		return best
 	}
--- a/core/pick/store.go
+++ b/core/pick/store.go
@@ -9,6 +9,8 @@
 
 // Limits of the use of cache stores.
 const (
+	// downTTL is how long a store counts as down without another report.
+	downTTL = 3 * time.Second
 	// savedTTL is how long a prefix is assumed to stay in a store after its last use.
 	savedTTL = 60 * time.Second
 	// reuseTTL is how long after a call a prefix counts as used before, so that the next call saves it.
@@ -20,8 +22,8 @@
 	recentTTL = time.Second
 	// saveShare is the share of a store's link that all processes may use for saves.
 	saveShare = 0.4
-	// maxSaveCredit bounds the link time that a process may use for saves at once.
-	maxSaveCredit = 400 * time.Millisecond
+	// maxSaveCredit bounds the link time that all processes together may use for saves at once, since copies wait behind them.
+	maxSaveCredit = 100 * time.Millisecond
 	// maxSeenPrefixes bounds the prefixes whose last use is kept.
 	maxSeenPrefixes = 32768
 )
@@ -48,6 +50,62 @@
 	// saveCredit is the link time that this process may use for saves, as of creditAt.
 	saveCredit time.Duration
 	creditAt   time.Time
+	// run identifies the run of the store, or is zero if unknown. The store gets no calls before downUntil.
+	run       uint64
+	downUntil time.Time
+}
+
+// CacheStoreState is a report of a process that watches a cache store.
+type CacheStoreState struct {
+	store uint64
+	run   uint64
+	down  bool
+}
+
+// NewCacheStoreState returns a report: the hash of the store's id, a number that differs between its runs, and whether it does not
+// respond.
+func NewCacheStoreState(store, run uint64, down bool) CacheStoreState {
+	return CacheStoreState{store: store, run: run, down: down}
+}
+
+// Store returns the hash of the store's id.
+func (cs CacheStoreState) Store() uint64 { return cs.store }
+
+// Run returns the number of the store's run, or zero if unknown.
+func (cs CacheStoreState) Run() uint64 { return cs.run }
+
+// Down reports whether the store does not respond.
+func (cs CacheStoreState) Down() bool { return cs.down }
+
+// ApplyCacheStoreStates records reports about cache stores. A store that has started again is empty.
+func (pk *Picker) ApplyCacheStoreStates(now time.Time, states []CacheStoreState) {
+	pk.mu.Lock()
+	defer pk.mu.Unlock()
+	for _, cs := range states {
+		st, ok := pk.stores[cs.store]
+		switch {
+		case !ok:
+		case cs.down:
+			st.downUntil = now.Add(downTTL)
+		default:
+			if st.run != 0 && st.run != cs.run {
+				clear(st.saved)
+				clear(st.saving)
+			}
+			st.run, st.downUntil = cs.run, time.Time{}
+		}
+	}
+}
+
+// CacheStoreAddresses returns the addresses of the cache stores by the hashes of their ids.
+func (pk *Picker) CacheStoreAddresses() map[uint64]string {
+	pk.mu.Lock()
+	defer pk.mu.Unlock()
+	addresses := make(map[uint64]string, len(pk.stores))
+	for hash, st := range pk.stores {
+		addresses[hash] = st.store.server.Address()
+	}
+	return addresses
 }
 
 // SetCacheStores sets the cache stores; what is known of those that stay is kept.
@@ -66,8 +124,9 @@
 	pk.stores = states
 }
 
-// cacheStore returns the store that keeps the prefixes of a call, by rendezvous hashing, or nil if there is none. The caller holds mu.
-func (pk *Picker) cacheStore(cl Call) *storeState {
+// cacheStore returns the store that keeps the prefixes of a call, by rendezvous hashing, or nil if there is none or it is down. The
+// caller holds mu.
+func (pk *Picker) cacheStore(now time.Time, cl Call) *storeState {
 	if len(cl.keys) == 0 {
 		return nil
 	}
@@ -78,6 +137,9 @@
 			best, bestScore = st, score
 		}
 	}
+	if best != nil && now.Before(best.downUntil) {
+		return nil
+	}
 	return best
 }
 
@@ -107,7 +169,7 @@
 // saveStore returns the store to which the engine of a choice is to save the call's prefix, or nil: it was used before, the store lacks
 // it, and saves use less than their share of the store's link. The caller holds mu.
 func (pk *Picker) saveStore(now time.Time, cl Call, ch Choice) *storeState {
-	st := pk.cacheStore(cl)
+	st := pk.cacheStore(now, cl)
 	if st == nil || st.store.tokensPerSecond <= 0 || ch.version == 0 || st.savedDepth(now, cl, ch.version) == len(cl.keys) || !pk.isReused(now, cl) {
 		return nil
 	}
@@ -124,7 +186,7 @@
 // takeSaveCredit reports whether this process may save a prompt now, and counts the save if so.
 func (st *storeState) takeSaveCredit(now time.Time, tokens, processCount int) bool {
 	earned := time.Duration(saveShare / float64(processCount) * float64(now.Sub(st.creditAt)))
-	st.saveCredit, st.creditAt = min(st.saveCredit+earned, maxSaveCredit), now
+	st.saveCredit, st.creditAt = min(st.saveCredit+earned, maxSaveCredit/time.Duration(processCount)), now
 	if st.saveCredit <= 0 {
 		return false
 	}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -52,13 +52,14 @@
 	SeedPeers   []string
 	// Capacity is the processor time of the VM in cores, or zero if unknown. Gates with more of it do more of the work that one gate
 	// does for others.
-	Capacity float64
-	Dialect  Dialect
-	Source   feed.Source
-	Store    table.Committer
-	Links    *link.Pool
-	Recorder *trace.Recorder
-	Timer    clock.Clock
+	Capacity    float64
+	Dialect     Dialect
+	Source      feed.Source
+	Store       table.Committer
+	CacheStores CacheStoreClient
+	Links       *link.Pool
+	Recorder    *trace.Recorder
+	Timer       clock.Clock
 	// RetryBudget limits the retries for each service.
 	RetryBudget RetryBudgetOptions
 	// OldWeightsGrace is how long after newer weights were announced a request may begin on older ones.
--- a/io/gate/hint.go
+++ b/io/gate/hint.go
@@ -36,6 +36,8 @@
 	// relayed is what gates of other zones sent to pass on, and news the latest message of each tender of another zone by server id.
 	relayed hintBatch
 	news    map[string]*wire.EngineNews
+	// stores are this gate's reports about cache stores that have not been sent yet.
+	stores []pick.CacheStoreState
 	// remote is what this gate has not sent to other zones yet, since remoteSentAt.
 	remote       hintBatch
 	remoteSentAt time.Time
@@ -43,10 +45,11 @@
 	peers map[string]peerCalls
 }
 
-// hintBatch holds hints and slowdowns.
+// hintBatch holds hints, slowdowns and reports about cache stores.
 type hintBatch struct {
 	hints     []pick.Hint
 	slowdowns []pick.Slowdown
+	stores    []pick.CacheStoreState
 }
 
 // peerCalls is the state of the calls to one gate; at most one is in progress.
@@ -60,13 +63,16 @@
 }
 
 func (hb *hintBatch) add(other hintBatch) {
-	if len(hb.hints)+len(hb.slowdowns) < maxRelayedHints {
+	if len(hb.hints)+len(hb.slowdowns)+len(hb.stores) < maxRelayedHints {
+		hb.stores = append(hb.stores, other.stores...)
 		hb.hints = append(hb.hints, other.hints...)
 		hb.slowdowns = append(hb.slowdowns, other.slowdowns...)
 	}
 }
 
-func (hb *hintBatch) isEmpty() bool { return len(hb.hints) == 0 && len(hb.slowdowns) == 0 }
+func (hb *hintBatch) isEmpty() bool {
+	return len(hb.hints) == 0 && len(hb.slowdowns) == 0 && len(hb.stores) == 0
+}
 
 // message returns the batch as a message.
 func (hb *hintBatch) message() *wire.CacheHints {
@@ -81,6 +87,9 @@
 		message.Ratios = append(message.Ratios, float32(sd.Ratio()))
 		message.Calls = append(message.Calls, uint32(sd.Calls()))
 	}
+	for _, cs := range hb.stores {
+		message.Stores = append(message.Stores, &wire.CacheStoreState{Store: cs.Store(), Run: cs.Run(), Down: cs.Down()})
+	}
 	return message
 }
 
@@ -93,6 +102,9 @@
 	for i := range min(len(ch.GetPaced()), len(ch.GetRatios()), len(ch.GetCalls())) {
 		hb.slowdowns = append(hb.slowdowns, pick.NewSlowdown(ch.GetPaced()[i], float64(ch.GetRatios()[i]), int(ch.GetCalls()[i])))
 	}
+	for _, cs := range ch.GetStores() {
+		hb.stores = append(hb.stores, pick.NewCacheStoreState(cs.GetStore(), cs.GetRun(), cs.GetDown()))
+	}
 	return hb
 }
 
@@ -104,6 +116,14 @@
 	hx.news[ns.GetServerId()] = ns
 }
 
+// reportStore applies a report about a cache store and tells the other gates.
+func (hx *hintExchange) reportStore(now time.Time, cs pick.CacheStoreState) {
+	hx.gate.picker.ApplyCacheStoreStates(now, []pick.CacheStoreState{cs})
+	hx.mu.Lock()
+	defer hx.mu.Unlock()
+	hx.stores = append(hx.stores, cs)
+}
+
 // relayHints passes hints of another zone on to the other gates of the zone.
 func (hx *hintExchange) relayHints(hb hintBatch) {
 	hx.mu.Lock()
@@ -117,6 +137,7 @@
 	own := hintBatch{hints: gt.picker.TakeHints(), slowdowns: gt.picker.TakeSlowdowns()}
 	now := time.Now()
 	hx.mu.Lock()
+	own.stores, hx.stores = hx.stores, nil
 	local, news := own, hx.news
 	local.add(hx.relayed)
 	hx.relayed, hx.news = hintBatch{}, make(map[string]*wire.EngineNews)
@@ -201,6 +222,7 @@
 	hb := decodeHints(ch)
 	gt.picker.ApplyHints(now, hb.hints)
 	gt.picker.ApplySlowdowns(now, hb.slowdowns)
+	gt.picker.ApplyCacheStoreStates(now, hb.stores)
 	for _, ns := range ch.GetNews() {
 		gt.applyNews(now, ns)
 	}
--- a/io/gate/watcher.go
+++ b/io/gate/watcher.go
@@ -254,6 +254,7 @@
 	wg.Go(func() { gt.register(ctx) })
 	wg.Go(func() { gt.exchangeKept(ctx) })
 	wg.Go(func() { gt.repairRestored(ctx) })
+	wg.Go(func() { gt.watchCacheStores(ctx) })
 	every := func(interval time.Duration, fn func()) {
 		cancel := gt.opts.Timer.Every(interval, fn)
 		wg.Go(func() { <-ctx.Done(); cancel() })
