--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -128,6 +128,9 @@
 		return fmt.Errorf("query %s: %w", address, err)
 	}
 	defer func() { _ = rs.Body.Close() }()
+	if rs.StatusCode != http.StatusOK {
+		return fmt.Errorf("query %s: %s", address, rs.Status)
+	}
 	if err := json.NewDecoder(rs.Body).Decode(out); err != nil {
 		return fmt.Errorf("query %s: decode response: %w", address, err)
 	}
--- a/io/admin/admin_test.go
+++ b/io/admin/admin_test.go
@@ -69,3 +69,19 @@
 		t.Errorf("closed server: got error %v, want one with address %s", err, address)
 	}
 }
+
+// An error status is an error, not an empty status or timeline.
+func TestFetchChecksStatus(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(wr http.ResponseWriter, _ *http.Request) {
+		wr.WriteHeader(http.StatusInternalServerError)
+		_, _ = wr.Write([]byte("null"))
+	}))
+	defer srv.Close()
+	address := strings.TrimPrefix(srv.URL, "http://")
+	if st, err := FetchStatus(t.Context(), address); err == nil {
+		t.Errorf("got status %+v", st)
+	}
+	if events, err := FetchEvents(t.Context(), address, ""); err == nil {
+		t.Errorf("got %d events", len(events))
+	}
+}
--- a/io/object/store.go
+++ b/io/object/store.go
@@ -72,10 +72,13 @@
 	if rs.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("get object %q: %s", name, rs.Status)
 	}
-	value, err := io.ReadAll(io.LimitReader(rs.Body, maxObjectBytes))
+	value, err := io.ReadAll(io.LimitReader(rs.Body, maxObjectBytes+1))
 	if err != nil {
 		return nil, fmt.Errorf("get object %q: %w", name, err)
 	}
+	if len(value) > maxObjectBytes {
+		return nil, fmt.Errorf("get object %q: longer than the limit of %d bytes", name, maxObjectBytes)
+	}
 	return value, nil
 }
 
@@ -90,7 +93,7 @@
 		return nil, fmt.Errorf("list objects: %s", rs.Status)
 	}
 	var names []string
-	if err := json.NewDecoder(rs.Body).Decode(&names); err != nil {
+	if err := json.NewDecoder(io.LimitReader(rs.Body, maxObjectBytes)).Decode(&names); err != nil {
 		return nil, fmt.Errorf("list objects: decode response: %w", err)
 	}
 	return names, nil
--- a/io/server/engine.go
+++ b/io/server/engine.go
@@ -118,6 +118,9 @@
 	if err := json.Unmarshal(cr.Body, &fields); err != nil {
 		return nil, fmt.Errorf("decode request body: %w", err)
 	}
+	if fields == nil {
+		return nil, errors.New("decode request body: not a JSON object")
+	}
 	fields["stream"] = true
 	fields["stream_options"] = map[string]bool{"include_usage": true}
 	fields["cache_salt"] = cr.CacheSalt
@@ -205,6 +208,9 @@
 	return Usage{PromptTokens: ev.Usage.Prompt, CachedTokens: ev.Usage.Details.Cached, OutputTokens: ev.Usage.Output}
 }
 
+// maxStateBytes bounds the body of an engine's state.
+const maxStateBytes = 1 << 20
+
 // State implements Engine.
 func (he *HTTPEngine) State(ctx context.Context) (State, error) {
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
@@ -218,8 +224,11 @@
 		return State{}, fmt.Errorf("get engine state: %w", err)
 	}
 	defer func() { _ = httpResponse.Body.Close() }()
+	if httpResponse.StatusCode != http.StatusOK {
+		return State{}, &StatusError{status: httpResponse.StatusCode}
+	}
 	var st State
-	if err := json.NewDecoder(httpResponse.Body).Decode(&st); err != nil {
+	if err := json.NewDecoder(io.LimitReader(httpResponse.Body, maxStateBytes)).Decode(&st); err != nil {
 		return State{}, fmt.Errorf("decode engine state: %w", err)
 	}
 	return st, nil
--- a/io/table/http.go
+++ b/io/table/http.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 )
@@ -13,6 +14,9 @@
 // callTimeout bounds one call. A slower table counts as unavailable, so that callers are refused without delay.
 const callTimeout = 400 * time.Millisecond
 
+// maxResponseBytes bounds a response body; a longer one is cut off and cannot be decoded.
+const maxResponseBytes = 16 << 20
+
 // HTTP is a Store that calls the table service with JSON over HTTP.
 type HTTP struct {
 	base   string
@@ -99,13 +103,13 @@
 func decode(rs *http.Response, out any) error {
 	switch rs.StatusCode {
 	case http.StatusOK:
-		if err := json.NewDecoder(rs.Body).Decode(out); err != nil {
+		if err := json.NewDecoder(io.LimitReader(rs.Body, maxResponseBytes)).Decode(out); err != nil {
 			return &UnavailableError{cause: err}
 		}
 		return nil
 	case http.StatusConflict:
 		var cells CellsResponse
-		if err := json.NewDecoder(rs.Body).Decode(&cells); err != nil {
+		if err := json.NewDecoder(io.LimitReader(rs.Body, maxResponseBytes)).Decode(&cells); err != nil {
 			return &UnavailableError{cause: err}
 		}
 		return NewConflictError(cells.Cells)
--- a/io/vmlist/list.go
+++ b/io/vmlist/list.go
@@ -90,10 +90,13 @@
 	default:
 		return Response{}, fmt.Errorf("list VMs: %s", rs.Status)
 	}
-	data, err := io.ReadAll(io.LimitReader(rs.Body, maxListBytes))
+	data, err := io.ReadAll(io.LimitReader(rs.Body, maxListBytes+1))
 	if err != nil {
 		return Response{}, fmt.Errorf("list VMs: %w", err)
 	}
+	if len(data) > maxListBytes {
+		return Response{}, fmt.Errorf("list VMs: response is longer than the limit of %d bytes", maxListBytes)
+	}
 	resp := Response{Changed: true, Size: len(data)}
 	if err := json.Unmarshal(data, &resp.VMs); err != nil {
 		return Response{}, fmt.Errorf("list VMs: decode response: %w", err)
