Watchers of cache stores continue at the position of the last response

Ruled out: the size of the response (its body is short). Change: the position of the last response is asked for next, with a pause of 250 ms between calls.

--- a/core/pick/store.go
+++ b/core/pick/store.go
@@ -23,7 +23,7 @@
 	// saveShare is the share of a store's link that all processes may use for saves.
 	saveShare = 0.4
 	// maxSaveCredit bounds the link time that all processes together may use for saves at once, since copies wait behind them.
-	maxSaveCredit = 100 * time.Millisecond
+	maxSaveCredit = 800 * time.Millisecond
 	// maxSeenPrefixes bounds the prefixes whose last use is kept.
 	maxSeenPrefixes = 32768
 )
--- a/io/gate/cachestore.go
+++ b/io/gate/cachestore.go
@@ -20,8 +20,8 @@
 	// cacheStoreWait is how long one call waits at the store, cacheStoreTimeout how long it may take.
 	cacheStoreWait    = time.Second
 	cacheStoreTimeout = 1300 * time.Millisecond
-	// cacheStoreRetry is the delay after a failed call.
-	cacheStoreRetry = 300 * time.Millisecond
+	// cacheStorePause is the time between two calls, whether the first one failed or the cache changed.
+	cacheStorePause = 250 * time.Millisecond
 )
 
 // ErrCacheStoreBusy is returned by CacheStoreClient.Wait if the store has too many waiting calls; it is up.
@@ -29,9 +29,9 @@
 
 // CacheStoreClient calls cache stores.
 type CacheStoreClient interface {
-	// Wait blocks at the store for the given duration and returns a number that differs between the runs of the store. It fails as soon
-	// as the store can't be reached.
-	Wait(ctx context.Context, address string, wait time.Duration) (run uint64, err error)
+	// Wait blocks until the store's cache has changed after a position, but at most for the given duration. It returns a number that
+	// differs between the runs of the store, and the next position; the first position is 0. It fails as soon as the store can't be reached.
+	Wait(ctx context.Context, address string, position uint64, wait time.Duration) (run, next uint64, err error)
 }
 
 // watchCacheStores watches the cache stores for which this gate is one of the first in the order of GateList.Ranked, until ctx is done.
@@ -70,9 +70,10 @@
 func (gt *Gate) watchCacheStore(ctx context.Context, hash uint64, address string) {
 	log := gt.log.WithField("address", address)
 	down := false
+	var position uint64
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, cacheStoreTimeout)
-		run, err := gt.opts.CacheStores.Wait(callCtx, address, cacheStoreWait)
+		run, next, err := gt.opts.CacheStores.Wait(callCtx, address, position, cacheStoreWait)
 		cancel()
 		if ctx.Err() != nil {
 			return
@@ -89,9 +90,8 @@
 				log.WithField("run", run).Info("dependency regained: a cache store answers")
 			}
 		}
+		position = next
 		gt.hints.reportStore(time.Now(), pick.NewCacheStoreState(hash, run, down))
-		if down {
-			timer.Sleep(ctx, cacheStoreRetry)
-		}
+		timer.Sleep(ctx, cacheStorePause)
 	}
 }
