core/pick: parts are saved to the cache store by their first call while there is credit

Ruled out: races of two first readers (13 prompts). Change: the first call saves while half of the credit for saves is left; the other half is kept for parts that are reused. An engine is named as a source for 30 s instead of 10 s, since a copy that misses costs 1 ms. TestReusedPrefixesAreSavedFirst; TestPrefixIsSavedOnceForEachVersion now wants the save by the first call.

--- a/core/pick/hint.go
+++ b/core/pick/hint.go
@@ -10,7 +10,7 @@
 	// evict within seconds.
 	freshTTL = 300 * time.Millisecond
 	// sourceTTL is how long after a prompt was prefilled its engine may be asked for a copy; a miss costs 1 ms.
-	sourceTTL = 10 * time.Second
+	sourceTTL = 30 * time.Second
 	// hintInterval is the least time between two hints about the same prefix and server.
 	hintInterval = 3 * time.Second
 	// maxRecentPrefixes bounds the prefixes that are tracked for one server.
--- a/core/pick/store.go
+++ b/core/pick/store.go
@@ -166,28 +166,30 @@
 	st.saved[key] = now
 }
 
-// saveStore returns the store to which the engine of a choice is to save the call's prefix, or nil: it was used before, the store lacks
-// it, and saves use less than their share of the store's link. The caller holds mu.
+// saveStore returns the store to which the engine of a choice is to save the call's prefix, or nil: the store lacks it, and saves use less
+// than their share of the store's link. The caller holds mu.
 func (pk *Picker) saveStore(now time.Time, cl Call, ch Choice) *storeState {
 	st := pk.cacheStore(now, cl)
-	if st == nil || st.store.tokensPerSecond <= 0 || ch.version == 0 || st.savedDepth(now, cl, ch.version) == len(cl.keys) || !pk.isReused(now, cl) {
+	if st == nil || st.store.tokensPerSecond <= 0 || ch.version == 0 || st.savedDepth(now, cl, ch.version) == len(cl.keys) {
 		return nil
 	}
 	key := prefixKey{key: cl.affinityKey(), version: ch.version}
 	if startedAt, ok := st.saving[key]; ok && now.Sub(startedAt) < savingTTL {
 		return nil
 	}
-	if !st.takeSaveCredit(now, cl.tokens, pk.processCount) {
+	if !st.takeSaveCredit(now, cl.tokens, pk.processCount, pk.isReused(now, cl)) {
 		return nil
 	}
 	return st
 }
 
-// takeSaveCredit reports whether this process may save a prompt now, and counts the save if so.
-func (st *storeState) takeSaveCredit(now time.Time, tokens, processCount int) bool {
+// takeSaveCredit reports whether this process may save a prompt now, and counts the save if so. Half of the credit is kept for prompts
+// that are reused.
+func (st *storeState) takeSaveCredit(now time.Time, tokens, processCount int, reused bool) bool {
 	earned := time.Duration(saveShare / float64(processCount) * float64(now.Sub(st.creditAt)))
-	st.saveCredit, st.creditAt = min(st.saveCredit+earned, maxSaveCredit/time.Duration(processCount)), now
-	if st.saveCredit <= 0 {
+	limit := maxSaveCredit / time.Duration(processCount)
+	st.saveCredit, st.creditAt = min(st.saveCredit+earned, limit), now
+	if st.saveCredit <= 0 || !reused && st.saveCredit < limit/2 {
 		return false
 	}
 	st.saveCredit -= time.Duration(float64(tokens) / st.store.tokensPerSecond * float64(time.Second))
