--- a/io/tend/watcher_test.go
+++ b/io/tend/watcher_test.go
@@ -255,7 +255,7 @@
 	for range 20 {
 		timer.Sleep(ctx, idlePollPeriod)
 		wt.poll(ctx)
-		if count, relays = received(); relays["b"] != "" {
+		if _, relays = received(); relays["b"] != "" {
 			break
 		}
 	}
