feed.RestoreSignal: one copy of the signal that gates and tenders had each

Measured: tests of io/feed, io/gate, io/tend, core/pick and the restore tests pass; no change of behaviour.

--- a/core/pick/source.go
+++ b/core/pick/source.go
@@ -16,7 +16,8 @@
 	var best *fleet.Server
 	var bestScore uint64
 	for _, sv := range servers {
-		if st := pk.state(sv.ID()); sv.Zone() != zone || sv.Draining() || st.replaced || st.inBackoff(now) || pk.restrictions[sv.ID()].forbidsCalls(now) {
+		st := pk.state(sv.ID())
+		if sv.Zone() != zone || sv.Draining() || st.replaced || st.inBackoff(now) || pk.restrictions[sv.ID()].forbidsCalls(now) {
 			continue
 		}
 		if score := prefix.Mix(prefix.Key(cl.affinityKey()), sv.Hash()); best == nil || score > bestScore {
--- a/core/pick/store.go
+++ b/core/pick/store.go
@@ -37,7 +37,10 @@
 
 // NewCacheStore returns a store at an address in an availability zone whose link carries the given number of tokens a second.
 func NewCacheStore(address, zone string, tokensPerSecond float64) CacheStore {
-	return CacheStore{server: fleet.NewServer("cache-store-"+address, address, zone, "", 0, false, 0, nil), tokensPerSecond: tokensPerSecond}
+	return CacheStore{
+		server:          fleet.NewServer("cache-store-"+address, address, zone, "", 0, false, 0, nil),
+		tokensPerSecond: tokensPerSecond,
+	}
 }
 
 // storeState is what this process knows of one cache store. The picker's lock guards it.
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -105,6 +105,7 @@
 	gateList      *GateList
 	tableServer   *feed.PullServer
 	watcher       *watcher
+	restored      *feed.RestoreSignal
 	loadScheduler loadScheduler
 	done          chan struct{}
 }
@@ -129,6 +130,7 @@
 	gt.retryBudgets = newRetryBudgets(opts.RetryBudget, gt.gateCount)
 	gt.tableServer = feed.NewPullServer(gt.configTable, gt.serverTable, gt.nodeTable)
 	gt.watcher = newWatcher(gt)
+	gt.restored = feed.NewRestoreSignal(gt.configTable, gt.serverTable)
 	return gt
 }
 
--- a/io/gate/restore.go
+++ b/io/gate/restore.go
@@ -45,7 +45,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-gt.watcher.restored:
+		case <-gt.restored.C():
 		}
 		gt.log.WithField("event", "store_restored").WithField("revision", gt.configTable.Revision()).
 			Warn("the store was restored from a backup; writing the row of this gate again")
--- a/io/gate/watcher.go
+++ b/io/gate/watcher.go
@@ -54,8 +54,6 @@
 // watcher updates the gate's configuration and servers from the store tables.
 type watcher struct {
 	gate *Gate
-	// restored receives a value after the store was restored from a backup.
-	restored chan struct{}
 
 	// mu guards registry.
 	mu       sync.Mutex
@@ -63,24 +61,13 @@
 }
 
 func newWatcher(gt *Gate) *watcher {
-	wt := &watcher{gate: gt, restored: make(chan struct{}, 1), registry: fleet.NewRegistry()}
+	wt := &watcher{gate: gt, registry: fleet.NewRegistry()}
 	gt.configTable.Subscribe(wt.configChanged)
 	gt.serverTable.Subscribe(wt.serversChanged)
 	gt.nodeTable.Subscribe(wt.nodesChanged)
 	return wt
 }
 
-// signalRestore wakes repairRestored if the change follows a restore of the store.
-func (wt *watcher) signalRestore(ch feed.Change) {
-	if !ch.Restored {
-		return
-	}
-	select {
-	case wt.restored <- struct{}{}:
-	default:
-	}
-}
-
 // configChanged applies the configurations and weight versions in a change of the config table; those older than the current
 // ones are ignored.
 func (wt *watcher) configChanged(ch feed.Change) {
@@ -108,7 +95,6 @@
 			wt.adopt(sp)
 		}
 	}
-	wt.signalRestore(ch)
 }
 
 // adopt applies a configuration unless the current one has the same or a later version. Changes of the config table arrive one
@@ -185,7 +171,6 @@
 		wt.registry.Retain(now, present)
 	}
 	wt.publish()
-	wt.signalRestore(ch)
 }
 
 // recordStart records the id of the current run of an engine, which the servers table may not list yet.
--- a/io/tend/tender.go
+++ b/io/tend/tender.go
@@ -88,8 +88,7 @@
 	config   *feed.Copy
 	nodes    *feed.Copy
 	gateList *gate.GateList
-	// restored receives a value after the store was restored from a backup.
-	restored chan struct{}
+	restored *feed.RestoreSignal
 	done     chan struct{}
 
 	// mu guards the fields below.
@@ -105,19 +104,17 @@
 func New(opts Options) *Tender {
 	tables := opts.Dialect.Tables()
 	td := &Tender{
-		opts:   opts,
-		log:    opts.Recorder.Log(),
-		config: feed.NewVersionedCopy(tables.Config, gate.ContentVersion(opts.Dialect)),
-		nodes:  feed.NewCopy(tables.Nodes),
-		done:   make(chan struct{}),
-
-		restored: make(chan struct{}, 1),
-		updater:  weight.NewUpdater(),
-		targets:  make(map[string]uint64),
+		opts:    opts,
+		log:     opts.Recorder.Log(),
+		config:  feed.NewVersionedCopy(tables.Config, gate.ContentVersion(opts.Dialect)),
+		nodes:   feed.NewCopy(tables.Nodes),
+		done:    make(chan struct{}),
+		updater: weight.NewUpdater(),
+		targets: make(map[string]uint64),
 	}
 	td.gateList = gate.NewGateList(td.nodes)
 	td.config.Subscribe(td.applyConfig)
-	td.nodes.Subscribe(td.signalRestore)
+	td.restored = feed.NewRestoreSignal(td.config, td.nodes)
 	return td
 }
 
@@ -138,7 +135,6 @@
 
 // applyConfig takes the target versions from changed rows of the config table.
 func (td *Tender) applyConfig(ch feed.Change) {
-	td.signalRestore(ch)
 	td.mu.Lock()
 	defer td.mu.Unlock()
 	for _, rw := range ch.Rows {
@@ -157,17 +153,6 @@
 	}
 }
 
-// signalRestore wakes repairRestored if the change follows a restore of the store.
-func (td *Tender) signalRestore(ch feed.Change) {
-	if !ch.Restored {
-		return
-	}
-	select {
-	case td.restored <- struct{}{}:
-	default:
-	}
-}
-
 // repairRestored claims the engine again after each restore of the store. The fencing number of the new claim is higher than all those
 // of before the restore.
 func (td *Tender) repairRestored(ctx context.Context) {
@@ -175,7 +160,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-td.restored:
+		case <-td.restored.C():
 		}
 		td.log.WithField("event", "store_restored").Warn("the store was restored from a backup; claiming the engine again")
 		timer.Sleep(ctx, rand.N(maxRepairDelay))
