--- a/io/gate/cachestore.go
+++ b/io/gate/cachestore.go
@@ -4,9 +4,10 @@
 	"context"
 	"errors"
 	"slices"
-	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"shallotcleat/core/pick"
 	"shallotcleat/io/timer"
 )
@@ -36,7 +37,7 @@
 
 // watchCacheStores watches the cache stores for which this gate is one of the first in the order of GateList.Ranked, until ctx is done.
 func (gt *Gate) watchCacheStores(ctx context.Context) {
-	var wg sync.WaitGroup
+	var wg conc.WaitGroup
 	defer wg.Wait()
 	cancels := make(map[uint64]context.CancelFunc)
 	for ctx.Err() == nil {
