--- a/core/pick/attempt.go
+++ b/core/pick/attempt.go
@@ -10,6 +10,7 @@
 	picker  *Picker
 	id      string
 	keys    []uint64
+	model   string
 	version uint64
 	// tokens is the number of uncached prompt tokens.
 	tokens   int
@@ -57,8 +58,8 @@
 		}
 		st.recordUse(pf, prefixUse{sentAt: now, prefilledAt: st.prefixes[pf].prefilledAt})
 	}
-	att := &Attempt{picker: pk, id: ch.server.ID(), keys: cl.keys, version: ch.version, tokens: tokens, priority: cl.priority,
-		sentAt: now, saveStore: ch.saveStore, expectedTime: pk.expectedTime(now, st, tokens, cl.tokens)}
+	att := &Attempt{picker: pk, id: ch.server.ID(), keys: cl.keys, model: cl.model, version: ch.version, tokens: tokens,
+		priority: cl.priority, sentAt: now, saveStore: ch.saveStore, expectedTime: pk.expectedTime(now, st, tokens, cl.tokens)}
 	st.recordSent(tokens, cl.tokens)
 	if tokens > 0 {
 		st.pending = append(st.pending, att)
@@ -66,6 +67,24 @@
 	return att
 }
 
+// OnExpiry sets the function that ExpireAttempts returns if the weights of the attempt's server expire before the attempt begins. Calls
+// without a model have no weights.
+func (att *Attempt) OnExpiry(onExpiry func()) {
+	if att.model == "" {
+		return
+	}
+	att.picker.mu.Lock()
+	defer att.picker.mu.Unlock()
+	att.picker.notBegun[att] = onExpiry
+}
+
+// MarkBegun records that the server has begun the call. MarkFirstEvent and End imply it.
+func (att *Attempt) MarkBegun() {
+	att.picker.mu.Lock()
+	defer att.picker.mu.Unlock()
+	delete(att.picker.notBegun, att)
+}
+
 // MarkFirstEvent records that the response has begun, so the prefill is complete. Later calls have no effect.
 func (att *Attempt) MarkFirstEvent(now time.Time) {
 	if att.leftBacklog {
@@ -73,6 +92,7 @@
 	}
 	att.picker.mu.Lock()
 	defer att.picker.mu.Unlock()
+	delete(att.picker.notBegun, att)
 	st := att.removeFromBacklog()
 	if st == nil {
 		return
@@ -121,6 +141,7 @@
 	att.picker.mu.Lock()
 	defer att.picker.mu.Unlock()
 	att.ended = true
+	delete(att.picker.notBegun, att)
 	if st := att.removeFromBacklog(); st != nil && att.tokens > 0 && (oc == NoResponse || oc == Abandoned) {
 		// The first event would have come later still, so the elapsed time is a lower bound.
 		att.picker.observeSlowdown(now, att.id, st, now.Sub(att.sentAt), att.expectedTime)
--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -64,6 +64,8 @@
 	states      map[string]*state
 	// targets holds, by model, the announced versions in ascending order.
 	targets map[string][]announcedVersion
+	// notBegun holds the functions set by Attempt.OnExpiry of the attempts that have not begun.
+	notBegun map[*Attempt]func()
 	// hints are those queued for the peers.
 	hints []Hint
 	// slowdowns holds, by server id, the observed ratios that have not been sent to the peers yet.
@@ -91,6 +93,7 @@
 		stores:          make(map[uint64]*storeState),
 		seen:            make(map[uint64]time.Time),
 		targets:         make(map[string][]announcedVersion),
+		notBegun:        make(map[*Attempt]func()),
 	}
 }
 
--- a/core/pick/picker_test.go
+++ b/core/pick/picker_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"shallotcleat/core/fleet"
+	"shallotcleat/core/weight"
 )
 
 const testModel = "llm"
@@ -196,3 +197,48 @@
 		t.Error("the server was not chosen after its backoff")
 	}
 }
+
+// An attempt expires with the weights that it was sent for, whether they were announced before or after it was sent, unless it has begun.
+func TestAttemptsExpireBeforeTheyBegin(t *testing.T) {
+	start := time.Unix(1000, 0)
+	const grace = 6 * time.Second
+	tests := []struct {
+		name        string
+		announcedAt time.Duration
+		act         func(*Attempt)
+		wantAfter   time.Duration
+	}{
+		{"announced before", -time.Second, func(*Attempt) {}, grace - weight.ExpirySlack - time.Second},
+		{"announced after", time.Second, func(*Attempt) {}, grace - weight.ExpirySlack + time.Second},
+		{"begun", time.Second, (*Attempt).MarkBegun, 0},
+		{"first event", time.Second, func(att *Attempt) { att.MarkFirstEvent(start) }, 0},
+		{"ended", time.Second, func(att *Attempt) { att.End(start, Abandoned) }, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			pk := New("a", grace, 1)
+			pk.SetView(viewOf("a"))
+			cl := promptCall("s", true)
+			ch, ok := pk.Choose(start, cl, nil)
+			if !ok {
+				t.Fatal("no server was chosen")
+			}
+			att := pk.StartAttempt(start, cl, ch)
+			att.OnExpiry(func() {})
+			tt.act(att)
+			pk.SetTargetVersion(start.Add(tt.announcedAt), testModel, 2)
+			var expiredAfter time.Duration
+			for after := time.Duration(0); after < 2*grace; after += 100 * time.Millisecond {
+				if len(pk.ExpireAttempts(start.Add(after))) > 0 {
+					if expiredAfter != 0 {
+						t.Error("the attempt expired twice")
+					}
+					expiredAfter = after
+				}
+			}
+			if expiredAfter != tt.wantAfter {
+				t.Errorf("expired after %s, want %s", expiredAfter, tt.wantAfter)
+			}
+		})
+	}
+}
--- a/core/pick/weights.go
+++ b/core/pick/weights.go
@@ -114,5 +114,38 @@
 	if now.Sub(av.announcedAt) > staleCostDelay {
 		stalePenalty = staleWeightsCost
 	}
-	return stalePenalty, av.announcedAt.Add(pk.oldWeightsGrace - weight.ExpirySlack)
+	return stalePenalty, pk.startDeadline(av)
+}
+
+// ExpireAttempts returns the functions set by Attempt.OnExpiry of the attempts that have not begun on weights which may no longer be
+// used, and forgets these attempts.
+func (pk *Picker) ExpireAttempts(now time.Time) []func() {
+	pk.mu.Lock()
+	defer pk.mu.Unlock()
+	var expired []func()
+	for att, onExpiry := range pk.notBegun {
+		if pk.weightsExpired(now, att.model, att.version) {
+			expired = append(expired, onExpiry)
+			delete(pk.notBegun, att)
+		}
+	}
+	return expired
+}
+
+// WeightsExpired reports whether no call may begin on a version of a model's weights any more.
+func (pk *Picker) WeightsExpired(now time.Time, model string, version uint64) bool {
+	pk.mu.Lock()
+	defer pk.mu.Unlock()
+	return pk.weightsExpired(now, model, version)
+}
+
+// weightsExpired is WeightsExpired; the caller holds mu.
+func (pk *Picker) weightsExpired(now time.Time, model string, version uint64) bool {
+	av, ok := pk.firstMissed(model, version)
+	return ok && !now.Before(pk.startDeadline(av))
+}
+
+// startDeadline returns the time after which no call may begin on weights that lack an announced version.
+func (pk *Picker) startDeadline(av announcedVersion) time.Time {
+	return av.announcedAt.Add(pk.oldWeightsGrace - weight.ExpirySlack)
 }
--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -25,6 +25,8 @@
 	// cancels the attempt, or marks the server unreachable if the request must not run more than once.
 	watchdog *time.Timer
 	timedOut atomic.Bool
+	// weightsExpired is set if the attempt was canceled because the server's weights expired before it began the request.
+	weightsExpired atomic.Bool
 }
 
 // timeoutFunc returns a function for the watchdog that cancels the attempt.
@@ -38,6 +40,21 @@
 // hasTimedOut reports whether the attempt was canceled because the server did not respond in time.
 func (at *attempt) hasTimedOut() bool { return at.timedOut.Load() }
 
+// expiryFunc returns a function that cancels the attempt because the server's weights have expired.
+func (at *attempt) expiryFunc(cancel context.CancelFunc) func() {
+	return func() {
+		at.weightsExpired.Store(true)
+		cancel()
+	}
+}
+
+// endExpired ends an attempt that was canceled because the server's weights expired. The server may have begun the request meanwhile.
+func (at *attempt) endExpired() (attemptResult, *answer.Error) {
+	at.pickAttempt.End(time.Now(), pick.Abandoned)
+	return mayHaveRun, answer.NewError(answer.ServerFailed, answer.Unknown, 0,
+		"weights %d of server %s expired before the request began", at.choice.Version(), at.choice.Server().ID())
+}
+
 // relayResponse relays the response of a server if it is valid. requestCtx is the context of the request, which the watchdog does
 // not cancel.
 func (at *attempt) relayResponse(requestCtx context.Context, resp *client.Response) (attemptResult, *answer.Error) {
@@ -59,6 +76,7 @@
 	case success && isEventStream(resp.Header):
 		return at.relayEvents(requestCtx, resp)
 	}
+	at.pickAttempt.MarkBegun()
 	return at.relayBuffered(requestCtx, resp)
 }
 
@@ -137,6 +155,8 @@
 func (at *attempt) endBroken(requestCtx context.Context, err error) (attemptResult, *answer.Error) {
 	now := time.Now()
 	switch {
+	case at.weightsExpired.Load():
+		return at.endExpired()
 	case at.hasTimedOut():
 		at.pickAttempt.End(now, pick.NoResponse)
 	case requestCtx.Err() != nil:
--- a/io/gate/run.go
+++ b/io/gate/run.go
@@ -120,6 +120,7 @@
 	now := time.Now()
 	pickAttempt := gt.picker.StartAttempt(now, rq.call, ch)
 	at := &attempt{gate: gt, rq: rq, choice: ch, pickAttempt: pickAttempt}
+	pickAttempt.OnExpiry(at.expiryFunc(cancel))
 	timeout := gt.responseTimeout(rq)
 	onTimeout := func() { gt.markUnreachable(ch.Server().ID()) }
 	if !rq.route.AtMostOnce() {
@@ -184,8 +185,11 @@
 	}
 }
 
-// errServerRestricted is the reason why a request is not sent to its chosen server after all.
-var errServerRestricted = errors.New("server is leaving or has asked for a pause")
+// The reasons why a request is not sent to its chosen server after all.
+var (
+	errServerRestricted = errors.New("server is leaving or has asked for a pause")
+	errWeightsExpired   = errors.New("the server's weights have expired")
+)
 
 // permit checks, right before a request is sent, that its caller still waits and its server still takes requests: the connection may
 // have taken a while.
@@ -198,6 +202,8 @@
 		return context.DeadlineExceeded
 	case !gt.picker.AcceptsCalls(now, ch.Server().ID()):
 		return errServerRestricted
+	case rq.call.Model() != "" && gt.picker.WeightsExpired(now, rq.call.Model(), ch.Version()):
+		return errWeightsExpired
 	}
 	return nil
 }
@@ -223,16 +229,21 @@
 	switch {
 	case errors.As(err, &nse):
 		at.pickAttempt.End(now, pick.Abandoned)
-		if errors.Is(err, errServerRestricted) {
+		if errors.Is(err, errServerRestricted) || errors.Is(err, errWeightsExpired) {
 			return notRun, answer.NewError(answer.Overloaded, answer.NotRun, busyRetryAfter, "%v", err)
 		}
 		return notRun, answer.NewError(answer.DeadlineExceeded, answer.NotRun, serverRetryAfter, "%v", err)
+	case errors.As(err, &de) && at.weightsExpired.Load():
+		at.pickAttempt.End(now, pick.Abandoned)
+		return notRun, answer.NewError(answer.Overloaded, answer.NotRun, busyRetryAfter, "%v", errWeightsExpired)
 	case errors.As(err, &de) && requestCtx.Err() == nil:
 		at.pickAttempt.End(now, pick.NoResponse)
 		return notRun, answer.NewError(answer.ServerUnreachable, answer.NotRun, serverRetryAfter, "%v", err)
 	case errors.As(err, &de):
 		at.pickAttempt.End(now, pick.Abandoned)
 		return notRun, answer.NewError(answer.DeadlineExceeded, answer.NotRun, serverRetryAfter, "%v", err)
+	case at.weightsExpired.Load():
+		return at.endExpired()
 	case requestCtx.Err() != nil && !at.hasTimedOut():
 		at.pickAttempt.End(now, pick.Abandoned)
 		return mayHaveRun, answer.NewError(answer.DeadlineExceeded, answer.Unknown, 0, "%v", err)
--- a/io/gate/watcher.go
+++ b/io/gate/watcher.go
@@ -17,11 +17,13 @@
 
 // Intervals and timeouts of the table watcher.
 const (
-	expireInterval   = 200 * time.Millisecond
-	pullInterval     = 250 * time.Millisecond
-	nodesInterval    = 15 * time.Second
-	registerInterval = time.Second
-	storeTimeout     = 2 * time.Second
+	expireInterval = 200 * time.Millisecond
+	// expireAttemptsInterval is the time between checks for attempts whose servers' weights have expired.
+	expireAttemptsInterval = 50 * time.Millisecond
+	pullInterval           = 250 * time.Millisecond
+	nodesInterval          = 15 * time.Second
+	registerInterval       = time.Second
+	storeTimeout           = 2 * time.Second
 	// applyMargin is the part of a deadline for a change that is kept for calls to the store and for applying it.
 	applyMargin = time.Second
 	// minWatchWait, maxWatchWait and minServerChangeDelay bound the values where deadlines are short or long.
@@ -245,6 +247,7 @@
 		wg.Go(func() { <-ctx.Done(); cancel() })
 	}
 	every(expireInterval, gt.watcher.expire)
+	every(expireAttemptsInterval, gt.expireAttempts)
 	wg.Go(func() { <-ctx.Done(); gt.hints.calls.Wait() })
 	every(hintInterval, func() { gt.hints.send(ctx) })
 	every(pullInterval, func() {
