Gates tell each other when weights were announced; the earliest observation holds (VERSION)

What callers may see: a request begins on old weights after their grace period, from a gate that learned of the newer version late. Cause: a gate counts the grace period from when it learns of an announcement itself; with a silent connection to the store, or after a pause of its process, that is up to seconds after the acknowledgement. Class of fault: a limit in time that all processes share is counted from each one's own observation. Why this works: each gate sends the ages of the announcements of the last minute to its zone and one gate of each other zone twice a second, with the hints; the earliest observation of any gate counts, also for versions that a gate skipped. A gate that has just started assumes an age as before; an observation of a peer now replaces that assumption, which was open in docs/PLATFORM.md. Ages are of the steady clock; no clock is compared. Ruled out: a row with the store's time, one more call per version and useless while the store is silent.

--- a/core/pick/weights.go
+++ b/core/pick/weights.go
@@ -1,6 +1,8 @@
 package pick
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"shallotcleat/core/fleet"
@@ -15,10 +17,12 @@
 	startSafetyFactor = 3
 )
 
-// announcedVersion is a version of a model's weights, and when this process learned of its announcement.
+// announcedVersion is a version of a model's weights, and when it was announced as far as this process knows.
 type announcedVersion struct {
 	version     uint64
 	announcedAt time.Time
+	// assumed is set if announcedAt is not based on an observation.
+	assumed bool
 }
 
 // maxAnnouncedVersions bounds the versions that are kept for one model.
@@ -30,7 +34,10 @@
 
 // InitTargetVersion sets the target version of a model's weights that a process finds at its start.
 func (pk *Picker) InitTargetVersion(now time.Time, model string, version uint64) {
-	pk.SetTargetVersion(now.Add(weight.ExpirySlack+startupGrace-pk.oldWeightsGrace), model, version)
+	pk.mu.Lock()
+	defer pk.mu.Unlock()
+	announcedAt := now.Add(weight.ExpirySlack + startupGrace - pk.oldWeightsGrace)
+	pk.addTarget(model, announcedVersion{version: version, announcedAt: announcedAt, assumed: true})
 }
 
 // SetTargetVersion sets the target version of a model's weights, announced at now; versions that are not newer than the
@@ -42,10 +49,25 @@
 	if len(versions) > 0 && version <= versions[len(versions)-1].version {
 		return
 	}
-	if len(versions) == maxAnnouncedVersions {
-		versions = versions[1:]
+	pk.addTarget(model, announcedVersion{version: version, announcedAt: now})
+}
+
+// addTarget adds an announced version of a model's weights. Of two observations of one announcement the earlier one holds, since a process
+// may learn of it late; either replaces an assumption. The caller holds mu.
+func (pk *Picker) addTarget(model string, av announcedVersion) {
+	versions := pk.targets[model]
+	i, found := slices.BinarySearchFunc(versions, av.version, func(known announcedVersion, version uint64) int {
+		return cmp.Compare(known.version, version)
+	})
+	switch {
+	case !found:
+		versions = slices.Insert(versions, i, av)
+		pk.targets[model] = versions[max(len(versions)-maxAnnouncedVersions, 0):]
+	case versions[i].assumed && !av.assumed:
+		versions[i] = av
+	case !av.assumed && av.announcedAt.Before(versions[i].announcedAt):
+		versions[i].announcedAt = av.announcedAt
 	}
-	pk.targets[model] = append(versions, announcedVersion{version: version, announcedAt: now})
 }
 
 // SetWeights records the version of a model's weights at a server; versions older than the known one are ignored. While
--- a/io/gate/hint.go
+++ b/io/gate/hint.go
@@ -17,6 +17,8 @@
 	hintInterval       = 40 * time.Millisecond
 	remoteHintInterval = 160 * time.Millisecond
 	hintTimeout        = 300 * time.Millisecond
+	// announcementInterval is the time after which peers are told again of the weight versions that were announced lately.
+	announcementInterval = 500 * time.Millisecond
 	// peerBackoff is how long a gate that could not be reached gets no messages.
 	peerBackoff = time.Second
 	// maxRelayedHints bounds the hints of other zones that wait to be passed on.
@@ -41,15 +43,18 @@
 	// remote is what this gate has not sent to other zones yet, since remoteSentAt.
 	remote       hintBatch
 	remoteSentAt time.Time
+	// announcedAt is when peers were last told of announced weight versions.
+	announcedAt time.Time
 	// peers holds the state of the calls to each other gate.
 	peers map[string]peerCalls
 }
 
-// hintBatch holds hints, slowdowns and reports about cache stores.
+// hintBatch holds hints, slowdowns, reports about cache stores and announcements of weight versions.
 type hintBatch struct {
-	hints     []pick.Hint
-	slowdowns []pick.Slowdown
-	stores    []pick.CacheStoreState
+	hints         []pick.Hint
+	slowdowns     []pick.Slowdown
+	stores        []pick.CacheStoreState
+	announcements []pick.Announcement
 }
 
 // peerCalls is the state of the calls to one gate; at most one is in progress.
@@ -62,6 +67,7 @@
 	return &hintExchange{gate: gt, news: make(map[string]*wire.EngineNews), peers: make(map[string]peerCalls)}
 }
 
+// add adds another batch except its announcements, whose ages hold only when they are sent.
 func (hb *hintBatch) add(other hintBatch) {
 	if len(hb.hints)+len(hb.slowdowns)+len(hb.stores) < maxRelayedHints {
 		hb.stores = append(hb.stores, other.stores...)
@@ -71,7 +77,7 @@
 }
 
 func (hb *hintBatch) isEmpty() bool {
-	return len(hb.hints) == 0 && len(hb.slowdowns) == 0 && len(hb.stores) == 0
+	return len(hb.hints) == 0 && len(hb.slowdowns) == 0 && len(hb.stores) == 0 && len(hb.announcements) == 0
 }
 
 // message returns the batch as a message.
@@ -90,6 +96,10 @@
 	for _, cs := range hb.stores {
 		message.Stores = append(message.Stores, &wire.CacheStoreState{Store: cs.Store(), Run: cs.Run(), Down: cs.Down()})
 	}
+	for _, an := range hb.announcements {
+		message.Announcements = append(message.Announcements,
+			&wire.WeightAnnouncement{Model: an.Model(), Version: an.Version(), AgeMs: uint32(an.Age().Milliseconds())})
+	}
 	return message
 }
 
@@ -105,6 +115,10 @@
 	for _, cs := range ch.GetStores() {
 		hb.stores = append(hb.stores, pick.NewCacheStoreState(cs.GetStore(), cs.GetRun(), cs.GetDown()))
 	}
+	for _, an := range ch.GetAnnouncements() {
+		hb.announcements = append(hb.announcements,
+			pick.NewAnnouncement(an.GetModel(), an.GetVersion(), time.Duration(an.GetAgeMs())*time.Millisecond))
+	}
 	return hb
 }
 
@@ -138,15 +152,20 @@
 	now := time.Now()
 	hx.mu.Lock()
 	own.stores, hx.stores = hx.stores, nil
+	var announcements []pick.Announcement
+	if now.Sub(hx.announcedAt) >= announcementInterval {
+		announcements, hx.announcedAt = gt.picker.Announcements(now), now
+	}
 	local, news := own, hx.news
 	local.add(hx.relayed)
 	hx.relayed, hx.news = hintBatch{}, make(map[string]*wire.EngineNews)
 	hx.remote.add(own)
 	var remote hintBatch
-	if now.Sub(hx.remoteSentAt) >= remoteHintInterval {
+	if now.Sub(hx.remoteSentAt) >= remoteHintInterval || len(announcements) > 0 {
 		remote, hx.remote, hx.remoteSentAt = hx.remote, hintBatch{}, now
 	}
 	hx.mu.Unlock()
+	local.announcements, remote.announcements = announcements, announcements
 	if !local.isEmpty() || len(news) > 0 {
 		message := local.message()
 		for _, ns := range news {
@@ -223,6 +242,7 @@
 	gt.picker.ApplyHints(now, hb.hints)
 	gt.picker.ApplySlowdowns(now, hb.slowdowns)
 	gt.picker.ApplyCacheStoreStates(now, hb.stores)
+	gt.picker.ApplyAnnouncements(now, hb.announcements)
 	for _, ns := range ch.GetNews() {
 		gt.applyNews(now, ns)
 	}
