--- a/core/pick/call.go
+++ b/core/pick/call.go
@@ -17,6 +17,9 @@
 // NewPart returns a part with its length in tokens.
 func NewPart(id string, tokens int) Part { return Part{id: id, tokens: tokens} }
 
+// ID returns the part's id.
+func (pt Part) ID() string { return pt.id }
+
 // Call holds the properties of a call that the choice of a server depends on.
 type Call struct {
 	service    string
--- a/io/gate/finish.go
+++ b/io/gate/finish.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -140,7 +141,7 @@
 
 // logFailedAttempt writes the log entry of an attempt that failed.
 func (gt *Gate) logFailedAttempt(rq *request, ch pick.Choice, result attemptResult, er *answer.Error) {
-	gt.log.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"event":      "sending_failed",
 		"request_id": rq.info.RequestID,
 		"server":     ch.Server().ID(),
@@ -150,5 +151,21 @@
 		"may_repeat": result == notRun || !rq.route.AtMostOnce(),
 		"outcome":    string(er.Outcome()),
 		"reason":     er.Message(),
-	}).Info("attempt failed")
+	}
+	if parts := rq.info.PromptParts; len(parts) > 1 {
+		fields["parts"] = partIDs(parts)
+	}
+	gt.log.WithFields(fields).Info("attempt failed")
+}
+
+// maxLoggedParts bounds the parts of a prompt in a log entry.
+const maxLoggedParts = 16
+
+// partIDs returns the ids of a prompt's shared parts for the log.
+func partIDs(parts []pick.Part) string {
+	var ids []string
+	for _, pt := range parts[:min(len(parts)-1, maxLoggedParts)] {
+		ids = append(ids, pt.ID())
+	}
+	return strings.Join(ids, ",")
 }
