--- a/io/client/pool.go
+++ b/io/client/pool.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -150,6 +152,26 @@
 	return true
 }
 
+// RefusesConnections reports whether the VM at an address is up but no process listens there.
+func RefusesConnections(ctx context.Context, address string) bool {
+	cn, err := dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	cn.close()
+	return false
+}
+
+// IsDisconnect reports whether an exchange failed since the server closed or reset the connection.
+func IsDisconnect(err error) bool {
+	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
 // isQuiescent reports whether the peer has neither closed the connection nor sent data that belongs to no request.
 func (cn *conn) isQuiescent() bool {
 	if cn.reader.Buffered() > 0 {
--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -21,6 +21,9 @@
 	rq          *request
 	choice      pick.Choice
 	pickAttempt *pick.Attempt
+	sentAt      time.Time
+	// firstEventAt is when the first event of a stream came, or zero.
+	firstEventAt time.Time
 	// watchdog fires after the response timeout unless the first event of a stream or a complete other response arrives before. It
 	// cancels the attempt, or marks the server unreachable if the request must not run more than once.
 	watchdog *time.Timer
@@ -140,6 +143,7 @@
 		}
 	} else {
 		at.pickAttempt.End(time.Now(), pick.Served)
+		at.gate.crashes.recordServed(rq)
 	}
 	if rq.response.started {
 		// The server was to continue a stream but did not respond with one; the caller's stream ends early.
@@ -163,9 +167,17 @@
 		at.pickAttempt.End(now, pick.Abandoned)
 		return mayHaveRun, answer.NewError(answer.DeadlineExceeded, answer.Unknown, 0, "%v", err)
 	default:
+		at.recordBroken(requestCtx, err)
 		at.pickAttempt.End(now, pick.Failed)
 	}
 	return mayHaveRun, answer.NewError(answer.StreamBroken, answer.Unknown, 0, "%v", err)
 }
 
+// recordBroken records that the attempt failed with err, if the server closed the connection; it may have crashed.
+func (at *attempt) recordBroken(requestCtx context.Context, err error) {
+	if !at.hasTimedOut() && (client.IsDisconnect(err) || errors.Is(err, errTruncatedEvent)) {
+		at.gate.crashes.recordBroken(requestCtx, at)
+	}
+}
+
 var errTruncatedEvent = errors.New("stream ends within an event")
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -96,6 +96,7 @@
 	retryBudgets     *retryBudgets
 	bodies           bodies
 	hints            *hintExchange
+	crashes          *crashWatch
 	// meter measures how much work each workspace sends to engines.
 	meter *share.Meter
 
@@ -127,6 +128,7 @@
 	}
 	gt.gateList = NewGateList(gt.nodeTable)
 	gt.hints = newHintExchange(gt)
+	gt.crashes = newCrashWatch(gt)
 	gt.retryBudgets = newRetryBudgets(opts.RetryBudget, gt.gateCount)
 	gt.tableServer = feed.NewPullServer(gt.configTable, gt.serverTable, gt.nodeTable)
 	gt.watcher = newWatcher(gt)
--- a/io/gate/handle.go
+++ b/io/gate/handle.go
@@ -35,6 +35,9 @@
 	arrived   time.Time
 	deadline  time.Time
 	call      pick.Call
+	// partHashes are the hashes of the prompt's shared parts; trial is set if the request is sent in spite of a rule about them.
+	partHashes []uint64
+	trial      bool
 
 	// excluded holds the ids of the servers to which the request is not sent again.
 	excluded map[string]bool
@@ -143,6 +146,7 @@
 	}
 	rq.call = pick.NewCall(rq.service.Name(), model, cacheScope(rq.workspace), rq.info.PromptParts, rq.info.PromptTokens,
 		rq.route.AtMostOnce()).WithPriority(rq.workspace.Priority(rq.route)).WithOutput(rq.info.ExpectedTokens)
+	rq.partHashes = hashParts(model, rq.info.PromptParts)
 	rq.excluded = make(map[string]bool)
 	return nil
 }
--- a/io/gate/hint.go
+++ b/io/gate/hint.go
@@ -7,6 +7,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"shallotcleat/core/crash"
 	"shallotcleat/core/pick"
 	"shallotcleat/io/wire"
 )
@@ -17,7 +18,7 @@
 	hintInterval       = 40 * time.Millisecond
 	remoteHintInterval = 160 * time.Millisecond
 	hintTimeout        = 300 * time.Millisecond
-	// announcementInterval is the time after which peers are told again of the weight versions that were announced lately.
+	// announcementInterval is the time after which peers are told again of the weight versions that were announced lately, and of rules.
 	announcementInterval = 500 * time.Millisecond
 	// peerBackoff is how long a gate that could not be reached gets no messages.
 	peerBackoff = time.Second
@@ -43,18 +44,19 @@
 	// remote is what this gate has not sent to other zones yet, since remoteSentAt.
 	remote       hintBatch
 	remoteSentAt time.Time
-	// announcedAt is when peers were last told of announced weight versions.
+	// announcedAt is when peers were last told of announced weight versions and rules.
 	announcedAt time.Time
 	// peers holds the state of the calls to each other gate.
 	peers map[string]peerCalls
 }
 
-// hintBatch holds hints, slowdowns, reports about cache stores and announcements of weight versions.
+// hintBatch holds hints, slowdowns, reports about cache stores and crashes, and announcements of weight versions.
 type hintBatch struct {
 	hints         []pick.Hint
 	slowdowns     []pick.Slowdown
 	stores        []pick.CacheStoreState
 	announcements []pick.Announcement
+	crashes       crashNews
 }
 
 // peerCalls is the state of the calls to one gate; at most one is in progress.
@@ -67,22 +69,25 @@
 	return &hintExchange{gate: gt, news: make(map[string]*wire.EngineNews), peers: make(map[string]peerCalls)}
 }
 
-// add adds another batch except its announcements, whose ages hold only when they are sent.
+// add adds another batch except its announcements and rules: each gate sends those that it knows itself.
 func (hb *hintBatch) add(other hintBatch) {
-	if len(hb.hints)+len(hb.slowdowns)+len(hb.stores) < maxRelayedHints {
+	if hb.size() < maxRelayedHints {
+		hb.crashes.add(other.crashes)
 		hb.stores = append(hb.stores, other.stores...)
 		hb.hints = append(hb.hints, other.hints...)
 		hb.slowdowns = append(hb.slowdowns, other.slowdowns...)
 	}
 }
 
-func (hb *hintBatch) isEmpty() bool {
-	return len(hb.hints) == 0 && len(hb.slowdowns) == 0 && len(hb.stores) == 0 && len(hb.announcements) == 0
+// size returns the number of items in the batch.
+func (hb *hintBatch) size() int {
+	return len(hb.hints) + len(hb.slowdowns) + len(hb.stores) + len(hb.announcements) + hb.crashes.size()
 }
 
-// message returns the batch as a message.
-func (hb *hintBatch) message() *wire.CacheHints {
+// message returns the batch as a message that is sent now.
+func (hb *hintBatch) message(now time.Time) *wire.CacheHints {
 	message := &wire.CacheHints{}
+	hb.crashes.encode(now, message)
 	for _, hn := range hb.hints {
 		message.Servers = append(message.Servers, hn.Server())
 		message.Keys = append(message.Keys, hn.Key())
@@ -103,9 +108,9 @@
 	return message
 }
 
-// decodeHints returns the batch in a message.
-func decodeHints(ch *wire.CacheHints) hintBatch {
-	var hb hintBatch
+// decodeHints returns the batch in a message that has just come.
+func decodeHints(now time.Time, ch *wire.CacheHints) hintBatch {
+	hb := hintBatch{crashes: decodeCrashNews(now, ch)}
 	for i := range min(len(ch.GetServers()), len(ch.GetKeys()), len(ch.GetVersions())) {
 		hb.hints = append(hb.hints, pick.NewHint(ch.GetServers()[i], ch.GetKeys()[i], ch.GetVersions()[i]))
 	}
@@ -152,22 +157,25 @@
 	now := time.Now()
 	hx.mu.Lock()
 	own.stores, hx.stores = hx.stores, nil
+	own.crashes = gt.crashes.takeNews()
 	var announcements []pick.Announcement
+	var rules []crash.Rule
 	if now.Sub(hx.announcedAt) >= announcementInterval {
-		announcements, hx.announcedAt = gt.picker.Announcements(now), now
+		announcements, rules, hx.announcedAt = gt.picker.Announcements(now), gt.crashes.rules(now), now
 	}
 	local, news := own, hx.news
 	local.add(hx.relayed)
 	hx.relayed, hx.news = hintBatch{}, make(map[string]*wire.EngineNews)
 	hx.remote.add(own)
 	var remote hintBatch
-	if now.Sub(hx.remoteSentAt) >= remoteHintInterval || len(announcements) > 0 {
+	if now.Sub(hx.remoteSentAt) >= remoteHintInterval || len(announcements)+len(rules) > 0 {
 		remote, hx.remote, hx.remoteSentAt = hx.remote, hintBatch{}, now
 	}
 	hx.mu.Unlock()
 	local.announcements, remote.announcements = announcements, announcements
-	if !local.isEmpty() || len(news) > 0 {
-		message := local.message()
+	local.crashes.rules, remote.crashes.rules = rules, rules
+	if local.size()+len(news) > 0 {
+		message := local.message(now)
 		for _, ns := range news {
 			message.News = append(message.News, ns)
 		}
@@ -175,8 +183,8 @@
 			hx.call(ctx, address, message)
 		}
 	}
-	if !remote.isEmpty() {
-		message := remote.message()
+	if remote.size() > 0 {
+		message := remote.message(now)
 		message.Relay = true
 		relays := gt.gateList.Relays(gt.opts.Zone, gt.opts.PeerAddress, func(address string) bool { return hx.isUsable(now, address) })
 		for _, address := range relays {
@@ -238,11 +246,12 @@
 		gt.gateList.add(Node{Role: RoleGate, Address: gi.GetAddress(), Zone: gi.GetZone(), Capacity: gi.GetCapacity()})
 		gt.watcher.countSenders()
 	}
-	hb := decodeHints(ch)
+	hb := decodeHints(now, ch)
 	gt.picker.ApplyHints(now, hb.hints)
 	gt.picker.ApplySlowdowns(now, hb.slowdowns)
 	gt.picker.ApplyCacheStoreStates(now, hb.stores)
 	gt.picker.ApplyAnnouncements(now, hb.announcements)
+	gt.crashes.apply(now, hb.crashes)
 	for _, ns := range ch.GetNews() {
 		gt.applyNews(now, ns)
 	}
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -54,6 +54,9 @@
 // recordFirstEvent stops the watchdog and records the time to the first event of the attempt. Later calls have no effect.
 func (at *attempt) recordFirstEvent() {
 	at.watchdog.Stop()
+	if at.firstEventAt.IsZero() {
+		at.firstEventAt = time.Now()
+	}
 	at.pickAttempt.MarkFirstEvent(time.Now())
 	at.rq.log.recordResponse(at, time.Since(at.rq.arrived))
 }
@@ -65,6 +68,7 @@
 	}
 	at.recordFirstEvent()
 	at.pickAttempt.End(time.Now(), pick.Served)
+	at.gate.crashes.recordServed(at.rq)
 	at.rq.response.writeHeader(resp.Status, resp.Header)
 	return responded, nil
 }
--- a/io/gate/restore.go
+++ b/io/gate/restore.go
@@ -50,6 +50,7 @@
 		gt.log.WithField("event", "store_restored").WithField("revision", gt.configTable.Revision()).
 			Warn("the store was restored from a backup; writing the row of this gate again")
 		timer.Sleep(ctx, rand.N(maxRepairDelay))
+		gt.crashes.rewriteRules()
 		gt.register(ctx)
 		gt.exchangeKept(ctx)
 	}
--- a/io/gate/run.go
+++ b/io/gate/run.go
@@ -55,6 +55,9 @@
 		"no available backend server for service %q", rq.service.Name())
 	for {
 		now := time.Now()
+		if er := gt.crashes.check(now, rq); er != nil {
+			return worseError(last, er)
+		}
 		ch, ok := gt.picker.Choose(now, rq.call, rq.excluded)
 		if !ok {
 			return gt.noServerError(now, rq, last)
@@ -106,7 +109,7 @@
 func (gt *Gate) canRetry(ctx context.Context, rq *request, result attemptResult) bool {
 	if result != notRun {
 		rq.possibleRuns++
-		if rq.route.AtMostOnce() || rq.possibleRuns >= rq.route.MaxAttempts() {
+		if rq.trial || rq.route.AtMostOnce() || rq.possibleRuns >= rq.route.MaxAttempts() {
 			return false
 		}
 	}
@@ -119,7 +122,7 @@
 	defer cancel()
 	now := time.Now()
 	pickAttempt := gt.picker.StartAttempt(now, rq.call, ch)
-	at := &attempt{gate: gt, rq: rq, choice: ch, pickAttempt: pickAttempt}
+	at := &attempt{gate: gt, rq: rq, choice: ch, pickAttempt: pickAttempt, sentAt: now}
 	pickAttempt.OnExpiry(at.expiryFunc(cancel))
 	timeout := gt.responseTimeout(rq)
 	onTimeout := func() { gt.markUnreachable(ch.Server().ID()) }
@@ -248,6 +251,7 @@
 		at.pickAttempt.End(now, pick.Abandoned)
 		return mayHaveRun, answer.NewError(answer.DeadlineExceeded, answer.Unknown, 0, "%v", err)
 	}
+	at.recordBroken(requestCtx, err)
 	at.pickAttempt.End(now, pick.NoResponse)
 	return mayHaveRun, answer.NewError(answer.ServerFailed, answer.Unknown, 0, "%v", err)
 }
--- a/io/gate/watcher.go
+++ b/io/gate/watcher.go
@@ -235,6 +235,8 @@
 	config := feed.NewFollower(gt.configTable, gt.opts.Source, gt.log, dl.watchWait(dl.Config), 0, noop)
 	servers := feed.NewFollower(gt.serverTable, gt.opts.Source, gt.log, dl.watchWait(dl.Drain), dl.serverChangeDelay(),
 		gt.watcher.recordOutage)
+	// A gate takes no requests before it has a configuration, and no configuration before it has read the rules.
+	gt.crashes.followRules(ctx, wg)
 	wg.Go(func() { config.Run(ctx) })
 	wg.Go(func() { servers.Run(ctx) })
 	wg.Go(func() { gt.readNodes(ctx) })
@@ -242,6 +244,7 @@
 	wg.Go(func() { gt.exchangeKept(ctx) })
 	wg.Go(func() { gt.repairRestored(ctx) })
 	wg.Go(func() { gt.watchCacheStores(ctx) })
+	wg.Go(func() { <-ctx.Done(); gt.crashes.examinations.Wait() })
 	every := func(interval time.Duration, fn func()) {
 		cancel := gt.opts.Timer.Every(interval, fn)
 		wg.Go(func() { <-ctx.Done(); cancel() })
@@ -250,6 +253,7 @@
 	every(expireAttemptsInterval, gt.expireAttempts)
 	wg.Go(func() { <-ctx.Done(); gt.hints.calls.Wait() })
 	every(hintInterval, func() { gt.hints.send(ctx) })
+	every(saveRulesInterval, func() { gt.crashes.saveRules(ctx) })
 	every(pullInterval, func() {
 		if config.Stale() || servers.Stale() || gt.configTable.Revision() == 0 {
 			gt.pullFromPeer(ctx)
