core/pick: ages of announcements are between zero and their time to live (VERSION)

What callers could see: all old weights expire at once at all gates. Failing before: "peers are told of an age of -3ms", "old weights expire at once". Fix: the sender sends zero, the receiver ignores ages out of range.

--- a/core/pick/announcement.go
+++ b/core/pick/announcement.go
@@ -34,18 +34,22 @@
 	for model, versions := range pk.targets {
 		for _, av := range versions {
 			if age := now.Sub(av.announcedAt); !av.assumed && age < announcementTTL {
-				announcements = append(announcements, NewAnnouncement(model, av.version, age))
+				announcements = append(announcements, NewAnnouncement(model, av.version, max(age, 0)))
 			}
 		}
 	}
 	return announcements
 }
 
-// ApplyAnnouncements records the announcements of a peer, which may have learned of them earlier than this process.
+// ApplyAnnouncements records the announcements of a peer, which may have learned of them earlier than this process. It ignores those whose
+// age is out of range.
 func (pk *Picker) ApplyAnnouncements(now time.Time, announcements []Announcement) {
 	pk.mu.Lock()
 	defer pk.mu.Unlock()
 	for _, an := range announcements {
+		if an.age < 0 || an.age > announcementTTL {
+			continue
+		}
 		pk.addTarget(an.model, announcedVersion{version: an.version, announcedAt: now.Add(-an.age)})
 	}
 }
--- a/core/pick/announcement_test.go
+++ b/core/pick/announcement_test.go
@@ -66,3 +66,21 @@
 		}
 	}
 }
+
+// An age below zero, of a version that was announced after the time at which ages are taken, would
+// expire old weights at all peers.
+func TestAgesOutOfRangeExpireNothing(t *testing.T) {
+	start := time.Unix(1000, 0)
+	pk := New("a", 12*time.Second, 1)
+	pk.SetTargetVersion(start.Add(3*time.Millisecond), testModel, 2)
+	for _, an := range pk.Announcements(start) {
+		if an.Age() != 0 {
+			t.Errorf("peers are told of an age of %s", an.Age())
+		}
+	}
+	peer := New("a", 12*time.Second, 1)
+	peer.ApplyAnnouncements(start, []Announcement{NewAnnouncement(testModel, 2, 1193*time.Hour), NewAnnouncement(testModel, 3, -time.Millisecond)})
+	if peer.WeightsExpired(start, testModel, 1) {
+		t.Error("old weights expire at once")
+	}
+}
