Announcements that are found after a silent connection count from the last successful call (VERSION)

What callers may see: when the connections of all gates to the store go silent at the same moment, all learn of a newer version seconds late, none can tell the others, and requests begin on old weights after their grace period.

--- a/io/feed/copy.go
+++ b/io/feed/copy.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 )
 
 // Change describes one update of a copy.
@@ -16,6 +17,9 @@
 	// Restored reports that the store was restored from a backup since the last change: rows that were written shortly before are
 	// missing or old, and rows that were deleted shortly before are back.
 	Restored bool
+	// Since is when the copy was last known to be current, if that was uncertain before the change; otherwise it is zero, and the change has
+	// just been made.
+	Since time.Time
 }
 
 // ContentVersion returns the version that the writer of a row gave its content, which the writer never lowers; ok is false if the row
@@ -33,6 +37,8 @@
 	rows      map[string]Row
 	revision  uint64
 	listeners []func(Change)
+	// uncertainSince is the Since of the changes that are made now.
+	uncertainSince time.Time
 }
 
 // NewCopy returns an empty copy of the table at revision 0.
@@ -183,8 +189,16 @@
 	}
 }
 
+// setUncertainSince sets the Since of the following changes.
+func (cp *Copy) setUncertainSince(since time.Time) {
+	cp.mu.Lock()
+	defer cp.mu.Unlock()
+	cp.uncertainSince = since
+}
+
 // notify calls the listeners. The caller holds mu.
 func (cp *Copy) notify(ch Change) {
+	ch.Since = cp.uncertainSince
 	for _, listener := range cp.listeners {
 		listener(ch)
 	}
--- a/io/feed/copy_test.go
+++ b/io/feed/copy_test.go
@@ -213,3 +213,38 @@
 		t.Errorf("%d calls within a second, want at most 12", len(src.calls))
 	}
 }
+
+// A change that is found after calls to the source have failed may have been made any time since the last successful call.
+func TestChangeAfterFailureIsSinceLastSuccess(t *testing.T) {
+	result := func(key string, revision uint64, err error) func() ([]Row, uint64, error) {
+		return func() ([]Row, uint64, error) { return []Row{NewRow(key, nil, revision)}, revision, err }
+	}
+	src := &scriptedSource{steps: []func() ([]Row, uint64, error){
+		result("read", 1, nil), result("watched", 2, nil), result("", 0, errors.New("timeout")), result("late", 3, nil), result("soon", 4, nil),
+	}}
+	lg := logrus.New()
+	lg.SetOutput(io.Discard)
+	cp := NewCopy("t")
+	changes := make(chan Change, 4)
+	var watchedAt time.Time
+	cp.Subscribe(func(ch Change) {
+		if ch.Rows[0].Key() == "watched" {
+			watchedAt = time.Now()
+		}
+		changes <- ch
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	fw := NewFollower(cp, src, logrus.NewEntry(lg), time.Second, 0, func() {})
+	go fw.Run(ctx)
+	for _, key := range []string{"read", "watched", "late", "soon"} {
+		ch := <-changes
+		if got := ch.Rows[0].Key(); got != key {
+			t.Fatalf("got a change of %s, want %s", got, key)
+		}
+		if uncertain := !ch.Since.IsZero(); uncertain != (key == "late") || uncertain && ch.Since.Sub(watchedAt) > minBackoff/2 {
+			t.Errorf("change of %s is since %s, the last success was at %s", key, ch.Since, watchedAt)
+		}
+	}
+	cancel()
+	<-fw.Done()
+}
--- a/io/feed/follower.go
+++ b/io/feed/follower.go
@@ -36,7 +36,9 @@
 	onError func()
 	// stale is set while calls to the source fail.
 	stale atomic.Bool
-	done  chan struct{}
+	// currentAt is when the copy was last known to be current; Run owns it.
+	currentAt time.Time
+	done      chan struct{}
 }
 
 // NewFollower returns a follower that is started by Run. One Watch call waits for a change up to wait. After each change the follower
@@ -102,8 +104,26 @@
 	}
 }
 
-// update reads the whole table if full is set; otherwise it waits for the next changes and applies them.
+// update reads the whole table if full is set; otherwise it waits for the next changes and applies them. A change that it finds after calls
+// have failed may have been made any time since the last successful one.
 func (fw *Follower) update(ctx context.Context, full bool) error {
+	began := time.Now()
+	if fw.Stale() {
+		fw.copy.setUncertainSince(fw.currentAt)
+		defer fw.copy.setUncertainSince(time.Time{})
+	}
+	if err := fw.fetch(ctx, full); err != nil {
+		return err
+	}
+	// A response that was held up is as old as the longest wait allows.
+	if fw.currentAt = time.Now(); !full && fw.currentAt.After(began.Add(fw.wait)) {
+		fw.currentAt = began.Add(fw.wait)
+	}
+	return nil
+}
+
+// fetch makes one call to the source and applies the response.
+func (fw *Follower) fetch(ctx context.Context, full bool) error {
 	if full {
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
--- a/io/gate/watcher.go
+++ b/io/gate/watcher.go
@@ -75,6 +75,10 @@
 func (wt *watcher) configChanged(ch feed.Change) {
 	gt := wt.gate
 	atStart := gt.routes.Load() == nil
+	announcedAt := time.Now()
+	if !ch.Since.IsZero() {
+		announcedAt = ch.Since
+	}
 	for _, rw := range ch.Rows {
 		if rw.Deleted() {
 			continue
@@ -85,7 +89,7 @@
 			if atStart {
 				gt.picker.InitTargetVersion(time.Now(), model, version)
 			} else {
-				gt.picker.SetTargetVersion(time.Now(), model, version)
+				gt.picker.SetTargetVersion(announcedAt, model, version)
 			}
 			gt.log.WithField("model", model).WithField("version", version).Info("target weight version announced")
 		}
