--- a/core/pick/attempt.go
+++ b/core/pick/attempt.go
@@ -67,8 +67,8 @@
 	return att
 }
 
-// OnExpiry sets the function that ExpireAttempts returns if the weights of the attempt's server expire before the attempt begins. Calls
-// without a model have no weights.
+// OnExpiry sets the function that ExpireAttempts calls if the weights of the attempt's server expire before the attempt begins; it must not
+// block or call the picker. Calls without a model have no weights.
 func (att *Attempt) OnExpiry(onExpiry func()) {
 	if att.model == "" {
 		return
--- a/core/pick/weights.go
+++ b/core/pick/weights.go
@@ -15,6 +15,9 @@
 	staleCostDelay = 1200 * time.Millisecond
 	// startSafetyFactor is the multiple of the expected time to the first event that must be left until startDeadline.
 	startSafetyFactor = 3
+	// expirySlack is how long before the end of the grace period attempts that have not begun end. It is shorter than weight.ExpirySlack, at
+	// which engines are ordered to load and reject their waiting calls.
+	expirySlack = 300 * time.Millisecond
 )
 
 // announcedVersion is a version of a model's weights, and when it was announced as far as this process knows.
@@ -108,12 +111,12 @@
 // firstMissed returns the first announced version of a model's weights that is newer than the given one, regardless of
 // later announcements; ok is false if there is none. The caller holds mu.
 func (pk *Picker) firstMissed(model string, version uint64) (av announcedVersion, ok bool) {
-	for _, av := range pk.targets[model] {
-		if av.version > version {
-			return av, true
-		}
+	versions := pk.targets[model]
+	if len(versions) == 0 || version >= versions[len(versions)-1].version {
+		return announcedVersion{}, false
 	}
-	return announcedVersion{}, false
+	i := slices.IndexFunc(versions, func(av announcedVersion) bool { return av.version > version })
+	return versions[i], true
 }
 
 // StaleFor returns how long ago the first version newer than the given one was announced, or zero if there is none.
@@ -136,22 +139,20 @@
 	if now.Sub(av.announcedAt) > staleCostDelay {
 		stalePenalty = staleWeightsCost
 	}
-	return stalePenalty, pk.startDeadline(av)
+	return stalePenalty, av.announcedAt.Add(pk.oldWeightsGrace - weight.ExpirySlack)
 }
 
-// ExpireAttempts returns the functions set by Attempt.OnExpiry of the attempts that have not begun on weights which may no longer be
-// used, and forgets these attempts.
-func (pk *Picker) ExpireAttempts(now time.Time) []func() {
+// ExpireAttempts calls the functions set by Attempt.OnExpiry of the attempts that have not begun on weights which may no longer be used,
+// and forgets these attempts.
+func (pk *Picker) ExpireAttempts(now time.Time) {
 	pk.mu.Lock()
 	defer pk.mu.Unlock()
-	var expired []func()
 	for att, onExpiry := range pk.notBegun {
 		if pk.weightsExpired(now, att.model, att.version) {
-			expired = append(expired, onExpiry)
 			delete(pk.notBegun, att)
+			onExpiry()
 		}
 	}
-	return expired
 }
 
 // WeightsExpired reports whether no call may begin on a version of a model's weights any more.
@@ -164,10 +165,5 @@
 // weightsExpired is WeightsExpired; the caller holds mu.
 func (pk *Picker) weightsExpired(now time.Time, model string, version uint64) bool {
 	av, ok := pk.firstMissed(model, version)
-	return ok && !now.Before(pk.startDeadline(av))
-}
-
-// startDeadline returns the time after which no call may begin on weights that lack an announced version.
-func (pk *Picker) startDeadline(av announcedVersion) time.Time {
-	return av.announcedAt.Add(pk.oldWeightsGrace - weight.ExpirySlack)
+	return ok && now.Sub(av.announcedAt) >= pk.oldWeightsGrace-expirySlack
 }
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -218,13 +218,6 @@
 	}
 }
 
-// expireAttempts cancels the attempts whose servers' weights expired before they began.
-func (gt *Gate) expireAttempts() {
-	for _, onExpiry := range gt.picker.ExpireAttempts(time.Now()) {
-		onExpiry()
-	}
-}
-
 // probeUnreachable probes the servers that did not respond and whose backoff ends soon. Those that still cannot be reached are
 // marked unreachable again.
 func (gt *Gate) probeUnreachable(ctx context.Context) {
--- a/io/gate/watcher.go
+++ b/io/gate/watcher.go
@@ -254,7 +254,7 @@
 		wg.Go(func() { <-ctx.Done(); cancel() })
 	}
 	every(expireInterval, gt.watcher.expire)
-	every(expireAttemptsInterval, gt.expireAttempts)
+	every(expireAttemptsInterval, func() { gt.picker.ExpireAttempts(time.Now()) })
 	wg.Go(func() { <-ctx.Done(); gt.hints.calls.Wait() })
 	every(hintInterval, func() { gt.hints.send(ctx) })
 	every(saveRulesInterval, func() { gt.crashes.saveRules(ctx) })
