--- a/io/tend/tender.go
+++ b/io/tend/tender.go
@@ -49,8 +49,8 @@
 	// failure at which the retries end.
 	notifyRetryPeriod = 80 * time.Millisecond
 	notifyRetryLimit  = 5 * time.Second
-	// pullWait is how long a gate may wait for changes before it replies to a pull.
-	pullWait       = 8 * time.Second
+	// pullWait is how long a gate may wait for changes before it replies to a pull. A connection that has gone silent is noticed after that.
+	pullWait       = 3 * time.Second
 	pullRetryDelay = 100 * time.Millisecond
 	// firstPullTimeout bounds the first pull from a gate, which does not wait for changes.
 	firstPullTimeout = 150 * time.Millisecond
