--- a/core/pick/announcement.go
+++ b/core/pick/announcement.go
@@ -42,14 +42,16 @@
 }
 
 // ApplyAnnouncements records the announcements of a peer, which may have learned of them earlier than this process. It ignores those whose
-// age is out of range.
-func (pk *Picker) ApplyAnnouncements(now time.Time, announcements []Announcement) {
+// age is out of range. It reports whether any is newer than all that this process knows.
+func (pk *Picker) ApplyAnnouncements(now time.Time, announcements []Announcement) (newer bool) {
 	pk.mu.Lock()
 	defer pk.mu.Unlock()
 	for _, an := range announcements {
 		if an.age < 0 || an.age > announcementTTL {
 			continue
 		}
+		newer = newer || an.version > pk.target(an.model)
 		pk.addTarget(an.model, announcedVersion{version: an.version, announcedAt: now.Add(-an.age)})
 	}
+	return newer
 }
--- a/core/pick/weights.go
+++ b/core/pick/weights.go
@@ -48,11 +48,18 @@
 func (pk *Picker) SetTargetVersion(now time.Time, model string, version uint64) {
 	pk.mu.Lock()
 	defer pk.mu.Unlock()
+	if version > pk.target(model) {
+		pk.addTarget(model, announcedVersion{version: version, announcedAt: now})
+	}
+}
+
+// target returns the newest announced version of a model's weights, or zero if none is known. The caller holds mu.
+func (pk *Picker) target(model string) uint64 {
 	versions := pk.targets[model]
-	if len(versions) > 0 && version <= versions[len(versions)-1].version {
-		return
+	if len(versions) == 0 {
+		return 0
 	}
-	pk.addTarget(model, announcedVersion{version: version, announcedAt: now})
+	return versions[len(versions)-1].version
 }
 
 // addTarget adds an announced version of a model's weights. Of two observations of one announcement the earlier one holds, since a process
@@ -111,10 +118,10 @@
 // firstMissed returns the first announced version of a model's weights that is newer than the given one, regardless of
 // later announcements; ok is false if there is none. The caller holds mu.
 func (pk *Picker) firstMissed(model string, version uint64) (av announcedVersion, ok bool) {
-	versions := pk.targets[model]
-	if len(versions) == 0 || version >= versions[len(versions)-1].version {
+	if version >= pk.target(model) {
 		return announcedVersion{}, false
 	}
+	versions := pk.targets[model]
 	i := slices.IndexFunc(versions, func(av announcedVersion) bool { return av.version > version })
 	return versions[i], true
 }
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -108,7 +108,9 @@
 	watcher       *watcher
 	restored      *feed.RestoreSignal
 	loadScheduler loadScheduler
-	done          chan struct{}
+	// pullRequests has an element while a peer's announcement is to be fetched.
+	pullRequests chan struct{}
+	done         chan struct{}
 }
 
 // New returns a gate; Serve starts it.
@@ -124,6 +126,7 @@
 		serverTable:   feed.NewCopy(tables.Servers),
 		nodeTable:     feed.NewCopy(tables.Nodes),
 		loadScheduler: loadScheduler{scheduler: weight.NewScheduler(opts.OldWeightsGrace)},
+		pullRequests:  make(chan struct{}, 1),
 		done:          make(chan struct{}),
 	}
 	gt.gateList = NewGateList(gt.nodeTable)
--- a/io/gate/hint.go
+++ b/io/gate/hint.go
@@ -250,7 +250,9 @@
 	gt.picker.ApplyHints(now, hb.hints)
 	gt.picker.ApplySlowdowns(now, hb.slowdowns)
 	gt.picker.ApplyCacheStoreStates(now, hb.stores)
-	gt.picker.ApplyAnnouncements(now, hb.announcements)
+	if gt.picker.ApplyAnnouncements(now, hb.announcements) {
+		gt.requestPull()
+	}
 	gt.crashes.apply(now, hb.crashes)
 	for _, ns := range ch.GetNews() {
 		gt.applyNews(now, ns)
--- a/io/gate/peers.go
+++ b/io/gate/peers.go
@@ -6,7 +6,10 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"time"
 
+	"shallotcleat/core/pick"
 	"shallotcleat/io/feed"
 	"shallotcleat/io/table"
 	"shallotcleat/io/timer"
@@ -31,6 +34,54 @@
 	}
 }
 
+// Parameters of the pulls after a peer has announced weights that the config table lacks.
+const (
+	// announcedPullDelay is the time before each pull; the watch of the store usually brings the row meanwhile.
+	announcedPullDelay = 100 * time.Millisecond
+	announcedPulls     = 5
+)
+
+// requestPull lets pullAnnounced pull, and does nothing if that is already requested.
+func (gt *Gate) requestPull() {
+	select {
+	case gt.pullRequests <- struct{}{}:
+	default:
+	}
+}
+
+// pullAnnounced pulls the config table from peers when they announce weights that it lacks, since tenders get the table from this gate.
+func (gt *Gate) pullAnnounced(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-gt.pullRequests:
+		}
+		for range announcedPulls {
+			timer.Sleep(ctx, announcedPullDelay)
+			if !gt.lacksAnnounced() {
+				break
+			}
+			gt.pullFromPeer(ctx)
+		}
+	}
+}
+
+// lacksAnnounced reports whether the config table is older than an announcement of weights.
+func (gt *Gate) lacksAnnounced() bool {
+	versions := make(map[string]uint64)
+	rows, _ := gt.configTable.Rows(gt.opts.Dialect.Tables().WeightsKeyPrefix)
+	for _, rw := range rows {
+		// Rows that cannot be decoded are logged when they come.
+		if model, version, ok, err := gt.opts.Dialect.DecodeWeights(rw); ok && err == nil {
+			versions[model] = version
+		}
+	}
+	return slices.ContainsFunc(gt.picker.Announcements(time.Now()), func(an pick.Announcement) bool {
+		return an.Version() > versions[an.Model()]
+	})
+}
+
 // peers returns the peer addresses of the other known gates, including seed peers.
 func (gt *Gate) peers() []string {
 	seen := map[string]bool{gt.opts.PeerAddress: true}
--- a/io/gate/watcher.go
+++ b/io/gate/watcher.go
@@ -246,6 +246,7 @@
 	wg.Go(func() { gt.readNodes(ctx) })
 	wg.Go(func() { gt.register(ctx) })
 	wg.Go(func() { gt.exchangeKept(ctx) })
+	wg.Go(func() { gt.pullAnnounced(ctx) })
 	wg.Go(func() { gt.repairRestored(ctx) })
 	wg.Go(func() { gt.watchCacheStores(ctx) })
 	wg.Go(func() { <-ctx.Done(); gt.crashes.examinations.Wait() })
