io/gate: a line as long as the reader's buffer ends no event

Callers saw two events of a stream joined into one, without the empty line between them, and a stream that broke off inside such an event looked complete: it wasn't resumed, or ended with its final chunk.

Cause: relayEvents reads lines through a buffer of 4096 bytes and took each piece for a line. Of a line of 4096 bytes (or a multiple, CR included) the last piece is the line end alone, which looked like the empty line that ends an event.

--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -35,7 +35,7 @@
 			return at.endBroken(requestCtx, errTruncatedEvent)
 		case err != nil && !errors.Is(err, bufio.ErrBufferFull):
 			return at.endBroken(requestCtx, err)
-		case err != nil || len(bytes.TrimRight(line, "\r\n")) > 0:
+		case err != nil || !endsWithBlankLine(event):
 			continue
 		}
 		if len(bytes.TrimSpace(event)) > 0 {
@@ -51,6 +51,13 @@
 	}
 }
 
+// endsWithBlankLine reports whether text that ends with a line end has an empty last line. The piece of a long line that ReadSlice
+// returned last doesn't show that: it may be the line end alone.
+func endsWithBlankLine(text []byte) bool {
+	text = bytes.TrimSuffix(bytes.TrimSuffix(text, []byte("\n")), []byte("\r"))
+	return len(text) == 0 || text[len(text)-1] == '\n'
+}
+
 // recordFirstEvent stops the watchdog and records the time to the first event of the attempt. Later calls have no effect.
 func (at *attempt) recordFirstEvent() {
 	at.watchdog.Stop()
