io/server: only whole events of an engine's stream count

An agent took an engine's stream for complete that ended inside the event of the [DONE] marker, cleanly or by a reset, and recorded usage for it; a line that was cut off anywhere else became a frame of its own with half the JSON as its data.

Cause: bufio.Scanner returns a last line without a line end, also before an error, and readEvents took each line for an event.

Without scanWholeLines alone the test fails at 8 ends: the scanner drops a lone CR and returns an empty line.

--- a/io/server/engine.go
+++ b/io/server/engine.go
@@ -155,21 +155,32 @@
 )
 
 // readEvents calls onEvent for each event up to the [DONE] marker and returns the token counts of the last event that
-// has any.
+// has any. An event counts once the empty line after it has arrived.
 func readEvents(body io.Reader, onEvent func(ev Event)) (Usage, error) {
 	var usage Usage
+	var data []byte
 	sc := bufio.NewScanner(body)
 	sc.Buffer(make([]byte, 0, 4096), maxEventBytes)
+	sc.Split(scanWholeLines)
 	for sc.Scan() {
-		data, ok := bytes.CutPrefix(sc.Bytes(), dataPrefix)
-		if !ok {
+		if len(sc.Bytes()) > 0 {
+			if line, ok := bytes.CutPrefix(sc.Bytes(), dataPrefix); ok {
+				data = append(data, line...)
+			}
+			if len(data) > maxEventBytes {
+				return usage, &ExchangeError{cause: bufio.ErrTooLong}
+			}
+			continue
+		}
+		if data == nil {
 			continue
 		}
 		if bytes.Equal(data, doneMarker) {
 			return usage, nil
 		}
 		usage = decodeUsage(data, usage)
-		onEvent(Event{Data: bytes.Clone(data), Text: decodeText(data)})
+		onEvent(Event{Data: data, Text: decodeText(data)})
+		data = nil
 	}
 	if err := sc.Err(); err != nil {
 		return usage, &ExchangeError{cause: err}
@@ -177,6 +188,14 @@
 	return usage, &ExchangeError{cause: errNoDoneMarker}
 }
 
+// scanWholeLines is bufio.ScanLines without a last line that has no line end: it was cut off.
+func scanWholeLines(data []byte, atEOF bool) (advance int, token []byte, err error) {
+	if bytes.IndexByte(data, '\n') < 0 {
+		return 0, nil, nil
+	}
+	return bufio.ScanLines(data, atEOF)
+}
+
 // eventText is the part of an event that holds generated text, of a completion (text) or a chat completion (delta).
 type eventText struct {
 	Choices []struct {
--- a/io/server/engine_test.go
+++ b/io/server/engine_test.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
+	"syscall"
 	"testing"
+	"testing/iotest"
 )
 
 // A request body that is JSON but no object, such as null, is an error and no panic; no engine is called.
@@ -33,3 +37,21 @@
 		t.Errorf("got state %+v of a failing engine", st)
 	}
 }
+
+// A stream that ends before its end marker's event is whole is incomplete, however it ends, and only whole events of it are relayed.
+func TestStreamEndsAtEachByte(t *testing.T) {
+	for _, lineEnd := range []string{"\n", "\r\n"} {
+		text := strings.ReplaceAll("data: {\"choices\":[{\"text\":\"a\"}]}\n\ndata: {\"choices\":[{\"text\":\"b\"}]}\n\n"+
+			"data: {\"usage\":{\"completion_tokens\":2}}\n\ndata: [DONE]\n\n", "\n", lineEnd)
+		for end := range len(text) + 1 {
+			for _, cause := range []error{io.EOF, syscall.ECONNRESET} {
+				relayed := 0
+				us, err := readEvents(io.MultiReader(strings.NewReader(text[:end]), iotest.ErrReader(cause)), func(Event) { relayed++ })
+				whole := min(strings.Count(text[:end], lineEnd+lineEnd), 3)
+				if relayed != whole || (err == nil) != (end == len(text)) || err == nil && us.OutputTokens != 2 {
+					t.Errorf("%q, then %v: got %d events, %+v, error %v", text[:end], cause, relayed, us, err)
+				}
+			}
+		}
+	}
+}
