io/watch: a declaration that was cut off is not the declaration

Callers of workspaces or services in the lost part would have got 401 or 404: an entry, agent or "apply" that read a declaration without a length, cut off by the end of its connection, took what had arrived for the whole. What is left of YAML at the end of a line is valid (here a preset less), is adopted under the head's hash and goes on to peers, which fetch only text of another hash.

Cause: objects have no end marker of their own, and ReadDeclaration didn't compare the text with the hash in its name. The usage records, which are read in the same way, are JSON arrays and fail when cut.

That callers get 401 or 404 is by reading, not from a run.

--- a/io/watch/head.go
+++ b/io/watch/head.go
@@ -75,12 +75,16 @@
 	return hd, cells[0].Version, nil
 }
 
-// ReadDeclaration returns the text of the declaration with the given hash.
+// ReadDeclaration returns the text of the declaration with the given hash. It fails if the text has another hash: a response without a
+// length may have been cut off, and what is left may be a valid declaration.
 func ReadDeclaration(ctx context.Context, objects object.Store, hash string) ([]byte, error) {
 	text, err := objects.Get(ctx, declarationName(hash))
 	if err != nil {
 		return nil, fmt.Errorf("read declaration: %w", err)
 	}
+	if got := config.Hash(text); got != hash {
+		return nil, fmt.Errorf("read declaration: got %d bytes with hash %s, want %s", len(text), got, hash)
+	}
 	return text, nil
 }
 
--- a/io/watch/watch_test.go
+++ b/io/watch/watch_test.go
@@ -1,10 +1,16 @@
 package watch
 
 import (
+	"bytes"
 	"errors"
+	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
+
+	"shallotcleat/core/config"
+	"shallotcleat/io/object"
 )
 
 // runFleet starts a fleet in virtual time, runs the scenario, and checks that no process reverted to a lower epoch.
@@ -174,3 +180,26 @@
 		t.Errorf("second change: got error %v, want a conflict with the first", err)
 	}
 }
+
+// A declaration that was cut off at the end of a line, without a length that shows it, is not taken for the whole one.
+func TestCutDeclarationIsRejected(t *testing.T) {
+	text := declarationOf(1)
+	cut := text[:bytes.LastIndexByte(bytes.TrimSpace(text), '\n')+1]
+	var sent []byte
+	srv := httptest.NewServer(http.HandlerFunc(func(wr http.ResponseWriter, _ *http.Request) {
+		conn, _, err := wr.(http.Hijacker).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		_, _ = conn.Write(append([]byte("HTTP/1.1 200 OK\r\n\r\n"), sent...))
+		_ = conn.Close()
+	}))
+	defer srv.Close()
+	for _, sent = range [][]byte{text, cut, nil} {
+		got, err := ReadDeclaration(t.Context(), object.NewHTTP(srv.URL), config.Hash(text))
+		if whole := len(sent) == len(text); (err == nil) != whole || whole && !bytes.Equal(got, text) {
+			t.Errorf("%d of %d bytes: got %d bytes, error %v", len(sent), len(text), len(got), err)
+		}
+	}
+}
