--- /dev/null
+++ b/io/server/plain_test.go
@@ -0,0 +1,42 @@
+package server
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+)
+
+// A plain service's response without a length is whole when its connection ends, but not when it is reset.
+func TestPlainResponseEnds(t *testing.T) {
+	const unframed, short = "HTTP/1.1 200 OK\r\n\r\nwhole", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 6\r\n\r\nwhole"
+	for _, tt := range []struct {
+		text         string
+		reset, whole bool
+	}{{unframed, false, true}, {unframed, true, false}, {short, false, false}} {
+		srv := httptest.NewServer(http.HandlerFunc(func(wr http.ResponseWriter, _ *http.Request) {
+			conn, _, err := wr.(http.Hijacker).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_, _ = io.WriteString(conn, tt.text)
+			if tt.reset {
+				time.Sleep(20 * time.Millisecond)
+				_ = conn.(*net.TCPConn).SetLinger(0)
+			}
+			_ = conn.Close()
+		}))
+		for _, key := range []string{"", "k"} {
+			rs, err := NewHTTPPlainService(srv.URL).Do(t.Context(), Request{Method: http.MethodPost, Path: "/", IdempotencyKey: key})
+			var ee *ExchangeError
+			if tt.whole && (err != nil || string(rs.Body) != "whole") || !tt.whole && !errors.As(err, &ee) {
+				t.Errorf("%+v, key %q: got %q, %v", tt, key, rs.Body, err)
+			}
+		}
+		srv.Close()
+	}
+}
