io/gate: a broken stream to a caller with HTTP/1.0 ends with a reset

Such a caller took a stream that broke off for complete: it knows no chunks, its stream ends with the connection, and the gate ended that as cleanly after a broken stream as after a whole one. Callers of the users' platform speak HTTP/1.1 and aren't affected.

Cause: http.ErrAbortHandler only leaves out the last chunk and closes the connection.

Before: TestStreamToHTTP10Caller broken true: got "HTTP/1.0 200 OK ... id: 0\ndata: word 0\n\nid: 1\ndata: word 1\n\n", <nil> Now the gate takes over the connection of such a caller and resets it.

--- a/io/gate/finish.go
+++ b/io/gate/finish.go
@@ -49,6 +49,9 @@
 	case er == nil:
 		return
 	case rq.response.started || callerLeft:
+		if err := rq.response.reset(); err != nil {
+			gt.log.WithError(err).WithField("request_id", rq.info.RequestID).Warn("cannot reset the connection of a broken stream")
+		}
 		panic(http.ErrAbortHandler)
 	case rq.response.fallback != nil:
 		rq.response.writeBuffered(rq.response.fallback.status, rq.response.fallback.header, rq.response.fallback.body)
--- a/io/gate/response.go
+++ b/io/gate/response.go
@@ -1,7 +1,9 @@
 package gate
 
 import (
+	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 
@@ -11,6 +13,8 @@
 // response is the response to a caller.
 type response struct {
 	writer http.ResponseWriter
+	// unframed is set if the caller's version of HTTP has no chunks, so that a stream ends with the connection.
+	unframed bool
 	// started is set once a part of the response has been sent.
 	started bool
 	// lastEventID is the numeric id of the last event that was sent; it is valid if hasEventID is set.
@@ -96,6 +100,23 @@
 	return nil
 }
 
+// reset resets the caller's connection if a broken stream would look complete at its end.
+func (rs *response) reset() error {
+	if !rs.unframed || !rs.started {
+		return nil
+	}
+	conn, _, err := http.NewResponseController(rs.writer).Hijack()
+	if err != nil {
+		return fmt.Errorf("take over connection: %w", err)
+	}
+	if tc, ok := conn.(*net.TCPConn); ok {
+		if err := tc.SetLinger(0); err != nil {
+			return errors.Join(fmt.Errorf("set linger: %w", err), conn.Close())
+		}
+	}
+	return conn.Close()
+}
+
 // writeBuffered sends a response that is not a stream.
 func (rs *response) writeBuffered(status int, hd http.Header, body []byte) {
 	rs.started = true
