A stream without a length that ends before its first event is broken off

What callers see: a server that ends right after the head of its answer, without a length or chunks, left them with a complete but empty stream of status 200. Cause: the end of the connection is the end of such an answer. Fix: a stream that has not begun is broken off, unless it continues one whose last event the caller has; it is sent again where that is allowed. Failing before: TestStreamEnds, "end before an event: /plan/x got 200".

--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -73,6 +73,10 @@
 	if requestCtx.Err() != nil {
 		return at.endBroken(requestCtx, requestCtx.Err())
 	}
+	if !resp.Framed && at.firstEventAt.IsZero() && at.rq.response.resumeEventID(at.rq.info.LastEventID) == "" {
+		// The server ended before it began the stream; only a continued stream may have nothing left to send.
+		return at.endBroken(requestCtx, errTruncatedEvent)
+	}
 	at.recordFirstEvent()
 	at.pickAttempt.End(time.Now(), pick.Served)
 	at.gate.crashes.recordServed(at.rq)
