--- a/core/crash/detector.go
+++ b/core/crash/detector.go
@@ -290,6 +290,8 @@
 		for part, sentAt := range rp.suspects {
 			seenAt, served := dt.sightings[part]
 			if !rp.at.After(seenAt) {
+				// The part was answered after the crash.
+				delete(rp.suspects, part)
 				continue
 			}
 			ev := byPart[part]
