io/entry: a model call takes no retry from the budget if no server is left for it

What callers saw: a stream ended with an error although another engine could go on with it. Cause: runModel took a token from the retry budget before it looked for a server; a call that had failed at all servers paid for one more retry, which was not sent, and the entry had fewer retries for later calls. Evidence: in 1,000 logged runs of TestAllEnginesCrashAtEachFrame 15 failed, at frames 6 and 7. In each of them the four streams that fail at both engines had paid for four unsent retries, and one or two attempts had been refused with stale_cache: the agent notices the restarted engine within 250 ms, the entry later, and the repeat costs a token. The streams failed at the budget, which had 0.2 tokens or just under 1.0. The stream must be complete from frame 5 to frame 8. The test now wants exactly the tokens that both engines can generate, at each frame; before, any prefix passed where it wanted a failure. New: TestStreamsPayOnlyForSentRetries, which depends on no timing. On the code before, 5 runs of 5: "5 retries of 6 streams, want one of each". Ruled out: an ejected engine (the failing calls ended at the budget, before an engine was chosen), the fake's tokensUntilCrash (set anew for each frame), a timeout (no other error code occurred in any run). Measured, each beside a second copy: before, 1 of 200 runs and 15 of 1,000 failed; after, 0 of 400.

--- a/io/entry/modelcall.go
+++ b/io/entry/modelcall.go
@@ -176,11 +176,9 @@
 	lastErr := answer.NewError(answer.NoBackendServer, answer.NotRun, defaultRetryAfter,
 		"no available backend server for %q", call.service.Name())
 	for attempt := range maxAttempts {
-		if attempt > 0 && !en.budget.Take() {
-			return lastErr
-		}
+		// The budget is asked last: it must not pay for a retry that is not sent.
 		ch, ok := en.chooseServer(call.placement, call.excluded)
-		if !ok {
+		if !ok || attempt > 0 && !en.budget.Take() {
 			return lastErr
 		}
 		result, er := en.attemptModel(ctx, call, ch)
--- a/io/local/stream_test.go
+++ b/io/local/stream_test.go
@@ -51,8 +51,8 @@
 	}
 }
 
-// If all engines crash at the same frame, no engine can continue the stream: the caller gets the tokens generated so
-// far and an error event.
+// If all engines crash at the same frame, the stream is complete if it needs no third engine. Otherwise the caller gets the tokens
+// generated so far and an error event.
 func TestAllEnginesCrashAtEachFrame(t *testing.T) {
 	cl := newCluster(t, clusterOptions{engines: 2, entries: 1})
 	for at := 1; at <= streamTokens; at++ {
@@ -61,11 +61,12 @@
 			engine.CrashAfter(at)
 		}
 		sr := streamWithHook(t.Context(), t, cl.caller(0), tag, 0, func() {})
-		// The second engine continues where the first one crashed, so the stream is complete if both together produce all tokens and the
-		// end marker after the last one.
-		if complete := 2*at > streamTokens && at < streamTokens; complete && (!sr.done || sr.failed || sr.events != streamTokens) ||
-			!complete && (sr.status == http.StatusOK && !sr.failed || sr.done) {
-			t.Errorf("crash at %d: status %d, done %t, failed %t", at, sr.status, sr.done, sr.failed)
+		// The second engine continues where the first one crashed; a third one would have to generate the tokens after that.
+		tokens := min(2*(at-1), streamTokens)
+		whole := tokens == streamTokens
+		failed := sr.failed || sr.status != http.StatusOK
+		if sr.events != tokens || sr.done != whole || failed == whole {
+			t.Errorf("crash at %d: status %d, done %t, failed %t, %d tokens, want %d", at, sr.status, sr.done, sr.failed, sr.events, tokens)
 		}
 		if want := expectedText(tag, sr.events); sr.text.String() != want {
 			t.Errorf("crash at %d: text %q is not a prefix of the expected output", at, sr.text.String())
@@ -77,6 +78,32 @@
 	}
 }
 
+// retryBudgetTokens is the number of retries that a full retry budget of an entry allows.
+const retryBudgetTokens = 10
+
+// countRetries returns the number of attempts that an entry sent after the first ones of its requests.
+func countRetries(node *Node) int {
+	return countEvents(node, trace.RequestPlaced) - countEvents(node, trace.RequestReceived)
+}
+
+// Streams that fail at both engines take a token from the retry budget for the one retry that was sent, and none for the third
+// engine that is missing: a full budget lets each of them be retried.
+func TestStreamsPayOnlyForSentRetries(t *testing.T) {
+	cl := newCluster(t, clusterOptions{engines: 2, entries: 1})
+	for i := range retryBudgetTokens {
+		for _, engine := range cl.engines {
+			engine.CrashAfter(1)
+		}
+		sr := streamWithHook(t.Context(), t, cl.caller(0), "paid", 0, func() {})
+		if sr.status == http.StatusOK {
+			t.Errorf("stream %d: status 200, want a failure at both engines", i)
+		}
+		if retries := countRetries(cl.entries[0]); retries != i+1 {
+			t.Fatalf("%d retries of %d streams, want one of each", retries, i+1)
+		}
+	}
+}
+
 // If one engine crashes during a stream, the other continues at the same token.
 func TestStreamContinuesOnAnotherEngine(t *testing.T) {
 	cl := newCluster(t, clusterOptions{engines: 2, entries: 1})
