io/local: TestAllEnginesCrashAtEachFrame does not depend on when agents notice a restart

Cause: how many attempts are refused with stale_cache depends on when an agent reads the state of its restarted engine; each repeat takes a token from the retry budget, which all frames share. With four refusals in one run the last frames would fail, rightly, for want of retries. Change: after each frame, first attempts pay back the retries that it took, so that each frame begins with a full budget. Frames and expectations are as before; that the budget pays only for sent retries has its own test.

--- a/io/local/stream_test.go
+++ b/io/local/stream_test.go
@@ -55,12 +55,14 @@
 // generated so far and an error event.
 func TestAllEnginesCrashAtEachFrame(t *testing.T) {
 	cl := newCluster(t, clusterOptions{engines: 2, entries: 1})
+	caller := cl.caller(0)
 	for at := 1; at <= streamTokens; at++ {
 		tag := "crash" + string(rune('a'+at))
 		for _, engine := range cl.engines {
 			engine.CrashAfter(at)
 		}
-		sr := streamWithHook(t.Context(), t, cl.caller(0), tag, 0, func() {})
+		retries := countRetries(cl.entries[0])
+		sr := streamWithHook(t.Context(), t, caller, tag, 0, func() {})
 		// The second engine continues where the first one crashed; a third one would have to generate the tokens after that.
 		tokens := min(2*(at-1), streamTokens)
 		whole := tokens == streamTokens
@@ -72,14 +74,24 @@
 			t.Errorf("crash at %d: text %q is not a prefix of the expected output", at, sr.text.String())
 		}
 		cl.waitFor("an available engine", func() bool {
-			_, rsp, err := cl.caller(0).Complete(t.Context(), "dispatch", taggedPrompt("ok"), 1)
+			_, rsp, err := caller.Complete(t.Context(), "dispatch", taggedPrompt("ok"), 1)
 			return err == nil && rsp.Status == http.StatusOK
 		})
+		// How many attempts are refused because the engine has restarted depends on when its agent notices. So that this does not decide
+		// over the next frame, the budget gets back what this one took.
+		for paid := 0; paid < firstsPerRetry*(countRetries(cl.entries[0])-retries); paid++ {
+			complete(t, caller, taggedPrompt("ok"))
+		}
 	}
 }
 
-// retryBudgetTokens is the number of retries that a full retry budget of an entry allows.
-const retryBudgetTokens = 10
+// Parameters of an entry's retry budget.
+const (
+	// retryBudgetTokens is the number of retries that a full budget allows.
+	retryBudgetTokens = 10
+	// firstsPerRetry is the number of first attempts that pay for a retry.
+	firstsPerRetry = 10
+)
 
 // countRetries returns the number of attempts that an entry sent after the first ones of its requests.
 func countRetries(node *Node) int {
