io/entry: a lookup takes no retry from the budget if no agent is left for it

What callers may see: the entry refuses to retry a lookup at another agent, or to hedge it, although few retries were sent. Now it looks first. New: TestLookupsPayOnlyForSentRetries, with lookups that fail at both services (a new switch of the fake).

--- a/io/entry/lookup.go
+++ b/io/entry/lookup.go
@@ -88,11 +88,12 @@
 
 // send starts an attempt at the best agent that is not excluded, if there is one and maxAttempts and the retry budget allow it.
 func (lk *lookup) send(ctx context.Context) {
-	if lk.attempts >= maxAttempts || lk.attempts > 0 && !lk.entry.budget.Take() {
+	if lk.attempts >= maxAttempts {
 		return
 	}
+	// The budget is asked last: it must not pay for a retry that is not sent.
 	address, ok := lk.entry.choosePlain(lk.call, lk.excluded)
-	if !ok {
+	if !ok || lk.attempts > 0 && !lk.entry.budget.Take() {
 		return
 	}
 	lk.attempts++
--- a/io/fake/plainservice.go
+++ b/io/fake/plainservice.go
@@ -14,6 +14,7 @@
 	mu          sync.Mutex
 	delay       time.Duration
 	dropsLeft   int
+	dropLookups bool
 	runCounts   map[string]int
 	lookupCount int
 }
@@ -30,6 +31,13 @@
 	ps.dropsLeft = count
 }
 
+// SetDropLookups sets whether lookups close the connection without a response.
+func (ps *PlainService) SetDropLookups(drop bool) {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	ps.dropLookups = drop
+}
+
 // RunCount returns how often the order with an idempotency key ran.
 func (ps *PlainService) RunCount(key string) int {
 	ps.mu.Lock()
@@ -64,7 +72,11 @@
 	if rq.Method != http.MethodPost {
 		ps.mu.Lock()
 		ps.lookupCount++
+		drop := ps.dropLookups
 		ps.mu.Unlock()
+		if drop {
+			panic(http.ErrAbortHandler)
+		}
 		writeJSON(wr, http.StatusOK, map[string]string{"path": rq.URL.Path, "stock": "12"})
 		return
 	}
--- a/io/local/edge_test.go
+++ b/io/local/edge_test.go
@@ -89,6 +89,24 @@
 	}
 }
 
+// Lookups that fail at both services take a token from the retry budget for the one retry that was sent, and none for the third
+// service that is missing: a full budget lets each of them be retried.
+func TestLookupsPayOnlyForSentRetries(t *testing.T) {
+	cl := newCluster(t, clusterOptions{plainServices: 2, entries: 1})
+	for _, service := range cl.plainServices {
+		service.SetDropLookups(true)
+	}
+	for i := range retryBudgetTokens {
+		rsp, err := cl.caller(0).Do(t.Context(), http.MethodGet, "/services/stock/items/sand", nil)
+		if err != nil || rsp.Status == http.StatusOK {
+			t.Errorf("lookup %d: status %d, %v, want a failure at both services", i, rsp.Status, err)
+		}
+		if retries := countRetries(cl.entries[0]); retries != i+1 {
+			t.Fatalf("%d retries of %d lookups, want one of each", retries, i+1)
+		}
+	}
+}
+
 // An order that is sent to two entries at the same time runs once, and both callers get its response.
 func TestConcurrentDuplicateOrderRunsOnce(t *testing.T) {
 	cl := newCluster(t, clusterOptions{plainServices: 2, entries: 2, orderDelay: 100_000_000})
