--- a/core/crash/detector.go
+++ b/core/crash/detector.go
@@ -1,7 +1,6 @@
 package crash
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -9,22 +8,10 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 )
 
-// Evidence that is required to blame a part.
-const (
-	// minChain is the number of crashes in a row, each by a call that was sent after the crash before, and minChainServed the same for parts
-	// of prompts that were answered earlier.
-	minChain       = 3
-	minChainServed = 6
-	// minCrashes is the number of crashes that suffice if the first and the last are at least minSpread apart: with long times to the first
-	// event a chain takes too long.
-	minCrashes = 5
-	minSpread  = 500 * time.Millisecond
-)
-
 // Limits of what is kept.
 const (
-	// sameCrashWindow is the greatest difference between two reports of one crash.
-	sameCrashWindow = time.Second
+	// sameCrashWindow is the greatest difference between two reports of one crash; the ids of servers differ from start to start.
+	sameCrashWindow = 10 * time.Second
 	maxCrashes      = 256
 	crashTTL        = 10 * time.Minute
 	maxSuspects     = 256
@@ -32,24 +19,32 @@
 	// maxSightings is the number above which sightings of parts that are not suspected are dropped.
 	maxSightings = 4096
 	maxRules     = 64
-	// ruleTTL is how long a rule that refuses no prompt is kept.
-	ruleTTL = 10 * time.Minute
+	// ruleTTL is how long a rule that refuses no prompt is kept, and usePrecision how exactly processes tell each other of its last use: a
+	// message takes a while, so that a use would become later with each of them.
+	ruleTTL      = 10 * time.Minute
+	usePrecision = time.Minute
 	// shareDelay is the age from which other processes are told of a rule. By then the reports of all processes have come, which may show that
 	// another part is to blame.
 	shareDelay = time.Second
-	// trialDelay is the time after which a single prompt that a rule forbids is tried.
-	trialDelay = time.Minute
+	// trialDelay is the time after which a single prompt that a rule forbids is tried, and grantTTL how long a process may wait for one.
+	trialDelay     = time.Minute
+	grantTTL       = 10 * time.Second
+	expireInterval = time.Second
 )
 
 // Detector collects reports and derives rules from them. It is not safe for concurrent use.
 type Detector struct {
 	// crashes are the known crashes, sorted by time.
 	crashes []Report
-	// served holds when prompts with a part were last answered by this process.
-	served *lru.Cache[uint64, time.Time]
+	// served holds when prompts with a part were last answered by this process, and answeredAt when any prompt was, by any process.
+	served     *lru.Cache[uint64, time.Time]
+	answeredAt time.Time
 	// sightings holds, for suspects and parts of rules, when prompts with a part were last answered by any process.
 	sightings map[uint64]time.Time
 	rules     map[uint64]*activeRule
+	// changed is set if reports or sightings have come since the rules were derived.
+	changed   bool
+	expiredAt time.Time
 }
 
 // NewDetector returns a detector without reports.
@@ -63,37 +58,48 @@
 
 // AddReport adds a report, or merges it with an earlier one about the same crash. It returns the sightings of its parts that other processes
 // may lack.
-func (dt *Detector) AddReport(now time.Time, rp Report) []Sighting {
-	dt.expire(now)
-	var sightings []Sighting
+func (dt *Detector) AddReport(rp Report) []Sighting {
+	dt.changed = true
+	dt.merge(rp)
+	var parts []uint64
 	for part := range rp.suspects {
+		parts = append(parts, part)
+	}
+	return dt.ownSightings(parts)
+}
+
+// ownSightings adds what this process has answered to the sightings of parts, and returns those that were added.
+func (dt *Detector) ownSightings(parts []uint64) []Sighting {
+	var added []Sighting
+	for _, part := range parts {
 		if at, ok := dt.served.Get(part); ok && dt.sightings[part].Before(at) {
 			dt.sightings[part] = at
-			sightings = append(sightings, NewSighting(part, at))
+			added = append(added, NewSighting(part, at))
 		}
 	}
-	dt.merge(rp)
-	dt.derive(now)
-	return sightings
+	return added
 }
 
-// merge adds a report to crashes.
+// merge adds a report to crashes. Of too many suspects those that this process has answered are dropped.
 func (dt *Detector) merge(rp Report) {
 	i := slices.IndexFunc(dt.crashes, func(known Report) bool {
 		return known.server == rp.server && rp.at.Sub(known.at).Abs() < sameCrashWindow
 	})
 	if i < 0 {
-		rp.suspects = maps.Clone(rp.suspects)
-		dt.crashes = append(dt.crashes, rp)
-	} else {
-		known := &dt.crashes[i]
-		if rp.at.Before(known.at) {
-			known.at = rp.at
+		i = len(dt.crashes)
+		dt.crashes = append(dt.crashes, NewReport(rp.server, rp.address, rp.at, make(map[uint64]time.Time, len(rp.suspects))))
+	}
+	known := &dt.crashes[i]
+	if rp.at.Before(known.at) {
+		known.at = rp.at
+	}
+	for part, sentAt := range rp.suspects {
+		at, isKnown := known.suspects[part]
+		if isKnown && !at.Before(sentAt) || !isKnown && len(known.suspects) >= maxSuspects/2 && dt.served.Contains(part) {
+			continue
 		}
-		for part, sentAt := range rp.suspects {
-			if len(known.suspects) < maxSuspects && known.suspects[part].Before(sentAt) {
-				known.suspects[part] = sentAt
-			}
+		if isKnown || len(known.suspects) < maxSuspects {
+			known.suspects[part] = sentAt
 		}
 	}
 	slices.SortFunc(dt.crashes, func(a, b Report) int { return a.at.Compare(b.at) })
@@ -111,8 +117,9 @@
 	}
 }
 
-// AddServed records that a prompt with the given parts was answered to its end. It returns the sightings that other processes may lack.
+// AddServed records that a prompt with the given parts was answered. It returns the sightings that other processes may lack.
 func (dt *Detector) AddServed(now time.Time, parts []uint64) []Sighting {
+	dt.answeredAt = now
 	var sightings []Sighting
 	for _, part := range parts {
 		dt.served.Add(part, now)
@@ -120,7 +127,7 @@
 			sightings = append(sightings, NewSighting(part, now))
 		}
 	}
-	dt.AddSightings(now, sightings)
+	dt.AddSightings(sightings)
 	return sightings
 }
 
@@ -140,38 +147,46 @@
 }
 
 // AddSightings adds sightings of any process.
-func (dt *Detector) AddSightings(now time.Time, sightings []Sighting) {
-	if len(sightings) == 0 {
-		return
-	}
-	dt.expire(now)
+func (dt *Detector) AddSightings(sightings []Sighting) {
 	for _, sg := range sightings {
 		if dt.sightings[sg.part].Before(sg.at) {
 			dt.sightings[sg.part] = sg.at
+			dt.changed = true
+		}
+		if sg.at.After(dt.answeredAt) {
+			dt.answeredAt = sg.at
 		}
 	}
-	dt.derive(now)
 }
 
-// AddRules adds rules that other processes derived.
-func (dt *Detector) AddRules(now time.Time, rules []Rule) {
+// AddRules adds rules that other processes derived. It returns the sightings that refute some of them.
+func (dt *Detector) AddRules(now time.Time, rules []Rule) []Sighting {
+	var sightings []Sighting
 	for _, rl := range rules {
+		if len(rl.parts) == 0 || now.Sub(rl.usedAt) > ruleTTL {
+			continue
+		}
+		sightings = append(sightings, dt.ownSightings(rl.parts)...)
 		ar, ok := dt.rules[rl.Key()]
 		switch {
-		case len(rl.parts) == 0 || now.Sub(rl.usedAt) > ruleTTL || dt.isRefuted(rl):
+		case dt.isRefuted(rl):
+			for _, part := range rl.parts {
+				sightings = append(sightings, NewSighting(part, dt.sightings[part]))
+			}
 		case !ok && len(dt.rules) < maxRules:
 			ar = &activeRule{rule: rl}
-			ar.trials = ar.trialPeriods(now)
+			ar.offered, _ = ar.trialPeriod(now)
 			dt.rules[rl.Key()] = ar
 		case ok:
 			if rl.since.Before(ar.rule.since) {
 				ar.rule.since = rl.since
 			}
-			if rl.usedAt.After(ar.rule.usedAt) {
+			if rl.usedAt.Sub(ar.rule.usedAt) > usePrecision {
 				ar.rule.usedAt = rl.usedAt
 			}
 		}
 	}
+	return sightings
 }
 
 // isRefuted reports whether prompts with each of the rule's parts were answered after the parts were blamed.
@@ -179,6 +194,32 @@
 	return !slices.ContainsFunc(rl.parts, func(part uint64) bool { return !dt.sightings[part].After(rl.since) })
 }
 
+// Refresh derives the rules from what has come since the last call, and drops what is too old. It is to be called often; other methods do
+// not derive rules.
+func (dt *Detector) Refresh(now time.Time) {
+	if now.Sub(dt.expiredAt) >= expireInterval {
+		dt.expire(now)
+		dt.expiredAt = now
+	}
+	if dt.changed {
+		dt.changed = false
+		dt.derive(now)
+	}
+}
+
+// expire drops what is too old or no longer needed.
+func (dt *Detector) expire(now time.Time) {
+	old := 0
+	for old < len(dt.crashes) && now.Sub(dt.crashes[old].at) > crashTTL {
+		old++
+	}
+	dt.dropCrashes(old)
+	maps.DeleteFunc(dt.rules, func(_ uint64, ar *activeRule) bool { return now.Sub(ar.rule.usedAt) > ruleTTL })
+	if len(dt.sightings) > maxSightings {
+		maps.DeleteFunc(dt.sightings, func(part uint64, _ time.Time) bool { return !dt.isSuspectedAfter(part, time.Time{}) })
+	}
+}
+
 // Rules returns the rules for other processes: those that refuse prompts and whose evidence is complete.
 func (dt *Detector) Rules(now time.Time) []Rule {
 	var rules []Rule
@@ -200,138 +241,44 @@
 	RetryAfter time.Duration
 	// Trial is set if the prompt is sent in spite of a rule; it must not be repeated.
 	Trial bool
+	// Offer is the number of the trial period if the process may apply for a trial of Rule, or zero. It is set once in each period.
+	Offer int
 	// Rule is the rule that the prompt matches.
 	Rule Rule
 }
 
-// Decide decides about a prompt with the given parts. mayTry reports whether this process is the one that tries prompts.
-func (dt *Detector) Decide(now time.Time, parts []uint64, mayTry func() bool) Verdict {
+// Decide decides about a prompt with the given parts.
+func (dt *Detector) Decide(now time.Time, parts []uint64) Verdict {
+	var verdict Verdict
+	var granted *activeRule
 	for _, ar := range dt.rules {
 		if !ar.rule.matches(parts) {
 			continue
 		}
 		ar.rule.usedAt = now
-		if periods := ar.trialPeriods(now); periods > ar.trials && mayTry() {
-			ar.trials = periods
-			return Verdict{Trial: true, Rule: ar.rule}
-		}
-		return Verdict{Forbidden: true, RetryAfter: ar.untilTrial(now), Rule: ar.rule}
-	}
-	return Verdict{}
-}
-
-// expire drops what is too old or no longer needed.
-func (dt *Detector) expire(now time.Time) {
-	old := 0
-	for old < len(dt.crashes) && now.Sub(dt.crashes[old].at) > crashTTL {
-		old++
-	}
-	dt.dropCrashes(old)
-	maps.DeleteFunc(dt.rules, func(_ uint64, ar *activeRule) bool { return now.Sub(ar.rule.usedAt) > ruleTTL })
-	if len(dt.sightings) > maxSightings {
-		maps.DeleteFunc(dt.sightings, func(part uint64, _ time.Time) bool { return !dt.isSuspectedAfter(part, time.Time{}) })
-	}
-}
-
-// derive updates the rules that follow from the known crashes. The part that explains most crashes is blamed first, and the crashes that it
-// explains count no longer: their other suspects are likely bystanders. Parts that were never answered go before the others.
-func (dt *Detector) derive(now time.Time) {
-	derived := make(map[uint64]Rule)
-	unexplained := slices.Clone(dt.crashes)
-	for {
-		rl, ok := dt.blame(now, unexplained)
-		if !ok {
-			break
-		}
-		derived[rl.Key()] = rl
-		unexplained = slices.DeleteFunc(unexplained, func(rp Report) bool {
-			return !slices.ContainsFunc(rl.parts, func(part uint64) bool { _, ok := rp.suspects[part]; return !ok })
-		})
-	}
-	maps.DeleteFunc(dt.rules, func(key uint64, ar *activeRule) bool {
-		_, ok := derived[key]
-		return ar.derived && !ok || dt.isRefuted(ar.rule)
-	})
-	for key, rl := range derived {
-		if ar, ok := dt.rules[key]; ok {
-			ar.derived = true
-		} else if len(dt.rules) < maxRules {
-			dt.rules[key] = &activeRule{rule: rl, derived: true}
-		}
-	}
-}
-
-// evidence is what speaks against a part.
-type evidence struct {
-	part uint64
-	// crashes are the indexes of the crashes since the part was last answered.
-	crashes []int
-	chain   int
-	// chainEnd is the last crash of the chain, first the first crash.
-	chainEnd time.Time
-	first    time.Time
-	spread   time.Duration
-	// served is set if the part was ever answered.
-	served bool
-}
-
-func (ev *evidence) suffices() bool {
-	if ev.served {
-		return ev.chain >= minChainServed
-	}
-	return ev.chain >= minChain || len(ev.crashes) >= minCrashes && ev.spread >= minSpread
-}
-
-// blame returns a rule for the part with the most evidence in the given crashes, together with the parts that were suspects of exactly the
-// same crashes; ok is false if the evidence does not suffice for any.
-func (dt *Detector) blame(now time.Time, crashes []Report) (rl Rule, ok bool) {
-	byPart := make(map[uint64]*evidence)
-	for i, rp := range crashes {
-		for part, sentAt := range rp.suspects {
-			seenAt, served := dt.sightings[part]
-			if !rp.at.After(seenAt) {
-				// The part was answered after the crash.
-				delete(rp.suspects, part)
-				continue
-			}
-			ev := byPart[part]
-			if ev == nil {
-				ev = &evidence{part: part, first: rp.at, served: served}
-				byPart[part] = ev
-			}
-			ev.crashes = append(ev.crashes, i)
-			ev.spread = rp.at.Sub(ev.first)
-			if ev.chain == 0 || sentAt.After(ev.chainEnd) {
-				ev.chain++
-				ev.chainEnd = rp.at
-			}
+		period, untilNext := ar.trialPeriod(now)
+		if now.Before(ar.grantedUntil) {
+			granted = ar
+			continue
 		}
-	}
-	var best *evidence
-	for _, ev := range byPart {
-		if ev.suffices() && (best == nil || ev.compare(best) > 0) {
-			best = ev
+		verdict.Forbidden = true
+		verdict.RetryAfter = max(verdict.RetryAfter, untilNext)
+		verdict.Rule = ar.rule
+		if period > ar.offered {
+			ar.offered = period
+			verdict.Offer = period
 		}
 	}
-	if best == nil {
-		return Rule{}, false
+	if granted != nil && !verdict.Forbidden {
+		granted.grantedUntil = time.Time{}
+		return Verdict{Trial: true, Rule: granted.rule}
 	}
-	var parts []uint64
-	for _, ev := range byPart {
-		if ev.served == best.served && slices.Equal(ev.crashes, best.crashes) {
-			parts = append(parts, ev.part)
-		}
-	}
-	return NewRule(parts, now, now), true
+	return verdict
 }
 
-// compare orders evidence by its weight.
-func (ev *evidence) compare(other *evidence) int {
-	if ev.served != other.served {
-		if ev.served {
-			return -1
-		}
-		return 1
+// GrantTrial lets the next prompt that a rule forbids pass, as a trial.
+func (dt *Detector) GrantTrial(now time.Time, key uint64) {
+	if ar, ok := dt.rules[key]; ok {
+		ar.grantedUntil = now.Add(grantTTL)
 	}
-	return cmp.Or(cmp.Compare(len(ev.crashes), len(other.crashes)), cmp.Compare(ev.chain, other.chain), cmp.Compare(ev.part, other.part))
 }
--- a/core/crash/detector_test.go
+++ b/core/crash/detector_test.go
@@ -72,7 +72,6 @@
 
 // deliver delivers the messages that arrive now.
 func (sm *sim) deliver() {
-	at := sm.start.Add(sm.now)
 	due := slices.Clone(sm.messages)
 	sm.messages = slices.DeleteFunc(sm.messages, func(msg simMessage) bool { return msg.arrivesAt <= sm.now })
 	for _, msg := range due {
@@ -80,16 +79,16 @@
 			if msg.arrivesAt > sm.now || process == msg.sender {
 				continue
 			}
-			dt.AddSightings(at, msg.sightings)
+			dt.AddSightings(msg.sightings)
 			for _, rp := range msg.reports {
-				sm.tell(process, nil, dt.AddReport(at, rp))
+				sm.tell(process, nil, dt.AddReport(rp))
 			}
 		}
 	}
 }
 
 func (sm *sim) send(parts []uint64, process, attempt int) {
-	if sm.detectors[process].Decide(sm.start.Add(sm.now), parts, func() bool { return false }).Forbidden {
+	if sm.detectors[process].Decide(sm.start.Add(sm.now), parts).Forbidden {
 		if !slices.Contains(parts, badPart) {
 			sm.refused[parts[2]]++
 		}
@@ -133,8 +132,8 @@
 		if suspects[process] == nil {
 			continue
 		}
-		rp := NewReport(uint64(server)+sm.incarnation[server]<<16, at, suspects[process])
-		sm.tell(process, []Report{rp}, dt.AddReport(at, rp))
+		rp := NewReport(uint64(server)+sm.incarnation[server]<<16, uint64(server), at, suspects[process])
+		sm.tell(process, []Report{rp}, dt.AddReport(rp))
 	}
 	for _, sc := range repeated {
 		sm.send(sc.parts, sc.process, 2)
@@ -145,6 +144,11 @@
 func (sm *sim) step() {
 	sm.now += 10 * time.Millisecond
 	sm.deliver()
+	if sm.now%(100*time.Millisecond) == 0 {
+		for _, dt := range sm.detectors {
+			dt.Refresh(sm.start.Add(sm.now))
+		}
+	}
 	for i := 0; i < len(sm.running); i++ {
 		sc := sm.running[i]
 		switch {
@@ -188,6 +192,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			refusedSound, soundSends := 0, 0
 			for seed := range uint64(10) {
 				sm := newSim(seed, tt.processes, 18)
--- a/core/crash/report.go
+++ b/core/crash/report.go
@@ -2,29 +2,33 @@
 
 import "time"
 
-// Report is the crash of a server as one process saw it. The zero time of a suspect is invalid.
+// Report is the crash of a server as one process saw it.
 type Report struct {
 	server   uint64
+	address  uint64
 	at       time.Time
 	suspects map[uint64]time.Time
 }
 
-// NewReport returns a report: the hash of the server's id, when it crashed, and for the hash of each part of the prompts that it was
-// answering when the last of them was sent.
-func NewReport(server uint64, at time.Time, suspects map[uint64]time.Time) Report {
-	return Report{server: server, at: at, suspects: suspects}
+// NewReport returns a report: the hashes of the server's id and address, when it crashed, and for the hash of each part of the prompts that
+// it was answering when the last of them was sent.
+func NewReport(server, address uint64, at time.Time, suspects map[uint64]time.Time) Report {
+	return Report{server: server, address: address, at: at, suspects: suspects}
 }
 
 // Server returns the hash of the server's id.
 func (rp Report) Server() uint64 { return rp.server }
 
+// Address returns the hash of the server's address.
+func (rp Report) Address() uint64 { return rp.address }
+
 // At returns when the server crashed.
 func (rp Report) At() time.Time { return rp.at }
 
 // Suspects returns when the last prompt with each part was sent, by the hash of the part; the map must not be changed.
 func (rp Report) Suspects() map[uint64]time.Time { return rp.suspects }
 
-// Sighting is the last time at which a prompt with a part was answered to its end.
+// Sighting is the last time at which a prompt with a part was answered.
 type Sighting struct {
 	part uint64
 	at   time.Time
--- a/core/crash/rule.go
+++ b/core/crash/rule.go
@@ -57,25 +57,19 @@
 	rule Rule
 	// derived is set if the rule follows from the crashes that this process knows.
 	derived bool
-	// trials is the number of trial periods that have begun or that another process had.
-	trials int
+	// offered is the number of the last trial period for which this process was offered a trial.
+	offered int
+	// grantedUntil is until when this process may try a prompt, or zero.
+	grantedUntil time.Time
 }
 
-// trialPeriods returns how many trial periods have begun: the first one begins trialDelay after the parts were blamed, and each is twice as
-// long as the one before.
-func (ar *activeRule) trialPeriods(now time.Time) int {
-	periods := 0
-	for delay, age := trialDelay, now.Sub(ar.rule.since); age >= delay; delay = 2*delay + trialDelay {
-		periods++
-	}
-	return periods
-}
-
-// untilTrial returns the time until the next trial period.
-func (ar *activeRule) untilTrial(now time.Time) time.Duration {
+// trialPeriod returns the number of the present trial period, and the time until the next one. The first one begins trialDelay after the
+// parts were blamed, and each is twice as long as the one before.
+func (ar *activeRule) trialPeriod(now time.Time) (period int, untilNext time.Duration) {
 	delay, age := trialDelay, now.Sub(ar.rule.since)
 	for age >= delay {
+		period++
 		delay = 2*delay + trialDelay
 	}
-	return delay - age
+	return period, delay - age
 }
--- a/core/pick/restrict.go
+++ b/core/pick/restrict.go
@@ -69,6 +69,14 @@
 	return !pk.restrictions[id].forbidsCalls(now)
 }
 
+// Leaving reports whether a server has announced that it stops, in a response or in the directory.
+func (pk *Picker) Leaving(sv *fleet.Server) bool {
+	pk.mu.Lock()
+	defer pk.mu.Unlock()
+	current := pk.view.Server(sv.ID())
+	return sv.Draining() || current != nil && current.Draining() || pk.restrictions[sv.ID()].leaving
+}
+
 // PausedFor returns the time until the first server of a service takes calls again, and false unless all its servers that are not
 // leaving have asked for a pause.
 func (pk *Picker) PausedFor(now time.Time, service string) (time.Duration, bool) {
--- a/io/client/exchange.go
+++ b/io/client/exchange.go
@@ -127,6 +127,10 @@
 	cn.limit.beginHead()
 	for {
 		resp, err := http.ReadResponse(cn.reader, &http.Request{Method: rq.Method})
+		if err != nil && cn.limit.failure != nil {
+			// A header that was cut off is malformed, too.
+			err = fmt.Errorf("%w (%w)", err, cn.limit.failure)
+		}
 		if err != nil {
 			return nil, &ExchangeError{address: cn.address, cause: err}
 		}
--- a/io/client/limit.go
+++ b/io/client/limit.go
@@ -15,6 +15,8 @@
 type readLimit struct {
 	reader    io.Reader
 	remaining int64
+	// failure is the last error of reader.
+	failure error
 }
 
 // Read implements io.Reader.
@@ -27,6 +29,9 @@
 	}
 	count, err := rl.reader.Read(buffer)
 	rl.remaining -= int64(count)
+	if err != nil {
+		rl.failure = err
+	}
 	return count, err
 }
 
--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -22,8 +22,9 @@
 	choice      pick.Choice
 	pickAttempt *pick.Attempt
 	sentAt      time.Time
-	// firstEventAt is when the first event of a stream came, or zero.
+	// firstEventAt is when the first event of a stream came, or zero. proven is set once the server is known to have survived the prompt.
 	firstEventAt time.Time
+	proven       bool
 	// watchdog fires after the response timeout unless the first event of a stream or a complete other response arrives before. It
 	// cancels the attempt, or marks the server unreachable if the request must not run more than once.
 	watchdog *time.Timer
@@ -143,7 +144,9 @@
 		}
 	} else {
 		at.pickAttempt.End(time.Now(), pick.Served)
-		at.gate.crashes.recordServed(rq)
+	}
+	if resp.Status < http.StatusMultipleChoices {
+		at.recordAnswered(requestCtx, resp)
 	}
 	if rq.response.started {
 		// The server was to continue a stream but did not respond with one; the caller's stream ends early.
@@ -173,10 +176,23 @@
 	return mayHaveRun, answer.NewError(answer.StreamBroken, answer.Unknown, 0, "%v", err)
 }
 
+// recordAnswered records that the prompt was answered to its end. If the end is that of the connection, the server may have crashed right
+// then.
+func (at *attempt) recordAnswered(requestCtx context.Context, resp *client.Response) {
+	switch {
+	case at.proven:
+	case resp.Framed:
+		at.gate.crashes.recordServed(at.rq)
+	default:
+		at.gate.crashes.recordClosed(requestCtx, at, true)
+	}
+	at.proven = true
+}
+
 // recordBroken records that the attempt failed with err, if the server closed the connection; it may have crashed.
 func (at *attempt) recordBroken(requestCtx context.Context, err error) {
 	if !at.hasTimedOut() && (client.IsDisconnect(err) || errors.Is(err, errTruncatedEvent)) {
-		at.gate.crashes.recordBroken(requestCtx, at)
+		at.gate.crashes.recordClosed(requestCtx, at, false)
 	}
 }
 
--- a/io/gate/crashnews.go
+++ b/io/gate/crashnews.go
@@ -26,7 +26,7 @@
 // encode adds the news to a message that is sent now; times become ages.
 func (cn *crashNews) encode(now time.Time, message *wire.CacheHints) {
 	for _, rp := range cn.reports {
-		sc := &wire.ServerCrash{Server: rp.Server(), AgoMs: agoMillis(now, rp.At())}
+		sc := &wire.ServerCrash{Server: rp.Server(), Address: rp.Address(), AgoMs: agoMillis(now, rp.At())}
 		for part, sentAt := range rp.Suspects() {
 			sc.Parts = append(sc.Parts, part)
 			sc.SentAgoMs = append(sc.SentAgoMs, agoMillis(now, sentAt))
@@ -51,7 +51,7 @@
 		for i := range min(len(sc.GetParts()), len(sc.GetSentAgoMs()), maxReportedParts) {
 			suspects[sc.GetParts()[i]] = ago(sc.GetSentAgoMs()[i])
 		}
-		cn.reports = append(cn.reports, crash.NewReport(sc.GetServer(), ago(sc.GetAgoMs()), suspects))
+		cn.reports = append(cn.reports, crash.NewReport(sc.GetServer(), sc.GetAddress(), ago(sc.GetAgoMs()), suspects))
 	}
 	for _, ps := range ch.GetSightings() {
 		cn.sightings = append(cn.sightings, crash.NewSighting(ps.GetPart(), ago(ps.GetAgoMs())))
--- a/io/gate/crashwatch.go
+++ b/io/gate/crashwatch.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"fmt"
 	"slices"
 	"strconv"
 	"sync"
@@ -19,7 +16,6 @@
 	"shallotcleat/core/fleet"
 	"shallotcleat/core/pick"
 	"shallotcleat/io/client"
-	"shallotcleat/io/table"
 	"shallotcleat/io/timer"
 )
 
@@ -32,40 +28,41 @@
 	examineTimeout = 400 * time.Millisecond
 	// maxReportedParts bounds the parts in a report.
 	maxReportedParts = 256
-	// saveRulesInterval is the time between attempts to write rules to the store, and ruleWriters the number of gates that write each.
-	saveRulesInterval = time.Second
-	ruleWriters       = 2
-	// firstReadTimeout bounds the first read of the rules, for which a gate that starts waits.
-	firstReadTimeout = 500 * time.Millisecond
-	// maxStoredRuleAge is the age above which a rule in the store is ignored.
-	maxStoredRuleAge = time.Hour
-	// rulesTable is the table of the rules, so that they outlive a loss of all gates.
-	rulesTable = "crashrules"
-	// trialKey is the key by which the gate that tries refused prompts is chosen.
-	trialKey = "crash-trials"
+	// refreshRulesInterval is the time between derivations of rules.
+	refreshRulesInterval = 100 * time.Millisecond
 )
 
 // crashWatch finds, together with the other gates, the parts of prompts on which servers crash, and refuses prompts with them.
 type crashWatch struct {
 	gate *Gate
-	// examinations are the examinations of servers in progress.
-	examinations conc.WaitGroup
+	// calls are the examinations of servers and the claims of trials in progress.
+	calls conc.WaitGroup
 
-	// mu guards the fields below.
+	// mu guards the fields below. It is not held during calls of the nodes table's copy, whose lock is taken first.
 	mu       sync.Mutex
 	detector *crash.Detector
-	// suspects holds, for each server under examination by id, when the last prompt with a part was sent to it.
-	suspects map[string]map[uint64]time.Time
+	// examined holds the examinations in progress by server id.
+	examined map[string]*examination
 	// news has not been sent to the other gates yet.
 	news crashNews
-	// logged and saved hold the keys of the rules in force that were logged, and of those that are in the store.
+	// logged holds the keys of the rules in force, saved those of rules that this gate has written to the store, and ended those of rules
+	// that have ended since and may be there.
 	logged map[uint64]bool
 	saved  map[uint64]bool
+	ended  map[uint64]bool
+}
+
+// examination is what is known about a server that has closed connections and is being examined.
+type examination struct {
+	// suspects holds when the last prompt with a part was sent, for calls that had just begun or were about to.
+	suspects map[uint64]time.Time
+	// answered holds the parts of prompts whose answers ended with their connections.
+	answered [][]uint64
 }
 
 func newCrashWatch(gt *Gate) *crashWatch {
-	return &crashWatch{gate: gt, detector: crash.NewDetector(), suspects: make(map[string]map[uint64]time.Time),
-		logged: make(map[uint64]bool), saved: make(map[uint64]bool)}
+	return &crashWatch{gate: gt, detector: crash.NewDetector(), examined: make(map[string]*examination),
+		logged: make(map[uint64]bool), saved: make(map[uint64]bool), ended: make(map[uint64]bool)}
 }
 
 // hashParts returns the hashes of a prompt's shared parts. The last part belongs to the call or its conversation alone.
@@ -81,98 +78,102 @@
 }
 
 // check returns the reason why a request must not be sent to a server, or nil.
-func (cw *crashWatch) check(now time.Time, rq *request) *answer.Error {
-	if len(rq.partHashes) == 0 {
+func (cw *crashWatch) check(ctx context.Context, now time.Time, rq *request) *answer.Error {
+	if len(rq.partHashes) == 0 || rq.trial {
 		return nil
 	}
-	cw.mu.Lock()
-	defer cw.mu.Unlock()
-	verdict := cw.detector.Decide(now, rq.partHashes, cw.triesPrompts)
-	if verdict.Trial {
+	verdict := cw.decide(now, rq.partHashes)
+	switch {
+	case verdict.Trial:
 		rq.trial = true
-		cw.gate.log.WithFields(logrus.Fields{"event": "crash_trial", "request_id": rq.info.RequestID, "rule": ruleName(verdict.Rule)}).
+		cw.gate.log.WithFields(logrus.Fields{"event": "crash_trial", "request_id": rq.info.RequestID, "rule": ruleName(verdict.Rule.Key())}).
 			Info("trying a prompt with parts on which servers crashed")
-	}
-	if !verdict.Forbidden {
 		return nil
+	case !verdict.Forbidden:
+		return nil
+	case verdict.Offer > 0:
+		cw.calls.Go(func() { cw.claimTrial(context.WithoutCancel(ctx), verdict.Rule, verdict.Offer) })
 	}
 	return answer.NewError(answer.CrashingPrompt, answer.NotRun, verdict.RetryAfter, "servers crash on parts of the prompt (rule %s)",
-		ruleName(verdict.Rule))
+		ruleName(verdict.Rule.Key()))
 }
 
-// triesPrompts reports whether this is the gate that tries refused prompts.
-func (cw *crashWatch) triesPrompts() bool {
-	ranked := cw.gate.gateList.Ranked(trialKey)
-	return len(ranked) > 0 && ranked[0] == cw.gate.opts.PeerAddress
+func (cw *crashWatch) decide(now time.Time, parts []uint64) crash.Verdict {
+	cw.mu.Lock()
+	defer cw.mu.Unlock()
+	return cw.detector.Decide(now, parts)
 }
 
-// recordServed records that a request was answered to its end.
+// recordServed records that a request was answered.
 func (cw *crashWatch) recordServed(rq *request) {
 	if len(rq.partHashes) == 0 {
 		return
 	}
 	cw.mu.Lock()
 	defer cw.mu.Unlock()
-	cw.news.sightings = append(cw.news.sightings, cw.detector.AddServed(time.Now(), rq.partHashes)...)
-	cw.logChanges()
+	cw.addServed(rq.partHashes)
+}
+
+// addServed is recordServed; the caller holds mu.
+func (cw *crashWatch) addServed(parts []uint64) {
+	cw.news.sightings = append(cw.news.sightings, cw.detector.AddServed(time.Now(), parts)...)
 }
 
-// recordBroken records that a server closed the connection of an attempt, and examines whether the server has crashed.
-func (cw *crashWatch) recordBroken(ctx context.Context, at *attempt) {
-	if len(at.rq.partHashes) == 0 {
+// recordClosed records that a server closed the connection of an attempt, and examines whether the server has crashed. answered is set if that
+// may have been the end of the answer. A server that has announced its stop closes connections when it stops.
+func (cw *crashWatch) recordClosed(ctx context.Context, at *attempt, answered bool) {
+	parts, sv := at.rq.partHashes, at.choice.Server()
+	if len(parts) == 0 || cw.gate.picker.Leaving(sv) {
 		return
 	}
-	sv := at.choice.Server()
 	cw.mu.Lock()
 	defer cw.mu.Unlock()
-	suspects, ok := cw.suspects[sv.ID()]
+	ex, ok := cw.examined[sv.ID()]
 	if !ok {
-		suspects = make(map[uint64]time.Time)
-		cw.suspects[sv.ID()] = suspects
-		brokenAt := time.Now()
-		cw.examinations.Go(func() { cw.examine(context.WithoutCancel(ctx), sv, brokenAt) })
+		ex = &examination{suspects: make(map[uint64]time.Time)}
+		cw.examined[sv.ID()] = ex
+		closedAt := time.Now()
+		cw.calls.Go(func() { cw.examine(context.WithoutCancel(ctx), sv, closedAt) })
+	}
+	if answered {
+		ex.answered = append(ex.answered, parts)
 	}
 	if !at.firstEventAt.IsZero() && time.Since(at.firstEventAt) > beginWindow {
 		return
 	}
-	for _, part := range at.rq.partHashes {
-		if len(suspects) < maxReportedParts && suspects[part].Before(at.sentAt) {
-			suspects[part] = at.sentAt
+	for _, part := range parts {
+		if len(ex.suspects) < maxReportedParts && ex.suspects[part].Before(at.sentAt) {
+			ex.suspects[part] = at.sentAt
 		}
 	}
 }
 
-// examine reports a server as crashed if it refuses connections. One that accepts them broke off single answers; a VM that does not respond
-// was cut off or lost power.
-func (cw *crashWatch) examine(parent context.Context, sv *fleet.Server, brokenAt time.Time) {
+// examine reports a server as crashed if it refuses connections. One that accepts them has ended or broken off single answers; a VM that does
+// not respond was cut off or lost power.
+func (cw *crashWatch) examine(parent context.Context, sv *fleet.Server, closedAt time.Time) {
 	ctx, cancel := context.WithTimeout(parent, examineTimeout)
 	defer cancel()
 	crashed := client.RefusesConnections(ctx, sv.Address())
 	timer.Sleep(ctx, collectDelay)
 	cw.mu.Lock()
 	defer cw.mu.Unlock()
-	suspects := cw.suspects[sv.ID()]
-	delete(cw.suspects, sv.ID())
+	ex := cw.examined[sv.ID()]
+	delete(cw.examined, sv.ID())
 	if !crashed {
+		for _, parts := range ex.answered {
+			cw.addServed(parts)
+		}
 		return
 	}
-	cw.gate.log.WithFields(logrus.Fields{"event": "server_crashed", "server": sv.ID(), "suspects": len(suspects)}).
+	cw.gate.log.WithFields(logrus.Fields{"event": "server_crashed", "server": sv.ID(), "suspects": len(ex.suspects)}).
 		Info("server closed its connections and refuses new ones")
-	if len(suspects) > 0 {
-		rp := crash.NewReport(sv.Hash(), brokenAt, suspects)
+	if len(ex.suspects) > 0 {
+		rp := crash.NewReport(sv.Hash(), xxhash.Sum64String(sv.Address()), closedAt, ex.suspects)
 		cw.news.reports = append(cw.news.reports, rp)
-		cw.addReports([]crash.Report{rp})
+		cw.news.sightings = append(cw.news.sightings, cw.detector.AddReport(rp)...)
 	}
 }
 
-// addReports adds reports to the detector; the caller holds mu.
-func (cw *crashWatch) addReports(reports []crash.Report) {
-	for _, rp := range reports {
-		cw.news.sightings = append(cw.news.sightings, cw.detector.AddReport(time.Now(), rp)...)
-	}
-	cw.logChanges()
-}
-
 // apply applies the news of another gate.
 func (cw *crashWatch) apply(now time.Time, cn crashNews) {
 	if cn.size() == 0 {
@@ -180,9 +181,11 @@
 	}
 	cw.mu.Lock()
 	defer cw.mu.Unlock()
-	cw.detector.AddSightings(now, cn.sightings)
-	cw.detector.AddRules(now, cn.rules)
-	cw.addReports(cn.reports)
+	cw.detector.AddSightings(cn.sightings)
+	for _, rp := range cn.reports {
+		cw.news.sightings = append(cw.news.sightings, cw.detector.AddReport(rp)...)
+	}
+	cw.news.sightings = append(cw.news.sightings, cw.detector.AddRules(now, cn.rules)...)
 }
 
 // takeNews returns the news for the other gates since the last call.
@@ -201,13 +204,17 @@
 	return cw.detector.Rules(now)
 }
 
-// logChanges logs the rules that have come into force and those that have ended; the caller holds mu.
-func (cw *crashWatch) logChanges() {
+// refresh derives the rules from the latest reports, and logs those that have come into force or ended.
+func (cw *crashWatch) refresh() {
+	cw.mu.Lock()
+	defer cw.mu.Unlock()
+	cw.detector.Refresh(time.Now())
 	keys := cw.detector.RuleKeys()
 	for _, key := range keys {
 		if !cw.logged[key] {
 			cw.logged[key] = true
-			cw.gate.log.WithFields(logrus.Fields{"event": "crash_rule", "rule": strconv.FormatUint(key, 16)}).
+			delete(cw.ended, key)
+			cw.gate.log.WithFields(logrus.Fields{"event": "crash_rule", "rule": ruleName(key)}).
 				Warn("prompts with parts on which servers crash are refused")
 		}
 	}
@@ -215,104 +222,12 @@
 		if !slices.Contains(keys, key) {
 			delete(cw.logged, key)
 			delete(cw.saved, key)
-			cw.gate.log.WithFields(logrus.Fields{"event": "crash_rule_ended", "rule": strconv.FormatUint(key, 16)}).
+			cw.ended[key] = true
+			cw.gate.log.WithFields(logrus.Fields{"event": "crash_rule_ended", "rule": ruleName(key)}).
 				Info("prompts with parts that were blamed for crashes are accepted again")
 		}
 	}
 }
 
-// ruleName returns the key of a rule for logs.
-func ruleName(rl crash.Rule) string { return strconv.FormatUint(rl.Key(), 16) }
-
-// storedRule is the row of a rule in the store.
-type storedRule struct {
-	Parts          []uint64 `json:"parts"`
-	SinceUnixMilli int64    `json:"since"`
-}
-
-// saveRules writes new rules to the store if this gate is one of those that do that.
-func (cw *crashWatch) saveRules(ctx context.Context) {
-	for _, rl := range cw.rules(time.Now()) {
-		key := rl.Key()
-		cw.mu.Lock()
-		saved := cw.saved[key]
-		cw.mu.Unlock()
-		writers := cw.gate.gateList.Ranked(ruleName(rl))
-		writers = writers[:min(len(writers), ruleWriters)]
-		if saved || !slices.Contains(writers, cw.gate.opts.PeerAddress) {
-			continue
-		}
-		if err := cw.saveRule(ctx, rl); err != nil {
-			cw.gate.log.WithError(err).WithField("rule", ruleName(rl)).Info("writing a crash rule to the store failed; retrying")
-			continue
-		}
-		cw.mu.Lock()
-		cw.saved[key] = true
-		cw.mu.Unlock()
-	}
-}
-
-func (cw *crashWatch) saveRule(parent context.Context, rl crash.Rule) error {
-	ctx, cancel := context.WithTimeout(parent, storeTimeout)
-	defer cancel()
-	value, err := json.Marshal(storedRule{Parts: rl.Parts(), SinceUnixMilli: rl.Since().UnixMilli()})
-	if err != nil {
-		return fmt.Errorf("encode rule: %w", err)
-	}
-	_, err = cw.gate.opts.Store.Commit(ctx, []table.Write{{Key: rulesTable + "/" + ruleName(rl), Value: value}})
-	var ce *table.ConflictError
-	if errors.As(err, &ce) {
-		// Another gate has written the rule.
-		return nil
-	}
-	if err != nil {
-		return fmt.Errorf("write rule: %w", err)
-	}
-	return nil
-}
-
-// followRules reads the rules in the store once; if that fails, it retries in the background.
-func (cw *crashWatch) followRules(ctx context.Context, wg *conc.WaitGroup) {
-	err := cw.readRules(ctx, firstReadTimeout)
-	if err == nil {
-		return
-	}
-	cw.gate.log.WithError(err).Info("reading crash rules failed; retrying")
-	wg.Go(func() {
-		for err != nil && ctx.Err() == nil {
-			timer.Sleep(ctx, saveRulesInterval)
-			err = cw.readRules(ctx, storeTimeout)
-		}
-	})
-}
-
-// readRules reads the rules in the store.
-func (cw *crashWatch) readRules(parent context.Context, timeout time.Duration) error {
-	ctx, cancel := context.WithTimeout(parent, timeout)
-	defer cancel()
-	rows, _, err := cw.gate.opts.Source.Read(ctx, rulesTable)
-	if err != nil {
-		return fmt.Errorf("read rules: %w", err)
-	}
-	now := time.Now()
-	var rules []crash.Rule
-	for _, rw := range rows {
-		var sr storedRule
-		if err := json.Unmarshal(rw.Value(), &sr); err != nil {
-			cw.gate.log.WithError(err).WithField("row", rw.Key()).Warn("cannot decode crash rule; skipping row")
-			continue
-		}
-		if age := now.Sub(time.UnixMilli(sr.SinceUnixMilli)); age < maxStoredRuleAge {
-			rules = append(rules, crash.NewRule(sr.Parts, now.Add(-max(age, 0)), now))
-		}
-	}
-	cw.apply(now, crashNews{rules: rules})
-	return nil
-}
-
-// rewriteRules writes the rules again after a restore of the store.
-func (cw *crashWatch) rewriteRules() {
-	cw.mu.Lock()
-	defer cw.mu.Unlock()
-	clear(cw.saved)
-}
+// ruleName returns the name of the rule with a key, in logs and in the store.
+func ruleName(key uint64) string { return strconv.FormatUint(key, 16) }
--- a/io/gate/nodes.go
+++ b/io/gate/nodes.go
@@ -23,8 +23,13 @@
 	Capacity float64 `json:"capacity,omitempty"`
 }
 
-// RoleGate is the role of gates. Rows of other roles are not used.
-const RoleGate = "gate"
+// Roles of rows of the nodes table; rows of other roles are not used.
+const (
+	// RoleGate is the role of gates.
+	RoleGate = "gate"
+	// roleCrashRule is the role of rows that hold a rule about crashes.
+	roleCrashRule = "crash-rule"
+)
 
 // defaultCapacity is the assumed capacity of a gate whose row has none, in cores.
 const defaultCapacity = 0.1
--- a/io/gate/peers.go
+++ b/io/gate/peers.go
@@ -124,14 +124,17 @@
 func (gt *Gate) readNodes(ctx context.Context) {
 	for ctx.Err() == nil {
 		timer.Sleep(ctx, nodesInterval)
-		gt.readNodesOnce(ctx)
+		gt.readNodesOnce(ctx, storeTimeout)
 	}
 }
 
+// firstReadTimeout bounds the first read of the nodes table, for which a gate that starts waits.
+const firstReadTimeout = 500 * time.Millisecond
+
 // readNodesOnce reads the nodes table and replaces the copy if the rows have changed, so that unchanged rows are not decoded
 // again.
-func (gt *Gate) readNodesOnce(parent context.Context) {
-	ctx, cancel := context.WithTimeout(parent, storeTimeout)
+func (gt *Gate) readNodesOnce(parent context.Context, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(parent, timeout)
 	defer cancel()
 	rows, revision, err := gt.opts.Source.Read(ctx, gt.nodeTable.Table())
 	if err != nil {
@@ -167,13 +170,13 @@
 	for ctx.Err() == nil {
 		err := WriteNode(ctx, gt.opts.Store, gt.nodeTable.Table(), nd)
 		if err == nil {
-			gt.readNodesOnce(ctx)
+			gt.readNodesOnce(ctx, storeTimeout)
 			gt.hints.introduce(ctx)
 			return
 		}
 		gt.log.WithError(err).Debug("registering in nodes table failed; retrying")
 		if gt.nodeTable.Revision() == 0 {
-			gt.readNodesOnce(ctx)
+			gt.readNodesOnce(ctx, storeTimeout)
 		}
 		timer.Sleep(ctx, registerInterval)
 	}
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -42,6 +42,10 @@
 			if hasField(event) {
 				at.recordFirstEvent()
 			}
+			if !at.proven && !at.firstEventAt.IsZero() && time.Since(at.firstEventAt) > beginWindow {
+				at.proven = true
+				at.gate.crashes.recordServed(rq)
+			}
 			if err := rq.response.writeEvent(resp, event); err != nil {
 				at.pickAttempt.End(time.Now(), pick.Abandoned)
 				return mayHaveRun, answer.NewError(answer.StreamBroken, answer.Unknown, 0, "write to caller: %v", err)
@@ -79,7 +83,7 @@
 	}
 	at.recordFirstEvent()
 	at.pickAttempt.End(time.Now(), pick.Served)
-	at.gate.crashes.recordServed(at.rq)
+	at.recordAnswered(requestCtx, resp)
 	at.rq.response.writeHeader(resp.Status, resp.Header)
 	return responded, nil
 }
--- a/io/gate/run.go
+++ b/io/gate/run.go
@@ -55,7 +55,7 @@
 		"no available backend server for service %q", rq.service.Name())
 	for {
 		now := time.Now()
-		if er := gt.crashes.check(now, rq); er != nil {
+		if er := gt.crashes.check(ctx, now, rq); er != nil {
 			return worseError(last, er)
 		}
 		ch, ok := gt.picker.Choose(now, rq.call, rq.excluded)
--- a/io/gate/watcher.go
+++ b/io/gate/watcher.go
@@ -130,7 +130,10 @@
 }
 
 // nodesChanged applies a change of the nodes table.
-func (wt *watcher) nodesChanged(feed.Change) { wt.countSenders() }
+func (wt *watcher) nodesChanged(ch feed.Change) {
+	wt.countSenders()
+	wt.gate.crashes.applyRows(ch.Rows)
+}
 
 // countSenders passes two counts to the picker: the gates in this gate's zone, which are as close to the servers of the zone as
 // this one, and all gates.
@@ -239,8 +242,8 @@
 	config := feed.NewFollower(gt.configTable, gt.opts.Source, gt.log, dl.watchWait(dl.Config), 0, noop)
 	servers := feed.NewFollower(gt.serverTable, gt.opts.Source, gt.log, dl.watchWait(dl.Drain), dl.serverChangeDelay(),
 		gt.watcher.recordOutage)
-	// A gate takes no requests before it has a configuration, and no configuration before it has read the rules.
-	gt.crashes.followRules(ctx, wg)
+	// A gate takes no requests before it has a configuration, and no configuration before it has read the rules about crashes.
+	gt.readNodesOnce(ctx, firstReadTimeout)
 	wg.Go(func() { config.Run(ctx) })
 	wg.Go(func() { servers.Run(ctx) })
 	wg.Go(func() { gt.readNodes(ctx) })
@@ -249,7 +252,7 @@
 	wg.Go(func() { gt.pullAnnounced(ctx) })
 	wg.Go(func() { gt.repairRestored(ctx) })
 	wg.Go(func() { gt.watchCacheStores(ctx) })
-	wg.Go(func() { <-ctx.Done(); gt.crashes.examinations.Wait() })
+	wg.Go(func() { <-ctx.Done(); gt.crashes.calls.Wait() })
 	every := func(interval time.Duration, fn func()) {
 		cancel := gt.opts.Timer.Every(interval, fn)
 		wg.Go(func() { <-ctx.Done(); cancel() })
@@ -258,6 +261,7 @@
 	every(expireAttemptsInterval, func() { gt.picker.ExpireAttempts(time.Now()) })
 	wg.Go(func() { <-ctx.Done(); gt.hints.calls.Wait() })
 	every(hintInterval, func() { gt.hints.send(ctx) })
+	every(refreshRulesInterval, gt.crashes.refresh)
 	every(saveRulesInterval, func() { gt.crashes.saveRules(ctx) })
 	every(pullInterval, func() {
 		if config.Stale() || servers.Stale() || gt.configTable.Revision() == 0 {
