Tenders tell gates which parts their engines have cached or evicted

Cause: gates guessed by time what engines have cached. Change: each tender follows its engine's cache events by long waits, which cost nothing, and passes changes on with the messages that it sends anyway, at most each 150 ms. Parts have keys of their own instead of those of the prompt up to them, so that tenders can name them; a gate counts a prompt's first parts that are all cached.

--- a/core/pick/attempt.go
+++ b/core/pick/attempt.go
@@ -56,7 +56,9 @@
 		if ch.saveStore != nil {
 			ch.saveStore.saving[pf] = now
 		}
-		st.recordUse(pf, prefixUse{sentAt: now, prefilledAt: st.prefixes[pf].prefilledAt})
+		us := st.prefixes[pf]
+		us.sentAt = now
+		st.recordUse(pf, us)
 	}
 	att := &Attempt{picker: pk, id: ch.server.ID(), keys: cl.keys, model: cl.model, version: ch.version, tokens: tokens,
 		priority: cl.priority, sentAt: now, saveStore: ch.saveStore, expectedTime: pk.expectedTime(now, st, tokens, cl.tokens)}
--- a/core/pick/call.go
+++ b/core/pick/call.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"shallotcleat/core/fleet"
 )
 
@@ -30,8 +28,8 @@
 	priority int
 	// outputTokens is the expected length of the response, or zero if unknown.
 	outputTokens int
-	// keys are hashes of the prompt up to the end of each part that other calls may share; partTokens are the lengths of
-	// these parts. The last part of a prompt belongs to the call or its conversation alone and has no key.
+	// keys are those of the parts that other calls may share; partTokens are the lengths of these parts. The last part of a prompt
+	// belongs to the call or its conversation alone and has no key.
 	keys       []uint64
 	partTokens []int
 }
@@ -41,10 +39,8 @@
 // which is empty for most workspaces.
 func NewCall(service, model, cacheScope string, parts []Part, tokens int, atMostOnce bool) Call {
 	cl := Call{service: service, model: model, tokens: tokens, atMostOnce: atMostOnce}
-	chain := model + "/" + cacheScope
 	for _, pt := range parts[:max(len(parts)-1, 0)] {
-		chain += "/" + pt.id
-		cl.keys = append(cl.keys, xxhash.Sum64String(chain))
+		cl.keys = append(cl.keys, PartKey(model, cacheScope, pt.id))
 		cl.partTokens = append(cl.partTokens, pt.tokens)
 	}
 	return cl
@@ -68,7 +64,7 @@
 // Model returns the model of the call, or "" for calls of plain services.
 func (cl Call) Model() string { return cl.model }
 
-// Key returns the hash of the prompt up to its last shared part, or zero if there is none.
+// Key returns the key of the prompt's last shared part, or zero if there is none.
 func (cl Call) Key() uint64 { return cl.affinityKey() }
 
 // affinityKey returns the hash that maps calls with the same shared parts to the same server.
--- a/core/pick/hint.go
+++ b/core/pick/hint.go
@@ -40,36 +40,51 @@
 // Version returns the weight version under which the prefix was prefilled.
 func (hn Hint) Version() uint64 { return hn.version }
 
-// prefixUse holds when a prefix was last sent to a server, and when the server last completed its prefill.
+// prefixUse holds when a part was last sent to a server, and when the server last completed its prefill.
 type prefixUse struct {
 	sentAt      time.Time
 	prefilledAt time.Time
+	// reported is set if the server's tender has reported that the part is cached, and not that it was evicted since.
+	reported bool
+}
+
+// isCached reports whether the part is assumed to be cached.
+func (us prefixUse) isCached(now time.Time) bool {
+	return now.Sub(us.sentAt) < cachedTTL || us.reported && now.Sub(us.prefilledAt) < sourceTTL
 }
 
 // cachedDepth returns how many of a call's shared parts the server is assumed to have cached under a weight version,
 // or to be prefilling.
 func (st *state) cachedDepth(now time.Time, cl Call, version uint64) int {
-	return st.depthSentWithin(now, cl, version, cachedTTL)
+	return st.depth(cl, version, func(us prefixUse) bool { return us.isCached(now) })
 }
 
 // depthSentWithin returns how many of a call's shared parts were sent to the server within the last ttl.
 func (st *state) depthSentWithin(now time.Time, cl Call, version uint64, ttl time.Duration) int {
-	for depth := len(cl.keys); depth > 0; depth-- {
-		if us, ok := st.prefixes[prefixKey{key: cl.keys[depth-1], version: version}]; ok && now.Sub(us.sentAt) < ttl {
+	return st.depth(cl, version, func(us prefixUse) bool { return now.Sub(us.sentAt) < ttl })
+}
+
+// depth returns the number of a call's first shared parts whose uses qualify: an engine uses a cached part only after all parts before it.
+func (st *state) depth(cl Call, version uint64, qualifies func(prefixUse) bool) int {
+	for depth, key := range cl.keys {
+		if us, ok := st.prefixes[prefixKey{key: key, version: version}]; !ok || !qualifies(us) {
 			return depth
 		}
 	}
-	return 0
+	return len(cl.keys)
 }
 
-// prefilledDepth returns how many of a call's shared parts can be copied from the server, and when it prefilled them.
+// prefilledDepth returns how many of a call's shared parts can be copied from the server, and when it prefilled the last of them.
 func (st *state) prefilledDepth(now time.Time, cl Call, version uint64) (int, time.Time) {
-	for depth := len(cl.keys); depth > 0; depth-- {
-		if us, ok := st.prefixes[prefixKey{key: cl.keys[depth-1], version: version}]; ok && now.Sub(us.prefilledAt) < sourceTTL {
-			return depth, us.prefilledAt
+	var prefilledAt time.Time
+	depth := st.depth(cl, version, func(us prefixUse) bool {
+		isSource := now.Sub(us.prefilledAt) < sourceTTL
+		if isSource {
+			prefilledAt = us.prefilledAt
 		}
-	}
-	return 0, time.Time{}
+		return isSource
+	})
+	return depth, prefilledAt
 }
 
 // recordPrefill records that a server has prefilled a prefix, and queues a hint for the peers unless the last prefill
@@ -83,7 +98,7 @@
 	if now.Sub(st.prefixes[key].prefilledAt) > hintInterval && len(pk.hints) < maxPendingHints {
 		pk.hints = append(pk.hints, NewHint(sv.Hash(), key.key, key.version))
 	}
-	st.recordUse(key, prefixUse{sentAt: now, prefilledAt: now})
+	st.recordUse(key, prefixUse{sentAt: now, prefilledAt: now, reported: st.prefixes[key].reported})
 }
 
 // recordUse records a use of a prefix. At the limit it drops the prefixes that the engine has likely evicted, and at
--- a/core/pick/store.go
+++ b/core/pick/store.go
@@ -148,12 +148,12 @@
 
 // savedDepth returns how many of a call's shared parts the store is assumed to have under a weight version.
 func (st *storeState) savedDepth(now time.Time, cl Call, version uint64) int {
-	for depth := len(cl.keys); depth > 0; depth-- {
-		if usedAt, ok := st.saved[prefixKey{key: cl.keys[depth-1], version: version}]; ok && now.Sub(usedAt) < savedTTL {
+	for depth, key := range cl.keys {
+		if usedAt, ok := st.saved[prefixKey{key: key, version: version}]; !ok || now.Sub(usedAt) >= savedTTL {
 			return depth
 		}
 	}
-	return 0
+	return len(cl.keys)
 }
 
 // recordSaved records that the store has a prefix. At the limit it drops the prefixes that the store has likely evicted, and at least
--- a/io/gate/hint.go
+++ b/io/gate/hint.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -127,14 +128,38 @@
 	return hb
 }
 
-// relayNews passes a tender's message on to the other gates of the zone with the next hints. A later message replaces it.
+// relayNews passes a tender's message on to the other gates of the zone with the next hints. A later message replaces it, but for the changes
+// of the engine's cache.
 func (hx *hintExchange) relayNews(ns *wire.EngineNews) {
 	hx.mu.Lock()
 	defer hx.mu.Unlock()
 	ns.Relay = false
+	if earlier := hx.news[ns.GetServerId()]; earlier.GetVersion() == ns.GetVersion() {
+		ns.Cached, ns.Evicted = mergeCacheChanges(earlier, ns)
+	}
 	hx.news[ns.GetServerId()] = ns
 }
 
+// mergeCacheChanges returns the changes of an engine's cache in two messages. Of one part the later change holds.
+func mergeCacheChanges(earlier, later *wire.EngineNews) (cached, evicted []uint64) {
+	cached, evicted = later.GetCached(), later.GetEvicted()
+	changed := make(map[uint64]bool, len(cached)+len(evicted))
+	for _, key := range append(slices.Clone(cached), evicted...) {
+		changed[key] = true
+	}
+	for _, key := range earlier.GetCached() {
+		if !changed[key] {
+			cached = append(cached, key)
+		}
+	}
+	for _, key := range earlier.GetEvicted() {
+		if !changed[key] {
+			evicted = append(evicted, key)
+		}
+	}
+	return cached, evicted
+}
+
 // reportStore applies a report about a cache store and tells the other gates.
 func (hx *hintExchange) reportStore(now time.Time, cs pick.CacheStoreState) {
 	hx.gate.picker.ApplyCacheStoreStates(now, []pick.CacheStoreState{cs})
--- a/io/gate/node.go
+++ b/io/gate/node.go
@@ -50,6 +50,7 @@
 	gt.loadScheduler.recordState(now, loadRequest(ns), ns.GetLoading())
 	gt.picker.SetWeights(now, ns.GetServerId(), ns.GetModel(), ns.GetVersion(), ns.GetLoading())
 	gt.picker.SetShortOnly(now, ns.GetServerId(), ns.GetShort())
+	gt.picker.ApplyCacheChanges(now, ns.GetServerId(), ns.GetVersion(), ns.GetCached(), ns.GetEvicted())
 	gt.picker.SetUtilization(ns.GetServerId(),
 		pick.NewUtilization(int(ns.GetRunning()), int(ns.GetWaiting()), int(ns.GetFree()), int(ns.GetMemory()), now))
 }
--- a/io/gate/run.go
+++ b/io/gate/run.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"strconv"
 	"time"
 
 	"shallotcleat/core/answer"
@@ -214,14 +213,10 @@
 // cacheSalt returns a salt that separates cached prompt prefixes of different weight versions and of isolated workspaces. If the
 // version is unknown, the salt is unique to the request, so that nothing is shared.
 func cacheSalt(rq *request, version uint64) string {
-	salt := "v" + strconv.FormatUint(version, 10)
 	if version == 0 {
-		salt = "r" + rq.info.RequestID
+		return "r" + rq.info.RequestID
 	}
-	if scope := cacheScope(rq.workspace); scope != "" {
-		salt += "/" + scope
-	}
-	return salt
+	return pick.CacheSalt(version, cacheScope(rq.workspace))
 }
 
 // endNoResponse ends an attempt that got no response.
--- /dev/null
+++ b/io/tend/cache_test.go
@@ -0,0 +1,39 @@
+package tend
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"shallotcleat/core/pick"
+)
+
+// Gates are told of the last change of each part under the present weights, once.
+func TestCacheChanges(t *testing.T) {
+	event := func(salt, part string, evicted bool) CacheEvent {
+		return CacheEvent{Salt: salt, Model: "m1", PartID: part, Evicted: evicted}
+	}
+	var cc cacheChanges
+	cc.add([]CacheEvent{
+		event("v2", "a", false), event("v2", "b", false), event("v2", "b", true), event("v2/walled", "a", true), event("v1", "c", false),
+		event("rid-1", "d", false), {},
+	})
+	cached, evicted := cc.take(2)
+	if !slices.Equal(cached, []uint64{pick.PartKey("m1", "", "a")}) {
+		t.Errorf("cached: %x", cached)
+	}
+	slices.Sort(evicted)
+	want := []uint64{pick.PartKey("m1", "", "b"), pick.PartKey("m1", "walled", "a")}
+	if slices.Sort(want); !slices.Equal(evicted, want) {
+		t.Errorf("evicted: %x, want %x", evicted, want)
+	}
+	if !cc.isEmpty() {
+		t.Error("changes are left after they were taken")
+	}
+	for i := range 2 * maxCacheChanges {
+		cc.add([]CacheEvent{event("v2", fmt.Sprint(i), false)})
+	}
+	if cached, _ := cc.take(2); len(cached) != maxCacheChanges {
+		t.Errorf("%d changes are kept, want %d", len(cached), maxCacheChanges)
+	}
+}
--- a/io/tend/engine.go
+++ b/io/tend/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"shallotcleat/core/weight"
 )
@@ -72,6 +73,8 @@
 	State(ctx context.Context) (EngineState, error)
 	// Identify returns the engine's id.
 	Identify(ctx context.Context) (string, error)
+	// CacheEvents returns the events of the engine's cache since a position, zero for the first one. It waits for some up to the given time.
+	CacheEvents(ctx context.Context, position uint64, wait time.Duration) (CacheEvents, error)
 	// Load sends a load order. After an error it is unknown whether the engine received the order.
 	Load(ctx context.Context, order LoadOrder) (Verdict, error)
 }
--- a/io/tend/notify.go
+++ b/io/tend/notify.go
@@ -19,11 +19,14 @@
 	shortOnly    bool
 }
 
-// isUtilizationNotifyDue reports whether the gates should be notified of the engine's utilization.
+// isUtilizationNotifyDue reports whether the gates should be notified of the engine's utilization or of changes of its cache.
 func (wt *watcher) isUtilizationNotifyDue(now time.Time) bool {
 	calls := wt.state.Running + wt.state.Waiting
 	change := calls - wt.notifiedCalls
 	age := now.Sub(wt.utilizationNotifiedAt)
+	if age > cacheNotifyPeriod && !wt.tender.cache.isEmpty() {
+		return true
+	}
 	return age > utilizationNotifyPeriod && change*change >= minCallsChange*minCallsChange ||
 		age > waitingNotifyPeriod && wt.state.Waiting > 0
 }
@@ -41,7 +44,9 @@
 	}
 	wt.notified = wt.servingState(outOfService)
 	wt.recordUtilizationNotified()
-	wt.send(ctx, wt.allRecipients(wt.notifiedAt), wt.engineNews(outOfService, false))
+	ns := wt.engineNews(outOfService, false)
+	ns.Cached, ns.Evicted = wt.tender.cache.take(wt.state.Version)
+	wt.send(ctx, wt.allRecipients(wt.notifiedAt), ns)
 }
 
 // notifyUnreached retries the notification of gates that could not be reached, for notifyRetryLimit after the first failure. A gate
@@ -121,18 +126,20 @@
 	maps.DeleteFunc(wt.relayFailedAt, unlisted)
 }
 
-// notifyUtilization notifies the gates of the engine's utilization. Gates of other zones send fewer calls and are notified less
-// often.
+// notifyUtilization notifies the gates of the engine's utilization and of changes of its cache. Gates of other zones send fewer calls and are
+// notified less often.
 func (wt *watcher) notifyUtilization(ctx context.Context, outOfService bool) {
 	wt.recordUtilizationNotified()
 	now := time.Now()
 	rc := wt.allRecipients(now)
+	ns := wt.engineNews(outOfService, false)
 	if now.Sub(wt.remoteNotifiedAt) > remoteNotifyPeriod {
 		wt.remoteNotifiedAt = now
+		ns.Cached, ns.Evicted = wt.tender.cache.take(wt.state.Version)
 	} else {
 		rc.relays = nil
 	}
-	wt.send(ctx, rc, wt.engineNews(outOfService, false))
+	wt.send(ctx, rc, ns)
 }
 
 // recordUtilizationNotified records the utilization that the gates are notified of.
--- a/io/tend/tender.go
+++ b/io/tend/tender.go
@@ -38,6 +38,8 @@
 	remoteNotifyPeriod = 120 * time.Millisecond
 	// waitingNotifyPeriod is the time after which gates are notified again while calls wait for their first event.
 	waitingNotifyPeriod = 400 * time.Millisecond
+	// cacheNotifyPeriod is the time after which gates are notified of changes of the engine's cache.
+	cacheNotifyPeriod = 150 * time.Millisecond
 	// stateTimeout bounds an observation of the engine, which is on the same VM.
 	stateTimeout       = 250 * time.Millisecond
 	loadOrderTimeout   = 400 * time.Millisecond
@@ -89,6 +91,7 @@
 	nodes    *feed.Copy
 	gateList *gate.GateList
 	restored *feed.RestoreSignal
+	cache    cacheChanges
 	done     chan struct{}
 
 	// mu guards the fields below.
@@ -129,6 +132,7 @@
 	wg.Go(func() { td.pull(ctx) })
 	wg.Go(func() { td.repairRestored(ctx) })
 	wg.Go(func() { td.runWatcher(ctx) })
+	wg.Go(func() { td.followCache(ctx) })
 	wg.Wait()
 	return nil
 }
--- a/io/tend/watcher_test.go
+++ b/io/tend/watcher_test.go
@@ -37,6 +37,11 @@
 
 func (*fakeEngine) Identify(context.Context) (string, error) { return "e1", nil }
 
+func (*fakeEngine) CacheEvents(ctx context.Context, _ uint64, wait time.Duration) (CacheEvents, error) {
+	timer.Sleep(ctx, wait)
+	return CacheEvents{}, nil
+}
+
 func (*fakeEngine) Load(context.Context, LoadOrder) (Verdict, error) { return Refused, nil }
 
 // fakeDialect is a dialect that provides only the names of the tables.
