io/entry: a response that has begun is not continued with other weights

What callers saw: the beginning of an answer came from one version of the weights and the rest from another, in one complete stream of status 200. It takes a rollout and an engine that fails while it streams. Cause: after the failure the call goes on at an engine that the entry believes to have the same weights. If that engine has loaded newer ones, it refuses with stale_weights, and prepareRetry resolved the call again by the engines' versions, as if nothing had been sent. Only this refusal did so: without it the call kept its version, and ended with an error if no engine was left that serves it. Found while looking for the failure of TestWeightRollout, which is another fault.

Why it works: the call keeps its version. The refusal carried the status of the engine, so that the next attempt goes to one that still has the version; the stream ends with an error event if there is none, as it does without a refusal.

--- a/io/entry/modelcall.go
+++ b/io/entry/modelcall.go
@@ -206,6 +206,10 @@
 	case answer.StaleCache:
 		return nil
 	case answer.StaleWeights:
+		if call.relayedTokens > 0 {
+			// The rest of a response must come from the weights that it began with. The engine's status rules it out for them.
+			return nil
+		}
 		return en.resolve(call)
 	case answer.StaleEpoch:
 		en.fetchConfig(ctx, address)
