io/entry: unknown weights are not a version of their own

What callers saw: while the agent of one engine in four had not read the state of its engine, about a quarter of the requests got 503, "stale_weights: the engine serves weight version "v1", the request needs """. An agent is in this state until its engine answers for the first time, for example while a new engine starts. Cause: such an agent reports an empty version, and weightVersionFor counted it as one of the versions that a rollout spreads requests over. A request for the empty version may be placed at any engine, so that the others refused it until its attempts were used up, and each took retries from the budget. A call that did reach such an engine would have run on whatever it serves. Found while looking for the failure of TestWeightRollout, which is another fault. New: TestRequestsAvoidUnknownWeights with a whole system and TestCallAvoidsEngineOfUnknownWeights with fake agents.

Why it works: unknown weights have no share in the requests, and placement already skips an engine whose status says another version than the request's. If no version is known at all, the engines are used as before; the second test shows that, too.

--- a/io/entry/modelcall.go
+++ b/io/entry/modelcall.go
@@ -119,7 +119,7 @@
 }
 
 // weightVersionFor returns the version of the weights that a request runs with. During a rolling update, requests are distributed
-// over the versions in proportion to the engines that serve them, by a hash of the request's id.
+// over the known versions in proportion to the engines that serve them, by a hash of the request's id.
 func (en *Entry) weightVersionFor(rq *request, sv config.Service) string {
 	now := time.Now()
 	counts := make(map[string]int)
@@ -131,6 +131,11 @@
 			total++
 		}
 	}
+	// An agent reports no version until it has read the state of its engine. Requests go there only if no version is known.
+	if unknown := counts[""]; unknown < total {
+		delete(counts, "")
+		total -= unknown
+	}
 	if total == 0 || counts[sv.WeightVersion()] == total {
 		return sv.WeightVersion()
 	}
--- a/io/entry/modelcall_test.go
+++ b/io/entry/modelcall_test.go
@@ -247,3 +247,22 @@
 		}
 	}
 }
+
+// An engine whose weights are unknown gets no calls while those of others are known, and calls are not refused because of it. If no
+// agent knows the weights of its engine, the engines are used all the same.
+func TestCallAvoidsEngineOfUnknownWeights(t *testing.T) {
+	for _, others := range []string{"v1", ""} {
+		ag := newAgentGroup(t, 2)
+		ag.setWeights(others)
+		ag.agents[0].weights, ag.agents[0].status = "", ""
+		// The requests are spread over the versions by their ids, so that one of them may not show the fault.
+		for range 16 {
+			en := newTestEntry(t, ag)
+			ag.announce(en)
+			rr := requestStream(en)
+			if got := ag.takeSubmissions(); rr.Code != http.StatusOK || len(got) != 1 || got[0].weights != others {
+				t.Errorf("status %d after attempts %+v, want one with weights %q", rr.Code, got, others)
+			}
+		}
+	}
+}
--- a/io/local/weight_test.go
+++ b/io/local/weight_test.go
@@ -65,3 +65,28 @@
 		t.Errorf("usage reports %d cached tokens, want 0 after the rollout", cached)
 	}
 }
+
+// An agent that cannot read the state of its engine reports no weight version. Requests run on the version of the other engines.
+func TestRequestsAvoidUnknownWeights(t *testing.T) {
+	cl := newCluster(t, clusterOptions{engines: 3})
+	node, err := cl.platform.StartAgent(NodeOptions{
+		Name:        "agent/unknown",
+		Zone:        "ruai",
+		Service:     "dispatch",
+		Slots:       8,
+		Incarnation: 51,
+		EngineURL:   unreachableURL,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(node.Stop)
+	cl.addEntry()
+	// Requests are spread over the versions by their ids: if no version were one, it would get a quarter of them.
+	for range 40 {
+		complete(t, cl.caller(0), taggedPrompt("known"))
+	}
+}
+
+// unreachableURL is the base URL of a server that does not exist: port 1 is reserved and nobody listens there.
+const unreachableURL = "http://127.0.0.1:1"
