io/entry: a call that was refused because of its weights moves to those of the engine that refused it

What callers saw: 503, "stale_weights: the engine serves weight version "v2", the request needs "v1"", for single requests during a rollout, although every engine could have served them. Cause: an entry knows the version of an engine from its last reply, and that of engines without requests from a poll each second. A refused call was resolved again by all these versions, and of these only the one of the engine that had just refused it was new. So the call got the old version once more and went to the next engine that had loaded the new one unnoticed, until its four attempts were used up.

Ruled out: the agents' reads of the state, each 250 ms, are not what is late; all four agents knew the new weights when the request came, or they would not have refused it. The retry budget was not empty (all four attempts were sent). New: TestCallMovesToWeightsOfRefusingEngine, 16 fake agents with other weights than the entry knows.

Why the fix works: the refusal carries the engine's status, which is the newest there is. The call takes its version with the keys and the salt of that version, so that the next attempt goes where the version is known. If the engine is loading or leaving, or its agent does not know its weights, the call is resolved as before; TestCallLeavesWeightsOfUnusableEngine, which passed before, too, fails if one of these checks is left out. Excluded servers and the budget are as before: a refusal costs one retry.

--- a/io/entry/modelcall.go
+++ b/io/entry/modelcall.go
@@ -109,13 +109,19 @@
 		return answer.NewError(answer.NotFound, answer.NotRun, 0, "workspace %q has no model %q", rq.workspace.Name(), call.prompt.Model)
 	}
 	call.service = sv
-	call.weightVersion = en.weightVersionFor(rq, sv)
-	call.seed = prefix.NewSeed(rq.workspace.Name(), sv.Model(), sv.Adapter(), call.weightVersion)
+	en.setWeightVersion(call, en.weightVersionFor(rq, sv))
+	return nil
+}
+
+// setWeightVersion sets the version of the weights that the call runs with, and the fields that depend on it.
+func (en *Entry) setWeightVersion(call *modelCall, version string) {
+	rq, sv := call.rq, call.service
+	call.weightVersion = version
+	call.seed = prefix.NewSeed(rq.workspace.Name(), sv.Model(), sv.Adapter(), version)
 	pieceTokens := en.opts.PieceTokens
 	keys := prefix.Keys(call.seed, call.prompt.text, pieceTokens*bytesPerToken)
 	recomputePrice := rq.snapshot.Preset().RecomputePrice()
-	call.placement = place.NewRequest(sv.Name(), keys, call.prompt.tokens(), pieceTokens, recomputePrice, call.weightVersion)
-	return nil
+	call.placement = place.NewRequest(sv.Name(), keys, call.prompt.tokens(), pieceTokens, recomputePrice, version)
 }
 
 // weightVersionFor returns the version of the weights that a request runs with. During a rolling update, requests are distributed
@@ -125,8 +131,7 @@
 	counts := make(map[string]int)
 	total := 0
 	for _, ms := range en.board.Members().View().Servers(sv.Name()) {
-		version := ms.Status().WeightVersion()
-		if ms.HasStatus() && ms.Usable(now) && version != member.LoadingWeights {
+		if version, ok := servedVersion(ms, now); ok {
 			counts[version]++
 			total++
 		}
@@ -148,6 +153,26 @@
 	return sv.WeightVersion()
 }
 
+// servedVersion returns the version of the weights with which a server takes calls now, or false if it takes none or has no status.
+// The version is empty if the agent does not know it.
+func servedVersion(ms *member.Server, now time.Time) (string, bool) {
+	version := ms.Status().WeightVersion()
+	return version, ms.HasStatus() && ms.Usable(now) && version != member.LoadingWeights
+}
+
+// adoptWeightsOf moves a call that has not run to the weights of the server that refused it because of them, as the status in the
+// refusal says. The status of other servers is older: resolved by these, the call could be refused by one server after the other.
+func (en *Entry) adoptWeightsOf(call *modelCall, address string) *answer.Error {
+	ms, ok := en.board.Members().View().Server(address)
+	if ok && ms.Service() == call.service.Name() {
+		if version, ok := servedVersion(ms, time.Now()); ok && version != "" {
+			en.setWeightVersion(call, version)
+			return nil
+		}
+	}
+	return en.resolve(call)
+}
+
 // adoptSnapshot moves a request that has not run yet to the configuration in force. It fails if the workspace's API key
 // was removed or replaced.
 func (en *Entry) adoptSnapshot(rq *request) *answer.Error {
@@ -215,7 +240,7 @@
 			// The rest of a response must come from the weights that it began with. The engine's status rules it out for them.
 			return nil
 		}
-		return en.resolve(call)
+		return en.adoptWeightsOf(call, address)
 	case answer.StaleEpoch:
 		en.fetchConfig(ctx, address)
 		if er := en.adoptSnapshot(call.rq); er != nil {
--- a/io/entry/modelcall_test.go
+++ b/io/entry/modelcall_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -18,6 +19,7 @@
 	"shallotcleat/core/answer"
 	"shallotcleat/core/config"
 	"shallotcleat/core/member"
+	"shallotcleat/core/prefix"
 	"shallotcleat/core/stamp"
 	"shallotcleat/io/link"
 	"shallotcleat/io/logs"
@@ -38,6 +40,7 @@
 type submission struct {
 	agent   string
 	weights string
+	salt    string
 	// begun is set if the call continues a response; accepted is set if the agent did not refuse it.
 	begun    bool
 	accepted bool
@@ -143,7 +146,7 @@
 func (wa *weightAgent) handle(rq *wire.SubmitRequest) []*wire.Frame {
 	wa.group.mu.Lock()
 	defer wa.group.mu.Unlock()
-	sm := submission{agent: wa.address, weights: rq.GetWeights(), begun: rq.GetBegun()}
+	sm := submission{agent: wa.address, weights: rq.GetWeights(), salt: rq.GetSalt(), begun: rq.GetBegun()}
 	sm.accepted = sm.weights == wa.weights
 	wa.group.submissions = append(wa.group.submissions, sm)
 	if !sm.accepted {
@@ -216,6 +219,33 @@
 	return rr
 }
 
+// If all engines have loaded other weights than the entry knows, a request is refused once and then runs on the weights of the
+// engine that refused it, with the salt of these weights.
+func TestCallMovesToWeightsOfRefusingEngine(t *testing.T) {
+	ag := newAgentGroup(t, 4*maxAttempts)
+	for range 8 {
+		ag.setWeights("v1")
+		// A new entry has a full retry budget.
+		en := newTestEntry(t, ag)
+		ag.announce(en)
+		ag.setWeights("v2")
+		rr := requestStream(en)
+		got := ag.takeSubmissions()
+		if rr.Code != http.StatusOK || strings.Count(rr.Body.String(), " v2") != testTokens {
+			t.Errorf("status %d after %d attempts: %s", rr.Code, len(got), rr.Body)
+			continue
+		}
+		var want []submission
+		for _, version := range []string{"v1", "v2"} {
+			want = append(want, submission{agent: ag.agents[0].address, weights: version, accepted: version == "v2",
+				salt: prefix.NewSeed(testWorkspace, testModel, "", version).Salt()})
+		}
+		if !slices.Equal(got, want) {
+			t.Errorf("attempts %+v, want %+v", got, want)
+		}
+	}
+}
+
 // A response that has begun keeps its weights: if the next engine has loaded others meanwhile, it goes on at an engine that still
 // has them, or ends with an error if there is none.
 func TestBegunCallKeepsWeights(t *testing.T) {
@@ -248,6 +278,32 @@
 	}
 }
 
+// If the refusing engine takes no calls now, the call runs on the weights of other engines.
+func TestCallLeavesWeightsOfUnusableEngine(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		status  string
+		leaving bool
+	}{
+		{name: "loading", status: member.LoadingWeights},
+		{name: "leaving", status: "v2", leaving: true},
+		{name: "unknown"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			ag := newAgentGroup(t, 2)
+			ag.setWeights("v1")
+			first := ag.agents[0]
+			en := newTestEntry(t, ag)
+			ag.announce(en)
+			first.weights, first.status, first.leaving = "v2", tc.status, tc.leaving
+			rr := requestStream(en)
+			if got := ag.takeSubmissions(); rr.Code != http.StatusOK || len(got) != 2 || got[1].weights != "v1" {
+				t.Errorf("status %d after attempts %+v", rr.Code, got)
+			}
+		})
+	}
+}
+
 // An engine whose weights are unknown gets no calls while those of others are known, and calls are not refused because of it. If no
 // agent knows the weights of its engine, the engines are used all the same.
 func TestCallAvoidsEngineOfUnknownWeights(t *testing.T) {
