A request body is bounded by its request's deadline

A caller that sent half a body and then nothing kept its connection, its request and the memory of both without end: net/http had no read deadline, and the body is read before the request has a context with a deadline. The same held for the body of a request that was refused, which net/http reads before it sends the response. The body now has the deadline of its request, or the configured header timeout if the request is not admitted. net/http cancels a request's context on a failed read, so that this case is told apart from a caller that left.

--- a/io/gate/finish.go
+++ b/io/gate/finish.go
@@ -44,7 +44,7 @@
 		gt.opts.Recorder.CountRefusal(string(er.Code()))
 	}
 	gt.opts.Recorder.CountAnswer(string(outcome))
-	callerLeft := errors.Is(ctx.Err(), context.Canceled)
+	callerLeft := errors.Is(ctx.Err(), context.Canceled) && !rq.bodyLate
 	gt.logRequest(rq, er, outcome, callerLeft)
 	switch {
 	case er == nil:
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -26,17 +26,6 @@
 	"shallotcleat/io/wire"
 )
 
-// Limits of callers' connections. Of the limits in the configuration, only MaxBodyBytes is applied.
-const (
-	maxHeaderBytes = 64 << 10
-	headerTimeout  = 10 * time.Second
-	// idleTimeout is how long an idle connection of a caller stays open. Callers stop reusing a connection after the configured
-	// idle timeout.
-	idleTimeout = 2 * time.Minute
-	// defaultMaxBodyBytes is the maximum size of a request body if the configuration sets none.
-	defaultMaxBodyBytes = 4 << 20
-)
-
 // Intervals of the periodic work on connections to servers.
 const (
 	closeExpiredInterval = 500 * time.Millisecond
@@ -156,13 +145,13 @@
 	defer cancel()
 	gt.followTables(workCtx, &wg)
 	wg.Go(func() { gt.servePeers(workCtx, peers) })
-	readiness := &http.Server{Handler: http.HandlerFunc(gt.serveReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	readiness := &http.Server{Handler: http.HandlerFunc(gt.serveReady), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
 	wg.Go(func() { gt.serveHTTP(readiness, ready) })
 	srv := &http.Server{
 		Handler:           http.HandlerFunc(gt.handle),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: defaultHeaderTimeout,
+		IdleTimeout:       defaultIdleTimeout,
+		MaxHeaderBytes:    defaultMaxHeaderBytes,
 		ErrorLog:          nil,
 	}
 	wg.Go(func() { gt.serveHTTP(srv, callers) })
--- a/io/gate/handle.go
+++ b/io/gate/handle.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -35,6 +36,9 @@
 	arrived   time.Time
 	deadline  time.Time
 	call      pick.Call
+	// bodyLate is set if the body was incomplete at its deadline. net/http then cancels the request's context, as if the caller had
+	// disconnected.
+	bodyLate bool
 	// partHashes are the hashes of the prompt's shared parts; trial is set if the request is sent in spite of a rule about them.
 	partHashes []uint64
 	trial      bool
@@ -77,6 +81,7 @@
 		wr.Header().Set("Connection", "close")
 	}
 	er := gt.admit(rq, hr)
+	gt.limitBodyTime(rq, wr, hr)
 	if er == nil {
 		er = gt.readBody(rq, wr, hr)
 	}
@@ -124,18 +129,34 @@
 	return host
 }
 
+// limitBodyTime bounds how long a caller may take for the body: until the deadline of the request. Of a request that is not admitted,
+// the body is only read so that the connection can be reused; the header timeout bounds that.
+func (gt *Gate) limitBodyTime(rq *request, wr http.ResponseWriter, hr *http.Request) {
+	if hr.ContentLength == 0 {
+		return
+	}
+	deadline := rq.deadline
+	if deadline.IsZero() {
+		deadline = rq.arrived.Add(callerLimits(rq.routes).HeaderTimeout)
+	}
+	// net/http removes the read deadline once the body has been read.
+	if err := http.NewResponseController(wr).SetReadDeadline(deadline); err != nil {
+		gt.log.WithError(err).WithField("request_id", rq.info.RequestID).Warn("cannot bound the time for a request body")
+	}
+}
+
 // readBody reads the whole body before the first attempt, so that a slow caller never occupies a server. It then sets the call of
 // the request.
 func (gt *Gate) readBody(rq *request, wr http.ResponseWriter, hr *http.Request) *answer.Error {
-	maxBytes := rq.routes.Limits().MaxBodyBytes
-	if maxBytes <= 0 {
-		maxBytes = defaultMaxBodyBytes
-	}
+	maxBytes := callerLimits(rq.routes).MaxBodyBytes
 	body, err := io.ReadAll(http.MaxBytesReader(wr, hr.Body, maxBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return answer.NewError(answer.BodyTooLarge, answer.NotRun, 0, "request body larger than %d bytes", maxBytes)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		rq.bodyLate = true
+		return answer.NewError(answer.DeadlineExceeded, answer.NotRun, 0, "request body incomplete at the deadline")
 	case err != nil:
 		return answer.NewError(answer.BadRequest, answer.NotRun, 0, "read request body: %v", err)
 	}
