Gates apply the configured limits on headers and idle connections

max-header-bytes, header-timeout-ms and idle-timeout-ms were decoded but not used: gates had 64 KB (and 4 KB of net/http's), 10 s and 2 min. net/http cannot take them from a configuration that changes: MaxHeaderBytes and the timeouts are plain fields that each connection reads while it is served, and the deadline of an idle connection is set once, when it becomes idle. So a wrapper of the connections applies them, one mutex and a few fields for each, without a goroutine or timer of its own.

- Header bytes are counted as they are read, up to exactly the limit; more gets 431.
Nothing of the request has run.
- The header's time runs from its first byte and is checked each 0.5 s; a late one gets 408, which promises that nothing ran.
- An idle connection is closed when it has been idle for the limit in force and 5 s more.
A limit that becomes longer holds at once; a shorter one after 5 s, since callers may not know it yet.
- Before a connection is closed, it is read once more: a process that was paused finds the request that arrived meanwhile.

--- a/io/gate/callers.go
+++ b/io/gate/callers.go
@@ -1,8 +1,17 @@
 package gate
 
 import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"shallotcleat/core/route"
 )
 
@@ -14,6 +23,21 @@
 	defaultIdleTimeout    = 2 * time.Minute
 )
 
+// Intervals and timeouts of the limits on callers' connections.
+const (
+	enforceInterval = 500 * time.Millisecond
+	// headerMargin and idleMargin are added to the timeouts: callers keep them by their own clocks, and the network may delay what
+	// they send. idleMargin also exceeds the time in which a change of the limits reaches callers and gates.
+	headerMargin = 500 * time.Millisecond
+	idleMargin   = 5 * time.Second
+	// lastReadTimeout is the time for a last read after a timeout. It finds bytes that arrived while the process did not run.
+	lastReadTimeout = 100 * time.Millisecond
+	// rejectTimeout and maxRejectedBytes bound what is read of a rejected caller. A connection that is closed with unread bytes is
+	// reset, and the caller might not receive the response.
+	rejectTimeout    = 500 * time.Millisecond
+	maxRejectedBytes = 256 << 10
+)
+
 // callerLimits returns the limits of callers by a routing table, which may be nil.
 func callerLimits(tb *route.Table) route.Limits {
 	var lm route.Limits
@@ -34,3 +58,254 @@
 	}
 	return lm
 }
+
+// closeReason is why a limit closes a connection.
+type closeReason string
+
+const (
+	closedIdle           closeReason = "idle"
+	closedHeaderLate     closeReason = "header_timeout"
+	closedHeaderTooLarge closeReason = "header_too_large"
+)
+
+// callerConns applies the limits in force to the callers' connections, because net/http reads its own limits without
+// synchronization and does not apply a change to connections that are idle. The time for a body is not bounded here but by the
+// request's deadline. It is safe for concurrent use.
+type callerConns struct {
+	limits func() route.Limits
+	now    func() time.Time
+	log    *logrus.Entry
+
+	// mu guards the fields below. It is locked before that of a connection.
+	mu   sync.Mutex
+	open map[*callerConn]struct{}
+	// closed counts the connections closed since the last log entry, by reason.
+	closed map[closeReason]int
+	// idleTimeout is the latest idle timeout, in force since idleTimeoutSince.
+	idleTimeout      time.Duration
+	idleTimeoutSince time.Time
+}
+
+func newCallerConns(limits func() route.Limits, now func() time.Time, lg *logrus.Entry) *callerConns {
+	return &callerConns{limits: limits, now: now, log: lg, open: make(map[*callerConn]struct{}), closed: make(map[closeReason]int)}
+}
+
+// listener returns a listener whose connections have the limits. Their http.Server must call stateChanged and must have no limits of
+// its own on headers and idle connections.
+func (ccs *callerConns) listener(lis net.Listener) net.Listener {
+	return &callerListener{Listener: lis, conns: ccs}
+}
+
+// stateChanged is the ConnState function of the http.Server.
+func (ccs *callerConns) stateChanged(conn net.Conn, state http.ConnState) {
+	cc, ok := conn.(*callerConn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		cc.setPhase(phaseServing)
+	case http.StateIdle:
+		cc.setPhase(phaseIdle)
+	}
+}
+
+// enforce ends the reads of connections that are over a timeout, and logs how many connections have been closed since its last call.
+// A shorter idle timeout applies after idleMargin, since callers may not know it yet.
+func (ccs *callerConns) enforce() {
+	now, lm := ccs.now(), ccs.limits()
+	ccs.mu.Lock()
+	if ccs.idleTimeout != lm.IdleTimeout {
+		ccs.idleTimeout, ccs.idleTimeoutSince = lm.IdleTimeout, now
+	}
+	idleSince := now.Add(-lm.IdleTimeout - idleMargin)
+	if now.Sub(ccs.idleTimeoutSince) < idleMargin {
+		idleSince = time.Time{}
+	}
+	for cc := range ccs.open {
+		if err := cc.expire(idleSince, now.Add(-lm.HeaderTimeout-headerMargin)); err != nil {
+			ccs.log.WithError(err).WithField("caller", cc.RemoteAddr().String()).Warn("cannot end the read of a caller's connection")
+		}
+	}
+	closed := ccs.closed
+	ccs.closed = make(map[closeReason]int)
+	ccs.mu.Unlock()
+	for reason, count := range closed {
+		level := logrus.InfoLevel
+		if reason == closedIdle {
+			level = logrus.DebugLevel
+		}
+		ccs.log.WithFields(logrus.Fields{"event": "callers_closed", "reason": string(reason), "connections": count}).
+			Log(level, "callers' connections closed by the limits")
+	}
+}
+
+func (ccs *callerConns) add(tc *net.TCPConn) *callerConn {
+	cc := &callerConn{TCPConn: tc, conns: ccs, since: ccs.now()}
+	ccs.mu.Lock()
+	defer ccs.mu.Unlock()
+	ccs.open[cc] = struct{}{}
+	return cc
+}
+
+func (ccs *callerConns) remove(cc *callerConn) {
+	ccs.mu.Lock()
+	defer ccs.mu.Unlock()
+	delete(ccs.open, cc)
+}
+
+func (ccs *callerConns) countClosed(reason closeReason) {
+	ccs.mu.Lock()
+	defer ccs.mu.Unlock()
+	ccs.closed[reason]++
+}
+
+// callerListener is the listener of a callerConns.
+type callerListener struct {
+	net.Listener
+	conns *callerConns
+}
+
+// Accept implements net.Listener. Connections other than TCP have no limits.
+func (cl *callerListener) Accept() (net.Conn, error) {
+	conn, err := cl.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	if tc, ok := conn.(*net.TCPConn); ok {
+		return cl.conns.add(tc), nil
+	}
+	return conn, nil
+}
+
+// connPhase is what a connection waits for.
+type connPhase uint8
+
+const (
+	// phaseIdle is the time before the first byte of a request.
+	phaseIdle connPhase = iota
+	phaseHeader
+	// phaseServing is the time from the end of a header to the end of the response.
+	phaseServing
+)
+
+// callerConn is a connection of a caller. Before phaseServing, only the goroutine of its http.Server reads it.
+type callerConn struct {
+	*net.TCPConn
+	conns *callerConns
+
+	// mu guards the fields below.
+	mu    sync.Mutex
+	since time.Time
+	// headerBytes is the number of bytes read since the connection became idle; net/http may have read the first byte of the header
+	// before.
+	headerBytes int
+	phase       connPhase
+	// expired is set if the connection is over a timeout; its read deadline is then past.
+	expired bool
+	// lateRead is set once a part of a header has been read after the timeout; no more is read of it.
+	lateRead bool
+}
+
+func (cc *callerConn) setPhase(phase connPhase) {
+	now := cc.conns.now()
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	cc.phase, cc.since, cc.headerBytes, cc.expired, cc.lateRead = phase, now, 0, false, false
+}
+
+// expire ends the read of the connection if it has been idle since before idleSince or its header began before headerSince. It does so
+// again in each call, because net/http may have removed the read deadline meanwhile.
+func (cc *callerConn) expire(idleSince, headerSince time.Time) error {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	switch {
+	case cc.phase == phaseIdle && cc.since.Before(idleSince), cc.phase == phaseHeader && cc.since.Before(headerSince):
+		cc.expired = true
+		return cc.SetReadDeadline(time.Unix(0, 0))
+	}
+	return nil
+}
+
+// Read implements net.Conn. Within a header it reads at most up to the limit: all bytes read until then belong to the header, which is
+// too large if more are needed.
+func (cc *callerConn) Read(buffer []byte) (int, error) {
+	maxBytes := cc.conns.limits().MaxHeaderBytes
+	cc.mu.Lock()
+	phase, lateRead := cc.phase, cc.lateRead
+	room := max(maxBytes-cc.headerBytes, 0)
+	cc.mu.Unlock()
+	switch {
+	case phase == phaseServing:
+		return cc.TCPConn.Read(buffer)
+	case room == 0:
+		return 0, cc.reject(closedHeaderTooLarge, http.StatusRequestHeaderFieldsTooLarge)
+	case lateRead:
+		return 0, cc.reject(closedHeaderLate, http.StatusRequestTimeout)
+	}
+	buffer = buffer[:min(len(buffer), room)]
+	count, err := cc.TCPConn.Read(buffer)
+	timedOut := errors.Is(err, os.ErrDeadlineExceeded)
+	if timedOut {
+		if err = cc.SetReadDeadline(time.Now().Add(lastReadTimeout)); err == nil {
+			count, err = cc.TCPConn.Read(buffer)
+		}
+	}
+	switch {
+	case count > 0:
+		return count, cc.recordHeaderBytes(count, timedOut)
+	case !errors.Is(err, os.ErrDeadlineExceeded):
+		return 0, err
+	case phase == phaseHeader:
+		return 0, cc.reject(closedHeaderLate, http.StatusRequestTimeout)
+	}
+	cc.conns.countClosed(closedIdle)
+	return 0, err
+}
+
+// recordHeaderBytes records that a part of a header was read; timedOut is set if that was the last read after a timeout. A connection
+// that has expired as idle is read on; one that has expired in its header may end the header with this part.
+func (cc *callerConn) recordHeaderBytes(count int, timedOut bool) error {
+	now := cc.conns.now()
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	cc.headerBytes += count
+	hasDeadline := timedOut || cc.expired
+	if cc.phase == phaseIdle {
+		cc.phase, cc.since, cc.expired = phaseHeader, now, false
+	} else {
+		cc.lateRead = timedOut
+	}
+	if !hasDeadline {
+		return nil
+	}
+	return cc.SetReadDeadline(time.Time{})
+}
+
+// reject sends a response, whose body is the reason, to a caller whose header is over a limit, and returns the error of the read.
+func (cc *callerConn) reject(reason closeReason, status int) error {
+	cc.conns.countClosed(reason)
+	cc.setPhase(phaseServing)
+	err := cc.SetDeadline(time.Now().Add(rejectTimeout))
+	if err == nil {
+		_, err = fmt.Fprintf(cc.TCPConn, "HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n"+
+			"Connection: close\r\n\r\n%s\n", status, http.StatusText(status), len(reason)+1, reason)
+	}
+	if err == nil {
+		err = cc.CloseWrite()
+	}
+	if err == nil {
+		_, err = io.CopyN(io.Discard, cc.TCPConn, maxRejectedBytes)
+	}
+	if err != nil && !errors.Is(err, io.EOF) {
+		cc.conns.log.WithError(err).WithField("reason", string(reason)).Debug("a rejected caller did not end its connection")
+	}
+	// net/http responds to other types of errors itself.
+	return &net.OpError{Op: "read", Net: "tcp", Addr: cc.RemoteAddr(), Err: errors.New(string(reason))}
+}
+
+// Close implements net.Conn.
+func (cc *callerConn) Close() error {
+	cc.conns.remove(cc)
+	return cc.TCPConn.Close()
+}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -147,14 +148,12 @@
 	wg.Go(func() { gt.servePeers(workCtx, peers) })
 	readiness := &http.Server{Handler: http.HandlerFunc(gt.serveReady), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
 	wg.Go(func() { gt.serveHTTP(readiness, ready) })
-	srv := &http.Server{
-		Handler:           http.HandlerFunc(gt.handle),
-		ReadHeaderTimeout: defaultHeaderTimeout,
-		IdleTimeout:       defaultIdleTimeout,
-		MaxHeaderBytes:    defaultMaxHeaderBytes,
-		ErrorLog:          nil,
-	}
-	wg.Go(func() { gt.serveHTTP(srv, callers) })
+	conns := newCallerConns(func() route.Limits { return callerLimits(gt.routes.Load()) }, gt.opts.Timer.Now, gt.log)
+	// The limits of callers are applied by conns.
+	srv := &http.Server{Handler: http.HandlerFunc(gt.handle), ConnState: conns.stateChanged, MaxHeaderBytes: math.MaxInt32}
+	wg.Go(func() { gt.serveHTTP(srv, conns.listener(callers)) })
+	cancelEnforce := gt.opts.Timer.Every(enforceInterval, conns.enforce)
+	defer cancelEnforce()
 	cancelCloseExpired := gt.opts.Timer.Every(closeExpiredInterval, func() { gt.connPool.CloseExpired(time.Now()) })
 	defer cancelCloseExpired()
 	cancelProbe := gt.opts.Timer.Every(probeInterval, func() { gt.probeUnreachable(workCtx) })
--- a/io/gate/response.go
+++ b/io/gate/response.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"strconv"
 
@@ -109,8 +108,8 @@
 	if err != nil {
 		return fmt.Errorf("take over connection: %w", err)
 	}
-	if tc, ok := conn.(*net.TCPConn); ok {
-		if err := tc.SetLinger(0); err != nil {
+	if lg, ok := conn.(interface{ SetLinger(sec int) error }); ok {
+		if err := lg.SetLinger(0); err != nil {
 			return errors.Join(fmt.Errorf("set linger: %w", err), conn.Close())
 		}
 	}
