The target gap of a route is no longer decoded

Nothing used it. A pause over it makes a stream late, so that it earns less, but a caller abandons a stream only after two seconds, four times the objective or eight times the gap, whichever is longest, and a server's silence is no reason to end an answer sooner. To continue the stream at another server would cost a send of the shared retry budget and a prefill, for an answer that is late already; a server that really stopped is found by its reset connection or ends with the request's deadline.

--- a/core/route/spec.go
+++ b/core/route/spec.go
@@ -25,11 +25,9 @@
 	// Stream is set if responses are event streams, Resumable if another server can continue a broken stream.
 	Stream    bool
 	Resumable bool
-	// Timeout is the maximum duration of a call, TargetLatency the latency goal of a response and TargetGap that of the interval
-	// between two events of a stream.
+	// Timeout is the maximum duration of a call, TargetLatency the latency goal of a response.
 	Timeout       time.Duration
 	TargetLatency time.Duration
-	TargetGap     time.Duration
 	// MaxAttempts is the maximum number of servers on which a call may run. Attempts that did not run are not counted.
 	MaxAttempts int
 	// Priority is the priority of the calls; 0 is the highest.
