A reader that comes as a stream's idle timer fires is not cut off

The timer's function removed the stream and canceled its call without a look at the readers. A reader that was added after the timer had fired, or had the stream from the registry just before, kept a stream whose call ended with deadline_exceeded; one that left at once was followed by no grace period. Now the end of an idle period is decided under the stream's lock: a timer whose period a reader has ended does nothing, and a reader that comes after the end is told that the stream is no longer available, as by the registry.

--- a/io/agent/handler.go
+++ b/io/agent/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"shallotcleat/core/admit"
@@ -112,12 +113,16 @@
 	ag := hd.agent
 	ag.rec.Observe(stamp.Stamp(rq.GetContext().GetStamp()))
 	st, ok := ag.streams.get(rq.GetStreamId(), rq.GetContext().GetWorkspace())
-	if !ok || rq.GetIncarnation() != ag.incarnation {
-		er := answer.NewError(answer.NotResumable, answer.Unknown, 0, "the stream is no longer available")
-		return out.Send(&wire.Frame{Kind: &wire.Frame_Refused{Refused: wire.FromError(er)}, Status: ag.status()})
+	err := errStreamRemoved
+	if ok && rq.GetIncarnation() == ag.incarnation {
+		ag.rec.RecordEvent(rq.GetContext().GetRequestId(), trace.StreamResumed)
+		err = st.send(out.Context(), rq.GetFromSeq(), out.Send)
 	}
-	ag.rec.RecordEvent(rq.GetContext().GetRequestId(), trace.StreamResumed)
-	return st.send(out.Context(), rq.GetFromSeq(), out.Send)
+	if !errors.Is(err, errStreamRemoved) {
+		return err
+	}
+	er := answer.NewError(answer.NotResumable, answer.Unknown, 0, "%v", err)
+	return out.Send(&wire.Frame{Kind: &wire.Frame_Refused{Refused: wire.FromError(er)}, Status: ag.status()})
 }
 
 // Exchange compares configurations with an entry and removes the usage records that the entry has written.
--- a/io/agent/streams.go
+++ b/io/agent/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -20,6 +21,7 @@
 	id        string
 	workspace string
 	cancel    context.CancelFunc
+	registry  *streamRegistry
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -28,10 +30,17 @@
 	readers int
 	// changed is closed and replaced when frames or ended change.
 	changed chan struct{}
-	// idleTimer removes the stream and cancels the call after resumeGracePeriod without a reader.
-	idleTimer *time.Timer
+	// idleTimer ends the current idle period after resumeGracePeriod. idlePeriod is the number of that period, which
+	// a reader ends: a timer that has fired may still wait for mu then.
+	idleTimer  *time.Timer
+	idlePeriod int
+	// removed is set once the stream takes no more readers.
+	removed bool
 }
 
+// errStreamRemoved means that a stream had no reader for resumeGracePeriod.
+var errStreamRemoved = errors.New("the stream is no longer available")
+
 // append sets the sequence number of a frame and adds the frame; last is set if the frame ends the stream.
 func (st *stream) append(fr *wire.Frame, last bool) {
 	st.mu.Lock()
@@ -52,9 +61,12 @@
 	return st.frames[seq:], st.ended, st.changed
 }
 
-// send sends the frames after a sequence number in order until the stream ends or the context is done.
+// send sends the frames after a sequence number in order until the stream ends or the context is done. It returns errStreamRemoved
+// if the stream has been removed.
 func (st *stream) send(ctx context.Context, seq uint64, send func(*wire.Frame) error) error {
-	st.addReader()
+	if !st.addReader() {
+		return errStreamRemoved
+	}
 	defer st.removeReader()
 	for {
 		frames, ended, changed := st.framesAfter(seq)
@@ -75,11 +87,17 @@
 	}
 }
 
-func (st *stream) addReader() {
+// addReader ends the idle period, if any. It returns false if the stream has been removed.
+func (st *stream) addReader() bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	if st.removed {
+		return false
+	}
 	st.readers++
+	st.idlePeriod++
 	st.idleTimer.Stop()
+	return true
 }
 
 func (st *stream) removeReader() {
@@ -87,8 +105,25 @@
 	defer st.mu.Unlock()
 	st.readers--
 	if st.readers == 0 {
-		st.idleTimer.Reset(resumeGracePeriod)
+		st.startIdlePeriod()
+	}
+}
+
+// startIdlePeriod starts a period without readers; the caller holds mu.
+func (st *stream) startIdlePeriod() {
+	period := st.idlePeriod
+	st.idleTimer = time.AfterFunc(resumeGracePeriod, func() { st.registry.expire(st, period) })
+}
+
+// endIdlePeriod marks the stream as removed, or returns false if the given idle period has ended before.
+func (st *stream) endIdlePeriod(period int) bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.idlePeriod != period {
+		return false
 	}
+	st.removed = true
+	return true
 }
 
 // streamRegistry holds the streams of an agent by id. It is safe for concurrent use.
@@ -106,7 +141,7 @@
 	return &streamRegistry{incarnation: incarnation, byID: make(map[string]*stream)}
 }
 
-// add adds a new stream of a workspace and returns it. The function cancel cancels the stream's call; remove calls it.
+// add adds a new stream of a workspace and returns it. The function cancel cancels the stream's call; expire calls it.
 func (sr *streamRegistry) add(workspace string, cancel context.CancelFunc) *stream {
 	sr.mu.Lock()
 	defer sr.mu.Unlock()
@@ -115,9 +150,12 @@
 		id:        fmt.Sprintf("%x-%d", sr.incarnation, sr.lastID),
 		workspace: workspace,
 		cancel:    cancel,
+		registry:  sr,
 		changed:   make(chan struct{}),
 	}
-	st.idleTimer = time.AfterFunc(resumeGracePeriod, func() { sr.remove(st) })
+	st.mu.Lock()
+	st.startIdlePeriod()
+	st.mu.Unlock()
 	sr.byID[st.id] = st
 	return st
 }
@@ -133,8 +171,11 @@
 	return st, true
 }
 
-// remove removes a stream and cancels its call if the call is still running.
-func (sr *streamRegistry) remove(st *stream) {
+// expire removes a stream at the end of an idle period, unless a reader came before, and cancels its call if that is still running.
+func (sr *streamRegistry) expire(st *stream, period int) {
+	if !st.endIdlePeriod(period) {
+		return
+	}
 	sr.mu.Lock()
 	delete(sr.byID, st.id)
 	sr.mu.Unlock()
