A declared 0 is refused where a setting must be positive

share, check-tokens, queue-limit, loads-at-once and timeout took 0 for "left out" and gave the default, though the messages say that they must be positive. The decoded settings are now pointers: absent gives the default, 0 a problem with its line.

--- a/core/config/parse.go
+++ b/core/config/parse.go
@@ -20,7 +20,8 @@
 // Error returns the message with its file and line.
 func (pb Problem) Error() string { return fmt.Sprintf("%s:%d: %s", pb.file, pb.line, pb.message) }
 
-// YAML schema of the file. Each element is decoded with its line number for error messages.
+// YAML schema of the file. Each element is decoded with its line number for error messages. A pointer is nil if the setting is absent,
+// for which a default other than zero applies.
 type (
 	declarationYAML struct {
 		Workspaces []withLine[workspaceYAML] `yaml:"workspaces"`
@@ -30,7 +31,7 @@
 	workspaceYAML struct {
 		Name     string   `yaml:"name"`
 		KeyHash  string   `yaml:"key-sha256"`
-		Share    int      `yaml:"share"`
+		Share    *int     `yaml:"share"`
 		Services []string `yaml:"services"`
 	}
 	serviceYAML struct {
@@ -44,13 +45,13 @@
 		Fencing    bool     `yaml:"fencing"`
 	}
 	presetYAML struct {
-		Name           string        `yaml:"name"`
-		RecomputePrice float64       `yaml:"recompute-price"`
-		CheckTokens    int           `yaml:"check-tokens"`
-		CheckReserve   float64       `yaml:"check-reserve"`
-		QueueLimit     int           `yaml:"queue-limit"`
-		Timeout        time.Duration `yaml:"timeout"`
-		LoadsAtOnce    int           `yaml:"loads-at-once"`
+		Name           string         `yaml:"name"`
+		RecomputePrice float64        `yaml:"recompute-price"`
+		CheckTokens    *int           `yaml:"check-tokens"`
+		CheckReserve   float64        `yaml:"check-reserve"`
+		QueueLimit     *int           `yaml:"queue-limit"`
+		Timeout        *time.Duration `yaml:"timeout"`
+		LoadsAtOnce    *int           `yaml:"loads-at-once"`
 	}
 )
 
@@ -91,8 +92,9 @@
 	linePattern = regexp.MustCompile(`line (\d+): (.*)`)
 )
 
-// Default and maximum values of a preset.
+// Default and maximum values of workspaces and presets.
 const (
+	defaultShare       = 1
 	defaultQueueLimit  = 64
 	defaultTimeout     = 60 * time.Second
 	maxTimeout         = time.Hour
@@ -212,54 +214,54 @@
 		vd.addProblem(line, "workspace %q: key-sha256 already used by the workspace on line %d", wy.Name, first)
 	}
 	vd.declaredOn["key/"+wy.KeyHash] = line
-	if wy.Share < 0 {
-		vd.addProblem(line, "workspace %q: share %d: must be a positive integer", wy.Name, wy.Share)
+	share := valueOr(wy.Share, defaultShare)
+	if share < 1 {
+		vd.addProblem(line, "workspace %q: share %d: must be a positive integer", wy.Name, share)
 	}
 	for _, service := range wy.Services {
 		if _, ok := vd.declaredOn["service/"+service]; !ok {
 			vd.addProblem(line, "workspace %q: service %q is not declared", wy.Name, service)
 		}
 	}
-	return Workspace{name: wy.Name, keyHash: wy.KeyHash, share: max(wy.Share, 1), services: wy.Services}
+	return Workspace{name: wy.Name, keyHash: wy.KeyHash, share: share, services: wy.Services}
 }
 
 func (vd *validator) preset(py presetYAML, line int) Preset {
 	vd.name("preset", py.Name, line)
-	if py.RecomputePrice < 0 {
-		vd.addProblem(line, "preset %q: recompute-price %g: must not be negative", py.Name, py.RecomputePrice)
-	}
-	if py.CheckReserve < 0 || py.CheckReserve >= 1 {
-		vd.addProblem(line, "preset %q: check-reserve %g: must be at least 0 and less than 1", py.Name, py.CheckReserve)
-	}
-	if py.QueueLimit < 0 || py.CheckTokens < 0 {
-		vd.addProblem(line, "preset %q: queue-limit and check-tokens: must be positive integers", py.Name)
-	}
-	if py.LoadsAtOnce < 0 || py.LoadsAtOnce > maxLoadsAtOnce {
-		vd.addProblem(line, "preset %q: loads-at-once %d: must be an integer from 1 to %d", py.Name, py.LoadsAtOnce, maxLoadsAtOnce)
-	}
-	if py.Timeout < 0 || py.Timeout > maxTimeout {
-		vd.addProblem(line, "preset %q: timeout %s: must be positive and at most %s", py.Name, py.Timeout, maxTimeout)
-	}
 	pr := Preset{
 		name:           py.Name,
 		recomputePrice: py.RecomputePrice,
-		checkTokens:    py.CheckTokens,
+		checkTokens:    valueOr(py.CheckTokens, defaultCheckTokens),
 		checkReserve:   py.CheckReserve,
-		queueLimit:     py.QueueLimit,
-		timeout:        py.Timeout,
-		loadsAtOnce:    py.LoadsAtOnce,
+		queueLimit:     valueOr(py.QueueLimit, defaultQueueLimit),
+		timeout:        valueOr(py.Timeout, defaultTimeout),
+		loadsAtOnce:    valueOr(py.LoadsAtOnce, defaultLoadsAtOnce),
 	}
-	if pr.checkTokens == 0 {
-		pr.checkTokens = defaultCheckTokens
+	if pr.recomputePrice < 0 {
+		vd.addProblem(line, "preset %q: recompute-price %g: must not be negative", pr.name, pr.recomputePrice)
 	}
-	if pr.queueLimit == 0 {
-		pr.queueLimit = defaultQueueLimit
+	if pr.checkReserve < 0 || pr.checkReserve >= 1 {
+		vd.addProblem(line, "preset %q: check-reserve %g: must be at least 0 and less than 1", pr.name, pr.checkReserve)
 	}
-	if pr.loadsAtOnce == 0 {
-		pr.loadsAtOnce = defaultLoadsAtOnce
+	if pr.checkTokens < 1 {
+		vd.addProblem(line, "preset %q: check-tokens %d: must be a positive integer", pr.name, pr.checkTokens)
 	}
-	if pr.timeout == 0 {
-		pr.timeout = defaultTimeout
+	if pr.queueLimit < 1 {
+		vd.addProblem(line, "preset %q: queue-limit %d: must be a positive integer", pr.name, pr.queueLimit)
+	}
+	if pr.loadsAtOnce < 1 || pr.loadsAtOnce > maxLoadsAtOnce {
+		vd.addProblem(line, "preset %q: loads-at-once %d: must be an integer from 1 to %d", pr.name, pr.loadsAtOnce, maxLoadsAtOnce)
+	}
+	if pr.timeout <= 0 || pr.timeout > maxTimeout {
+		vd.addProblem(line, "preset %q: timeout %s: must be positive and at most %s", pr.name, pr.timeout, maxTimeout)
 	}
 	return pr
 }
+
+// valueOr returns the value of a setting, or a default if the setting is absent.
+func valueOr[T any](setting *T, absent T) T {
+	if setting == nil {
+		return absent
+	}
+	return *setting
+}
--- a/core/config/parse_test.go
+++ b/core/config/parse_test.go
@@ -1,13 +1,14 @@
 package config
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
 )
 
-// TestParse parses the declarations in testdata and prints all problems with their lines, the declared names, or the
+// TestParse parses the declarations in testdata and prints all problems with their lines, the declared values, or the
 // difference from the previous declaration.
 func TestParse(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
@@ -23,7 +24,7 @@
 			if td.Cmd == "diff" {
 				return strings.Join(append(Diff(previous, dc), ""), "\n")
 			}
-			return declaredNames(dc)
+			return declaredValues(dc)
 		})
 	})
 }
@@ -36,16 +37,17 @@
 	return out.String()
 }
 
-func declaredNames(dc *Declaration) string {
+func declaredValues(dc *Declaration) string {
 	var out strings.Builder
 	for _, ws := range dc.Workspaces() {
-		out.WriteString("workspace " + ws.Name() + "\n")
+		fmt.Fprintf(&out, "workspace %s share=%d\n", ws.Name(), ws.Share())
 	}
 	for _, sv := range dc.Services() {
 		out.WriteString("service " + sv.Name() + "\n")
 	}
 	for _, pr := range dc.Presets() {
-		out.WriteString("preset " + pr.Name() + " " + pr.Timeout().String() + "\n")
+		fmt.Fprintf(&out, "preset %s timeout=%s queue-limit=%d check-tokens=%d loads-at-once=%d recompute-price=%g check-reserve=%g\n",
+			pr.Name(), pr.Timeout(), pr.QueueLimit(), pr.CheckTokens(), pr.LoadsAtOnce(), pr.RecomputePrice(), pr.CheckReserve())
 	}
 	return out.String()
 }
