--- a/io/cmds/apply.go
+++ b/io/cmds/apply.go
@@ -69,19 +69,19 @@
 		name = dc.Presets()[0].Name()
 	}
 	if _, ok := dc.Preset(name); !ok {
-		return "", undeclaredPresetError(dc, name)
+		return "", undeclaredPresetError("preset", dc, name)
 	}
 	return name, nil
 }
 
-// undeclaredPresetError returns a *SettingsError that lists the declared presets.
-func undeclaredPresetError(dc *config.Declaration, name string) error {
+// undeclaredPresetError returns a *SettingsError for the preset in a flag that lists the declared presets.
+func undeclaredPresetError(flag string, dc *config.Declaration, name string) error {
 	var vd validator
 	declared := ""
 	for _, pr := range dc.Presets() {
 		declared += pr.Name() + " "
 	}
-	vd.addProblem("preset", name, "one of the declared presets: "+declared)
+	vd.addProblem(flag, name, "one of the declared presets: "+declared)
 	return vd.err()
 }
 
--- a/io/cmds/preset.go
+++ b/io/cmds/preset.go
@@ -44,7 +44,7 @@
 		return err
 	}
 	if _, ok := dc.Preset(cm.Name); !ok {
-		return undeclaredPresetError(dc, cm.Name)
+		return undeclaredPresetError("name", dc, cm.Name)
 	}
 	return commitHead(ctx, out, store, version, head.Next(uuid.NewString()).WithPreset(cm.Name))
 }
