The memory of gates and tenders is counted in MB, as the flag says

--memory says MB and was multiplied by 2^20, so that the soft limit of the runtime was 4.9 percent higher than asked for. If the platform means 2^20 by its memory-mb, the limit is now that much lower than it could be, which is the safe side.

--- a/io/cmds/gatetender.go
+++ b/io/cmds/gatetender.go
@@ -22,6 +22,9 @@
 // of the process's memory.
 const memoryLimitFraction = 0.7
 
+// bytesPerMegabyte converts the process's memory in MB.
+const bytesPerMegabyte = 1_000_000
+
 // gateTenderFlags are the common flags of gates and tenders.
 type gateTenderFlags struct {
 	Name     string `long:"name" env:"SHALLOTCLEAT_NAME" description:"name of this process in logs and load orders"`
@@ -30,7 +33,7 @@
 	Gates    string `long:"gates" env:"SHALLOTCLEAT_GATES" description:"comma-separated peer addresses of gates, used in addition to those in the nodes table"`
 	Metrics  string `long:"metrics" env:"SHALLOTCLEAT_METRICS" description:"IP address and port of the metrics endpoint; none if empty"`
 	LogLevel string `long:"log-level" env:"SHALLOTCLEAT_LOG_LEVEL" description:"minimum level of log lines" default:"info"`
-	Memory   string `long:"memory" env:"SHALLOTCLEAT_MEMORY" description:"memory available to this process in MB" default:"512"`
+	Memory   string `long:"memory" env:"SHALLOTCLEAT_MEMORY" description:"memory available to this process in MB of 1,000,000 bytes" default:"512"`
 }
 
 // gateTenderDeps are the common dependencies of gates and tenders.
@@ -61,7 +64,7 @@
 	if err := vd.err(); err != nil {
 		return nil, err
 	}
-	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(memory) * (1 << 20)))
+	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(memory) * bytesPerMegabyte))
 	gtd.logWriter = logs.NewAsyncWriter(os.Stdout)
 	lg, err := logs.New(gtd.logWriter, gtf.LogLevel, role+"/"+gtf.Name)
 	if err != nil {
--- a/io/cmds/run_test.go
+++ b/io/cmds/run_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"path/filepath"
+	"runtime/debug"
 	"strings"
 	"testing"
 
@@ -118,3 +119,17 @@
 		}
 	}
 }
+
+// The memory of a process is given in MB, not in MiB, as the platform counts it.
+func TestMemoryLimitIsInMegabytes(t *testing.T) {
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(-1))
+	gtf := gateTenderFlags{Name: "g1", Zone: "ruai", Store: "127.0.0.1:1", LogLevel: "info", Memory: "1000"}
+	gtd, err := gtf.dependencies(&validator{}, "gate")
+	if err != nil {
+		t.Fatal(err)
+	}
+	gtd.logWriter.Close()
+	if got := debug.SetMemoryLimit(-1); got != 700_000_000 {
+		t.Errorf("soft limit of %d bytes for 1000 MB, want 700 MB", got)
+	}
+}
