--- a/io/cmds/charge.go
+++ b/io/cmds/charge.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 
-	"shallotcleat/core/order"
 	"shallotcleat/core/usage"
 	"shallotcleat/io/bill"
 	"shallotcleat/io/object"
@@ -36,15 +35,14 @@
 
 // printOrder prints the row of an order, which is also the record of its charge.
 func printOrder(ctx context.Context, out io.Writer, store table.Store, rowKey string) error {
-	var err error
-	switch ev := rows.Read(ctx, store, rowKey).(type) {
-	case order.Found:
-		row := ev.Row()
-		_, err = fmt.Fprintf(out, "order %s: %s, by request %s, at agent %s\n", rowKey, row.State(), row.Request(), row.Ticket().Agent())
-	case order.NotFound:
+	row, ok, err := rows.Get(ctx, store, rowKey)
+	switch {
+	case err != nil:
+		return fmt.Errorf("order %s: %w", rowKey, err)
+	case !ok:
 		_, err = fmt.Fprintf(out, "order %s: not found\n", rowKey)
 	default:
-		return fmt.Errorf("read order row: table service did not respond")
+		_, err = fmt.Fprintf(out, "order %s: %s, by request %s, at agent %s\n", rowKey, row.State(), row.Request(), row.Ticket().Agent())
 	}
 	return err
 }
--- a/io/cmds/run_test.go
+++ b/io/cmds/run_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"shallotcleat/io/local"
+	"shallotcleat/io/rows"
+	"shallotcleat/io/table"
 )
 
 // runProgram runs the program in this process and returns its exit code and output.
@@ -120,6 +122,27 @@
 	}
 }
 
+// An order whose row cannot be read is reported with the cause.
+func TestOrderCannotBeRead(t *testing.T) {
+	pf, err := local.NewPlatform()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer pf.Close()
+	write := []table.Write{{Key: rows.Key("mchanga", "broken"), Value: []byte("{")}}
+	if _, err := table.NewHTTP(pf.TableURL()).Commit(t.Context(), write); err != nil {
+		t.Fatal(err)
+	}
+	args := []string{"timeline", "--charge", "--admin", "127.0.0.1:1", "--table", pf.TableURL(), "--objects", pf.ObjectsURL(), "--order"}
+	if code, _, errOut := runProgram(t, append(args, "mchanga/broken")...); code != exitFailure || !strings.Contains(errOut, "decode order row: unexpected end") {
+		t.Errorf("malformed row: exit code %d: %s", code, errOut)
+	}
+	pf.Table().SetDown(true)
+	if code, _, errOut := runProgram(t, append(args, "mchanga/any")...); code != exitFailure || !strings.Contains(errOut, "503") {
+		t.Errorf("table down: exit code %d: %s", code, errOut)
+	}
+}
+
 // The memory of a process is given in MB, not in MiB, as the platform counts it.
 func TestMemoryLimitIsInMegabytes(t *testing.T) {
 	defer debug.SetMemoryLimit(debug.SetMemoryLimit(-1))
--- a/io/rows/rows.go
+++ b/io/rows/rows.go
@@ -90,16 +90,27 @@
 
 // Read reads the row of an order and returns the result as an event of the order's attempt.
 func Read(ctx context.Context, store table.Store, key string) order.Event {
+	rw, ok, err := Get(ctx, store, key)
+	switch {
+	case err != nil:
+		return order.ReadFailed{}
+	case !ok:
+		return order.NotFound{}
+	}
+	return order.NewFound(rw)
+}
+
+// Get reads the row of an order; ok is false if there is none.
+func Get(ctx context.Context, store table.Store, key string) (rw order.Row, ok bool, err error) {
 	cells, err := store.Read(ctx, []string{key})
 	if err != nil {
-		return order.ReadFailed{}
+		return order.Row{}, false, fmt.Errorf("read order row: %w", err)
 	}
 	if len(cells) == 0 {
-		return order.NotFound{}
+		return order.Row{}, false, nil
 	}
-	rw, err := Decode(cells[0].Value, cells[0].Version)
-	if err != nil {
-		return order.ReadFailed{}
+	if rw, err = Decode(cells[0].Value, cells[0].Version); err != nil {
+		return order.Row{}, false, err
 	}
-	return order.NewFound(rw)
+	return rw, true, nil
 }
