apply prints why the declaration in force is not compared

The problems of an invalid declaration in force were dropped and everything was printed as added. They are printed now; applying another declaration is the way out, so that they do not end the command.

TestApplyOverInvalidDeclaration on the unchanged code had only lines with + and the accepted epoch, no ! declaration in force:1: presets: at least one preset is required

--- a/io/cmds/apply.go
+++ b/io/cmds/apply.go
@@ -85,17 +85,23 @@
 	return vd.err()
 }
 
-// printDiff prints what differs between the configuration in force and dc with the given preset.
+// printDiff prints what differs between the configuration in force and dc with the given preset. It prints the problems of a
+// declaration in force that is invalid, which must not keep another one from being applied; all of dc then counts as added.
 func printDiff(ctx context.Context, out io.Writer, objects object.Store, head config.Head, dc *config.Declaration, preset string) error {
 	var current *config.Declaration
+	var lines []string
 	if head.Epoch() > 0 {
 		text, err := watch.ReadDeclaration(ctx, objects, head.Hash())
 		if err != nil {
 			return err
 		}
-		current, _ = config.Parse("declaration in force", text)
+		var problems []config.Problem
+		current, problems = config.Parse("declaration in force", text)
+		for _, pb := range problems {
+			lines = append(lines, "! "+pb.Error())
+		}
 	}
-	lines := config.Diff(current, dc)
+	lines = append(lines, config.Diff(current, dc)...)
 	if preset != head.Preset() {
 		lines = append(lines, fmt.Sprintf("~ preset in force: %q -> %q", head.Preset(), preset))
 	}
--- a/io/cmds/run_test.go
+++ b/io/cmds/run_test.go
@@ -7,9 +7,12 @@
 	"strings"
 	"testing"
 
+	"shallotcleat/core/config"
 	"shallotcleat/io/local"
+	"shallotcleat/io/object"
 	"shallotcleat/io/rows"
 	"shallotcleat/io/table"
+	"shallotcleat/io/watch"
 )
 
 // runProgram runs the program in this process and returns its exit code and output.
@@ -143,6 +146,27 @@
 	}
 }
 
+// If the declaration in force is invalid, another one can be applied, and the difference says why the former is not compared.
+func TestApplyOverInvalidDeclaration(t *testing.T) {
+	pf, err := local.NewPlatform()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer pf.Close()
+	hash, err := watch.StoreDeclaration(t.Context(), object.NewHTTP(pf.ObjectsURL()), []byte("presets: []\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := watch.ReplaceHead(t.Context(), table.NewHTTP(pf.TableURL()), 0, config.NewHead(1, hash, "ordinary", "test")); err != nil {
+		t.Fatal(err)
+	}
+	code, out, errOut := runProgram(t, "apply", "--file", "demo.yaml", "--table", pf.TableURL(), "--objects", pf.ObjectsURL())
+	if code != exitOK || !strings.Contains(out, "! declaration in force:1: presets: at least one preset is required") ||
+		!strings.Contains(out, "epoch 2 accepted") {
+		t.Errorf("exit code %d:\n%s%s", code, out, errOut)
+	}
+}
+
 // The memory of a process is given in MB, not in MiB, as the platform counts it.
 func TestMemoryLimitIsInMegabytes(t *testing.T) {
 	defer debug.SetMemoryLimit(debug.SetMemoryLimit(-1))
