A response with all its tokens ends as done if its engine fails then

If an engine failed after its last token and before [DONE], the entry continued the response at another engine with max_tokens 0. The fake engine reads 0 as 16; real ones may refuse it. The caller got tokens that it had not asked for, or an error, for a response that was complete. Now the entry ends it: as done, without another attempt, also when the caller resumes it after its last event. The token counts are those of the engine's last event if that arrived, else the generated tokens alone, since those of the prompt are not known.

TestEngineCrashAfterLastToken on the unchanged code: last1: done false, failed true, text " last1-0 ... last1-23" last1: <nil>, no usage {"completion_tokens":8} last1: 1 retries of a complete response last1, not streamed: <nil>, status 502: {"error":{"code":"backend_server_failed", ... and the same with a crash between the token counts and [DONE] (last2)

--- a/io/entry/modelcall.go
+++ b/io/entry/modelcall.go
@@ -54,6 +54,8 @@
 	// events that carried it.
 	relayedText   strings.Builder
 	relayedTokens int
+	// lastData is the data of the last event without text; that of a complete response holds the token counts.
+	lastData []byte
 	// usageRecord is the usage record, as far as its fields are known.
 	usageRecord usage.Record
 }
@@ -182,7 +184,7 @@
 			return lastErr
 		}
 		result, er := en.attemptModel(ctx, call, ch)
-		if result == attemptDone {
+		if result == attemptDone || call.finishAtLimit() {
 			return nil
 		}
 		call.rq.recordOutcome(er)
@@ -197,6 +199,22 @@
 	return lastErr
 }
 
+// finishAtLimit ends a response whose engine failed after the last token that the caller asked for, and returns whether it did: no other
+// engine has anything to add. The token counts are those that the engine reported, or else the number of tokens.
+func (mc *modelCall) finishAtLimit() bool {
+	if mc.prompt.MaxTokens == 0 || mc.relayedTokens < mc.prompt.MaxTokens {
+		return false
+	}
+	us, ok := decodeUsage(mc.lastData)
+	if !ok {
+		mc.response.finish(outputUsageJSON{Output: int64(mc.relayedTokens)})
+		return true
+	}
+	mc.usageRecord.Prompt, mc.usageRecord.Cached = us.Prompt, us.Details[cachedTokensKey]
+	mc.response.finish(us)
+	return true
+}
+
 // prepareRetry prepares the next attempt according to the last error. After a refusal because of a newer configuration, a restarted
 // engine or other weights, the agent may be chosen again: its newer configuration is fetched here, and its status was recorded with
 // the refusal. After any other error the agent is excluded.
--- a/io/entry/modelresponse.go
+++ b/io/entry/modelresponse.go
@@ -65,7 +65,13 @@
 	_, _ = fmt.Fprintf(mr.wr, "event: error\ndata: %s\n\n", encoded)
 }
 
-// usageJSON is the JSON encoding of a response's token counts.
+// tokenCounts are the token counts of a response: a usageJSON, or an outputUsageJSON if those of the prompt are not known.
+type tokenCounts interface{ isTokenCounts() }
+
+func (usageJSON) isTokenCounts()       {}
+func (outputUsageJSON) isTokenCounts() {}
+
+// usageJSON is the JSON encoding of all token counts.
 type usageJSON struct {
 	Prompt  int64            `json:"prompt_tokens"`
 	Output  int64            `json:"completion_tokens"`
@@ -73,12 +79,33 @@
 	Details map[string]int64 `json:"prompt_tokens_details"`
 }
 
+// cachedTokensKey is the key of the cached tokens in the details of the prompt tokens.
+const cachedTokensKey = "cached_tokens"
+
+// outputUsageJSON is the JSON encoding of the generated tokens alone.
+type outputUsageJSON struct {
+	Output int64 `json:"completion_tokens"`
+}
+
+// decodeUsage returns the token counts in the data of an engine's event; ok is false if it has none.
+func decodeUsage(data []byte) (us usageJSON, ok bool) {
+	var event struct {
+		Usage *usageJSON `json:"usage"`
+	}
+	if err := json.Unmarshal(data, &event); err != nil || event.Usage == nil {
+		return usageJSON{}, false
+	}
+	us = *event.Usage
+	us.Total = us.Prompt + us.Output
+	return us, true
+}
+
 func newUsageJSON(us *wire.Usage) usageJSON {
 	return usageJSON{
 		Prompt:  us.GetPromptTokens(),
 		Output:  us.GetOutputTokens(),
 		Total:   us.GetPromptTokens() + us.GetOutputTokens(),
-		Details: map[string]int64{"cached_tokens": us.GetCachedTokens()},
+		Details: map[string]int64{cachedTokensKey: us.GetCachedTokens()},
 	}
 }
 
@@ -89,7 +116,7 @@
 	Created int64        `json:"created"`
 	Model   string       `json:"model"`
 	Choices []choiceJSON `json:"choices"`
-	Usage   usageJSON    `json:"usage"`
+	Usage   tokenCounts  `json:"usage"`
 }
 
 type choiceJSON struct {
@@ -100,10 +127,10 @@
 }
 
 // finish ends a stream with the token counts, or writes the whole response if it is not streamed.
-func (mr *modelResponse) finish(us *wire.Usage) {
+func (mr *modelResponse) finish(us tokenCounts) {
 	if mr.stream {
 		mr.startStream()
-		encoded, _ := json.Marshal(map[string]any{"choices": []any{}, "usage": newUsageJSON(us)})
+		encoded, _ := json.Marshal(map[string]any{"choices": []any{}, "usage": us})
 		_, _ = fmt.Fprintf(mr.wr, "data: %s\n\ndata: [DONE]\n\n", encoded)
 		return
 	}
@@ -121,6 +148,6 @@
 		Created: mr.created,
 		Model:   mr.call.prompt.Model,
 		Choices: []choiceJSON{choice},
-		Usage:   newUsageJSON(us),
+		Usage:   us,
 	})
 }
--- a/io/entry/relay.go
+++ b/io/entry/relay.go
@@ -129,6 +129,8 @@
 		}
 		call.relayedText.WriteString(ck.GetText())
 		call.relayedTokens++
+	} else {
+		call.lastData = ck.GetData()
 	}
 	if rl.lastSeq > rl.skipThrough {
 		call.response.writeChunk(rl.eventID(), ck)
@@ -149,7 +151,7 @@
 	call.usageRecord.Prompt, call.usageRecord.Cached = us.GetPromptTokens(), us.GetCachedTokens()
 	rl.entry.chooser.RecordCached(time.Now(), call.placement, rl.address, status.GetEngine())
 	rl.entry.rec.CountTokens(us.GetPromptTokens(), us.GetCachedTokens())
-	call.response.finish(us)
+	call.response.finish(newUsageJSON(us))
 }
 
 // resume requests the frames after the last received one from the same agent.
--- a/io/entry/resume.go
+++ b/io/entry/resume.go
@@ -61,7 +61,7 @@
 // resumeModel serves a call that is retried with the id of the last event that the caller received.
 func (en *Entry) resumeModel(ctx context.Context, call *modelCall, lastEventID string) *answer.Error {
 	result, er := en.relayExisting(ctx, call, lastEventID)
-	if result == attemptDone {
+	if result == attemptDone || call.finishAtLimit() {
 		return nil
 	}
 	if result != attemptIncomplete || ctx.Err() != nil {
--- a/io/fake/engine.go
+++ b/io/fake/engine.go
@@ -56,6 +56,7 @@
 	loading          bool
 	weightStore      *WeightStore
 	tokensUntilCrash int
+	endCrash         EndCrash
 	// crashed is done once the current incarnation has crashed; crash cancels it.
 	crashed context.Context
 	crash   context.CancelFunc
@@ -106,6 +107,37 @@
 	en.dropEvents = drop
 }
 
+// EndCrash is a point at the end of a completion, after its last token.
+type EndCrash int
+
+// Points at which an engine can crash.
+const (
+	NoEndCrash EndCrash = iota
+	BeforeUsage
+	BeforeDoneMarker
+)
+
+// CrashAtEnd makes the engine crash at a point of the next completion that ends; NoEndCrash cancels that.
+func (en *Engine) CrashAtEnd(at EndCrash) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.endCrash = at
+}
+
+// crashAtEnd crashes the engine and aborts the request if it is to crash at a point.
+func (en *Engine) crashAtEnd(at EndCrash) {
+	en.mu.Lock()
+	crashNow := en.endCrash == at
+	if crashNow {
+		en.endCrash = NoEndCrash
+	}
+	en.mu.Unlock()
+	if crashNow {
+		en.Restart()
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // appendEvent records a cache event unless events are dropped. The caller holds mu.
 func (en *Engine) appendEvent(block string, removed bool) {
 	en.eventSeq++
@@ -265,7 +297,10 @@
 		}
 		sendChunk(wr, len(body.Messages) > 0, fmt.Sprintf(" %s-%d", tag, generated+i))
 	}
+	en.crashAtEnd(BeforeUsage)
 	sendUsage(wr, len(prompt)/tokenBytes, cached, limit)
+	en.crashAtEnd(BeforeDoneMarker)
+	_, _ = fmt.Fprint(wr, "data: [DONE]\n\n")
 }
 
 // prefill simulates processing the prompt and returns the number of cached tokens. It returns false if the engine
@@ -376,7 +411,6 @@
 			"prompt_tokens_details": map[string]int{"cached_tokens": cachedTokens},
 		},
 	})
-	_, _ = fmt.Fprint(wr, "data: [DONE]\n\n")
 }
 
 func sendData(wr http.ResponseWriter, value any) {
--- a/io/local/stream_test.go
+++ b/io/local/stream_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 
+	"shallotcleat/io/fake"
 	"shallotcleat/io/trace"
 )
 
@@ -135,6 +138,55 @@
 	}
 }
 
+// If an engine crashes after the last token that the caller asked for, the response is complete: it ends as done, with the token counts
+// that are known, and no other engine is asked for more.
+func TestEngineCrashAfterLastToken(t *testing.T) {
+	cl := newCluster(t, clusterOptions{engines: 2, entries: 1})
+	for _, tt := range []struct {
+		at    fake.EndCrash
+		usage string
+	}{
+		{fake.BeforeUsage, `{"completion_tokens":8}`},
+		{fake.BeforeDoneMarker, `{"prompt_tokens":251,"completion_tokens":8,"total_tokens":259,"prompt_tokens_details":{"cached_tokens":0}}`},
+	} {
+		tag := fmt.Sprintf("last%d", tt.at)
+		crashAtEnd := func() {
+			for _, engine := range cl.engines {
+				engine.CrashAtEnd(tt.at)
+			}
+		}
+		crashAtEnd()
+		sr, events, retries := &streamResult{}, "", countRetries(cl.entries[0])
+		rsp, err := cl.caller(0).Stream(t.Context(), http.MethodPost, "/v1/completions", streamBody(tag, streamTokens), func(ev Event) bool {
+			sr.add(ev)
+			events += ev.Data
+			return true
+		})
+		sr.status = rsp.Status
+		if checkComplete(t, tag, tag, sr); err != nil || !strings.Contains(events, `"usage":`+tt.usage) {
+			t.Errorf("%s: %v, no usage %s in %s", tag, err, tt.usage, events)
+		}
+		if sent := countRetries(cl.entries[0]) - retries; sent != 0 {
+			t.Errorf("%s: %d retries of a complete response", tag, sent)
+		}
+		resumed := &streamResult{}
+		if _, err := cl.caller(0).Stream(t.Context(), http.MethodPost, "/v1/completions", streamBody(tag, streamTokens), func(ev Event) bool {
+			resumed.add(ev)
+			return true
+		}, "Last-Event-ID", sr.lastID); err != nil || resumed.events != 0 || !resumed.done || resumed.failed {
+			t.Errorf("%s, resumed after the last event: %v, %+v", tag, err, resumed)
+		}
+		crashAtEnd()
+		cp, rsp, err := cl.caller(0).Complete(t.Context(), "dispatch", taggedPrompt(tag+"whole"), streamTokens)
+		if err != nil || rsp.Status != http.StatusOK || len(cp.Choices) != 1 || cp.Choices[0].Text != expectedText(tag+"whole", streamTokens) {
+			t.Errorf("%s, not streamed: %v, status %d: %s", tag, err, rsp.Status, rsp.Body)
+		}
+		for _, engine := range cl.engines {
+			engine.CrashAtEnd(fake.NoEndCrash)
+		}
+	}
+}
+
 // hasRunningRequest reports whether an agent has requests at its backend server that have not ended.
 func hasRunningRequest(node *Node) bool {
 	return countEvents(node, trace.ServerCalled) > countEvents(node, trace.ServerAnswered)+countEvents(node, trace.ServerFailed)
