--- a/io/cmds/run_test.go
+++ b/io/cmds/run_test.go
@@ -3,10 +3,16 @@
 import (
 	"bytes"
 	"path/filepath"
+	"runtime/debug"
 	"strings"
 	"testing"
 
+	"shallotcleat/core/config"
 	"shallotcleat/io/local"
+	"shallotcleat/io/object"
+	"shallotcleat/io/rows"
+	"shallotcleat/io/table"
+	"shallotcleat/io/watch"
 )
 
 // runProgram runs the program in this process and returns its exit code and output.
@@ -101,9 +107,11 @@
 		{append([]string{"preset", "--name", "peak"}, platformArgs...), exitFailure, "no configuration in force"},
 		{append([]string{"apply", "--file", file, "--dry-run"}, platformArgs...), exitOK, "+ workspace mchanga"},
 		{append([]string{"apply", "--file", file, "--preset", "no-such"}, platformArgs...), exitUsage,
-			`"no-such"; want one of the declared presets: ordinary peak`},
+			`--preset: invalid value "no-such"; want one of the declared presets: ordinary peak`},
 		{append([]string{"apply", "--file", file}, platformArgs...), exitOK, `epoch 1 accepted: preset "ordinary"`},
 		{append([]string{"apply", "--file", file, "--dry-run"}, platformArgs...), exitOK, "no difference"},
+		{append([]string{"preset", "--name", "no-such"}, platformArgs...), exitUsage,
+			`--name: invalid value "no-such"; want one of the declared presets: ordinary peak`},
 		{append([]string{"preset", "--name", "peak"}, platformArgs...), exitOK, `epoch 2 accepted: preset "peak"`},
 		{append([]string{"server", "--retire", "127.0.0.1:7001"}, tableArgs...), exitOK, "epoch 3 accepted"},
 		{append([]string{"server", "--add", "127.0.0.1:7001"}, tableArgs...), exitOK, "epoch 4 accepted"},
@@ -116,3 +124,59 @@
 		}
 	}
 }
+
+// An order whose row cannot be read is reported with the cause.
+func TestOrderCannotBeRead(t *testing.T) {
+	pf, err := local.NewPlatform()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer pf.Close()
+	write := []table.Write{{Key: rows.Key("mchanga", "broken"), Value: []byte("{")}}
+	if _, err := table.NewHTTP(pf.TableURL()).Commit(t.Context(), write); err != nil {
+		t.Fatal(err)
+	}
+	args := []string{"timeline", "--charge", "--admin", "127.0.0.1:1", "--table", pf.TableURL(), "--objects", pf.ObjectsURL(), "--order"}
+	if code, _, errOut := runProgram(t, append(args, "mchanga/broken")...); code != exitFailure || !strings.Contains(errOut, "decode order row: unexpected end") {
+		t.Errorf("malformed row: exit code %d: %s", code, errOut)
+	}
+	pf.Table().SetDown(true)
+	if code, _, errOut := runProgram(t, append(args, "mchanga/any")...); code != exitFailure || !strings.Contains(errOut, "503") {
+		t.Errorf("table down: exit code %d: %s", code, errOut)
+	}
+}
+
+// If the declaration in force is invalid, another one can be applied, and the difference says why the former is not compared.
+func TestApplyOverInvalidDeclaration(t *testing.T) {
+	pf, err := local.NewPlatform()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer pf.Close()
+	hash, err := watch.StoreDeclaration(t.Context(), object.NewHTTP(pf.ObjectsURL()), []byte("presets: []\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := watch.ReplaceHead(t.Context(), table.NewHTTP(pf.TableURL()), 0, config.NewHead(1, hash, "ordinary", "test")); err != nil {
+		t.Fatal(err)
+	}
+	code, out, errOut := runProgram(t, "apply", "--file", "demo.yaml", "--table", pf.TableURL(), "--objects", pf.ObjectsURL())
+	if code != exitOK || !strings.Contains(out, "! declaration in force:1: presets: at least one preset is required") ||
+		!strings.Contains(out, "epoch 2 accepted") {
+		t.Errorf("exit code %d:\n%s%s", code, out, errOut)
+	}
+}
+
+// The memory of a process is given in MB, not in MiB, as the platform counts it.
+func TestMemoryLimitIsInMegabytes(t *testing.T) {
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(-1))
+	gtf := gateTenderFlags{Name: "g1", Zone: "ruai", Store: "127.0.0.1:1", LogLevel: "info", Memory: "1000"}
+	gtd, err := gtf.dependencies(&validator{}, "gate")
+	if err != nil {
+		t.Fatal(err)
+	}
+	gtd.logWriter.Close()
+	if got := debug.SetMemoryLimit(-1); got != 700_000_000 {
+		t.Errorf("soft limit of %d bytes for 1000 MB, want 700 MB", got)
+	}
+}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -26,17 +27,6 @@
 	"shallotcleat/io/wire"
 )
 
-// Limits of callers' connections. Of the limits in the configuration, only MaxBodyBytes is applied.
-const (
-	maxHeaderBytes = 64 << 10
-	headerTimeout  = 10 * time.Second
-	// idleTimeout is how long an idle connection of a caller stays open. Callers stop reusing a connection after the configured
-	// idle timeout.
-	idleTimeout = 2 * time.Minute
-	// defaultMaxBodyBytes is the maximum size of a request body if the configuration sets none.
-	defaultMaxBodyBytes = 4 << 20
-)
-
 // Intervals of the periodic work on connections to servers.
 const (
 	closeExpiredInterval = 500 * time.Millisecond
@@ -156,16 +146,14 @@
 	defer cancel()
 	gt.followTables(workCtx, &wg)
 	wg.Go(func() { gt.servePeers(workCtx, peers) })
-	readiness := &http.Server{Handler: http.HandlerFunc(gt.serveReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	readiness := &http.Server{Handler: http.HandlerFunc(gt.serveReady), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
 	wg.Go(func() { gt.serveHTTP(readiness, ready) })
-	srv := &http.Server{
-		Handler:           http.HandlerFunc(gt.handle),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          nil,
-	}
-	wg.Go(func() { gt.serveHTTP(srv, callers) })
+	conns := newCallerConns(func() route.Limits { return callerLimits(gt.routes.Load()) }, gt.opts.Timer.Now, gt.log)
+	// The limits of callers are applied by conns.
+	srv := &http.Server{Handler: http.HandlerFunc(gt.handle), ConnState: conns.stateChanged, MaxHeaderBytes: math.MaxInt32}
+	wg.Go(func() { gt.serveHTTP(srv, conns.listener(callers)) })
+	cancelEnforce := gt.opts.Timer.Every(enforceInterval, conns.enforce)
+	defer cancelEnforce()
 	cancelCloseExpired := gt.opts.Timer.Every(closeExpiredInterval, func() { gt.connPool.CloseExpired(time.Now()) })
 	defer cancelCloseExpired()
 	cancelProbe := gt.opts.Timer.Every(probeInterval, func() { gt.probeUnreachable(workCtx) })
