--- a/io/tend/cache.go
+++ b/io/tend/cache.go
@@ -12,9 +12,10 @@
 // Parameters of following an engine's cache. Events that are lost or late cost precision only: gates assume that parts are cached for a while
 // after their use.
 const (
-	// cacheEventsWait is how long the engine waits for events before it replies.
+	// cacheEventsWait is how long the engine waits for events before it replies, and cacheEventsDelay the time between two calls, so that a
+	// reply holds several events.
 	cacheEventsWait  = time.Second
-	cacheEventsDelay = 300 * time.Millisecond
+	cacheEventsDelay = 200 * time.Millisecond
 	// maxCacheChanges bounds the changes that wait for the next message to the gates.
 	maxCacheChanges = 2048
 )
@@ -110,5 +111,6 @@
 		}
 		position, run = ce.Next, ce.Run
 		td.cache.add(ce.Events)
+		timer.Sleep(ctx, cacheEventsDelay)
 	}
 }
