--- a/io/feed/follower.go
+++ b/io/feed/follower.go
@@ -67,9 +67,10 @@
 	defer close(fw.done)
 	backoff := minBackoff
 	full := true
-	// reads counts the reads of the whole table since the last successful watch.
-	reads := 0
+	// reads counts the reads of the whole table since the last successful watch, failures the failed calls since the last successful one.
+	reads, failures := 0, 0
 	for ctx.Err() == nil {
+		began := time.Now()
 		err := fw.update(ctx, full)
 		switch {
 		case err == nil:
@@ -81,8 +82,10 @@
 			full = false
 			backoff = minBackoff
 			if fw.stale.Swap(false) {
-				fw.log.WithField("revision", fw.copy.Revision()).Info("dependency regained: the store answers again")
+				fw.log.WithFields(logrus.Fields{"revision": fw.copy.Revision(), "failures": failures, "call_ms": time.Since(began).Milliseconds()}).
+					Info("dependency regained: the store answers again")
 			}
+			failures = 0
 			continue
 		case ctx.Err() != nil:
 			return
@@ -95,8 +98,12 @@
 			}
 			continue
 		}
+		failures++
+		log := fw.log.WithError(err).WithFields(logrus.Fields{"revision": fw.copy.Revision(), "call_ms": time.Since(began).Milliseconds()})
 		if !fw.stale.Swap(true) {
-			fw.log.WithError(err).WithField("revision", fw.copy.Revision()).Warn("dependency lost: the store does not answer")
+			log.Warn("dependency lost: the store does not answer")
+		} else {
+			log.WithField("failures", failures).Info("the store still does not answer")
 		}
 		fw.onError()
 		timer.Sleep(ctx, backoff)
