A change is in force in time after the store was silent (CONFIG)

Callers got 404 from an old configuration, or were sent to a draining server, though the store had been back for 3 s. Cause: a bound in time that was counted from the wrong moment. A gate's call to the store waited 3.3 s for a change and 0.7 s more for the response, counted from the call's beginning; the users count from the store's return. A call that began just before the return was never answered and held the gate up for 4 s more; a watch whose connection went silent for a moment likewise. Watch waits were also sized as if Settle and the deadline added up. All gates were late together, since the last change had begun all their watches, so that no peer could tell.

Now, after a failure the follower watches without waiting, and repeats the call each 0.5 s while it has no response (reads of the whole table: each 1 s); the first response counts. A watch waits for max(Settle, deadline) - 1.4 s: 1.6 s instead of 3.3 s where Settle is 3 s. Ruled out: shorter timeouts for all calls (a store that is slow but answers would never be heard); TCP keep-alive alone (a proxy answers it, and it can't be shorter than 2 s with one lost probe allowed); being told by peers alone (all gates' connections may go silent together).

--- a/io/feed/follower.go
+++ b/io/feed/follower.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
 
 	"shallotcleat/io/timer"
 )
@@ -16,9 +17,12 @@
 const (
 	// WatchMargin is added to the wait of a Watch call for its timeout. A stalled connection is noticed after both.
 	WatchMargin = 700 * time.Millisecond
-	// readTimeout bounds a read of a whole table.
-	readTimeout = 2 * time.Second
-	// minBackoff and maxBackoff bound the delay after a failed call.
+	// callTimeout bounds a read of a whole table, and a watch that does not wait.
+	callTimeout = 2 * time.Second
+	// readInterval and probeInterval are the times after which a read, or a watch after a failure, is repeated while it has no response.
+	readInterval  = time.Second
+	probeInterval = 500 * time.Millisecond
+	// minBackoff and maxBackoff bound the time from the beginning of a failed call to that of the next one.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 500 * time.Millisecond
 )
@@ -106,7 +110,7 @@
 			log.WithField("failures", failures).Info("the store still does not answer")
 		}
 		fw.onError()
-		timer.Sleep(ctx, backoff)
+		timer.Sleep(ctx, backoff-time.Since(began))
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
@@ -115,42 +119,86 @@
 // have failed may have been made any time since the last successful one.
 func (fw *Follower) update(ctx context.Context, full bool) error {
 	began := time.Now()
+	wait := fw.wait
 	if fw.Stale() {
+		// Changes may be overdue already, and the response of a call that waits may be lost.
+		wait = 0
 		fw.copy.setUncertainSince(fw.currentAt)
 		defer fw.copy.setUncertainSince(time.Time{})
 	}
-	if err := fw.fetch(ctx, full); err != nil {
+	if err := fw.fetch(ctx, full, wait); err != nil {
 		return err
 	}
 	// A response that was held up is as old as the longest wait allows.
-	if fw.currentAt = time.Now(); !full && fw.currentAt.After(began.Add(fw.wait)) {
-		fw.currentAt = began.Add(fw.wait)
+	if fw.currentAt = time.Now(); !full && fw.currentAt.After(began.Add(wait)) {
+		fw.currentAt = began.Add(wait)
 	}
 	return nil
 }
 
-// fetch makes one call to the source and applies the response.
-func (fw *Follower) fetch(ctx context.Context, full bool) error {
+// fetch reads the whole table, or watches it for the duration wait, and applies the response.
+func (fw *Follower) fetch(ctx context.Context, full bool, wait time.Duration) error {
 	if full {
-		ctx, cancel := context.WithTimeout(ctx, readTimeout)
-		defer cancel()
-		rows, revision, err := fw.source.Read(ctx, fw.copy.table)
-		if err != nil {
-			return fmt.Errorf("read source: %w", err)
+		rs := hedge(ctx, readInterval, func(ctx context.Context) response {
+			return newResponse(fw.source.Read(ctx, fw.copy.table))
+		})
+		if rs.err != nil {
+			return fmt.Errorf("read source: %w", rs.err)
 		}
-		fw.copy.Replace(rows, revision)
+		fw.copy.Replace(rs.rows, rs.revision)
 		return nil
 	}
 	after := fw.copy.Revision()
-	ctx, cancel := context.WithTimeout(ctx, fw.wait+WatchMargin)
-	defer cancel()
-	rows, revision, err := fw.source.Watch(ctx, fw.copy.table, after, fw.wait)
-	if err != nil {
-		return fmt.Errorf("watch source: %w", err)
+	watch := func(ctx context.Context) response {
+		return newResponse(fw.source.Watch(ctx, fw.copy.table, after, wait))
+	}
+	var rs response
+	if wait > 0 {
+		ctx, cancel := context.WithTimeout(ctx, wait+WatchMargin)
+		defer cancel()
+		rs = watch(ctx)
+	} else {
+		rs = hedge(ctx, probeInterval, watch)
 	}
-	fw.copy.Apply(rows, after, revision)
-	if len(rows) > 0 {
+	if rs.err != nil {
+		return fmt.Errorf("watch source: %w", rs.err)
+	}
+	fw.copy.Apply(rs.rows, after, rs.revision)
+	if len(rs.rows) > 0 {
 		timer.Sleep(ctx, fw.batchDelay)
 	}
 	return nil
 }
+
+// response is the result of a call to a source.
+type response struct {
+	rows     []Row
+	revision uint64
+	err      error
+}
+
+func newResponse(rows []Row, revision uint64, err error) response {
+	return response{rows: rows, revision: revision, err: err}
+}
+
+// hedge makes a call, repeats it after each interval without a response, and returns the first response: a call that was made just before the
+// source came back may never get one. All calls end with the first response, or after callTimeout.
+func hedge(ctx context.Context, interval time.Duration, call func(ctx context.Context) response) response {
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	responses := make(chan response, callTimeout/interval+1)
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		wg.Go(func() { responses <- call(ctx) })
+		select {
+		case rs := <-responses:
+			return rs
+		case <-ctx.Done():
+			return response{err: ctx.Err()}
+		case <-ticker.C:
+		}
+	}
+}
--- a/io/gate/watcher.go
+++ b/io/gate/watcher.go
@@ -26,8 +26,11 @@
 	storeTimeout           = 2 * time.Second
 	// applyMargin is the part of a deadline for a change that is kept for calls to the store and for applying it.
 	applyMargin = time.Second
+	// rewatchMargin is the part of a deadline that is kept for the age of a connection's last use, and for the call that follows a watch
+	// without a response.
+	rewatchMargin = 700 * time.Millisecond
 	// minWatchWait, maxWatchWait and minServerChangeDelay bound the values where deadlines are short or long.
-	minWatchWait         = time.Second
+	minWatchWait         = 250 * time.Millisecond
 	maxWatchWait         = 25 * time.Second
 	minServerChangeDelay = 200 * time.Millisecond
 )
@@ -42,10 +45,11 @@
 	Drain time.Duration
 }
 
-// watchWait returns how long a watch of a table may wait for a change, given the deadline for changes of the table: a connection that
-// stalls right after the call must be noticed before the deadline holds again.
+// watchWait returns how long a watch of a table may wait for a change, given the deadline for changes of the table. The connection may go
+// silent right before the call, for a moment only. A change is due at the later of Settle after that and the deadline after the change.
 func (dl Deadlines) watchWait(deadline time.Duration) time.Duration {
-	return min(max(dl.Settle+deadline-applyMargin-feed.WatchMargin, minWatchWait), maxWatchWait)
+	wait := max(dl.Settle, deadline) - feed.WatchMargin - rewatchMargin
+	return min(max(wait, minWatchWait), maxWatchWait)
 }
 
 // serverChangeDelay returns the delay that batches changes to servers' entries.
