--- a/io/gate/dialect.go
+++ b/io/gate/dialect.go
@@ -65,6 +65,8 @@
 	Leaving bool
 	// RetryAfter is how long the server, which rejected the request, wants no other one; zero if it did not say.
 	RetryAfter time.Duration
+	// Limit is the number of requests a second that the server takes from all gates together, or zero if it named none.
+	Limit float64
 }
 
 // Dialect translates between the headers and rows of a platform and the types of this package.
