--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -81,8 +81,8 @@
 		sk.Take(sm.now, "s")
 	}
 	sm.sent = append(sm.sent, sm.now)
-	limit := sm.limit
-	sm.after(func() { sk.Observe(sm.now, "s", testStart, limit) })
+	limit, sentAt := sm.limit, sm.now
+	sm.after(func() { sk.Observe(sm.now, sentAt, "s", testStart, limit) })
 }
 
 func (sm *simulation) ask(process int, sk *Stock, ak Ask) {
@@ -114,7 +114,7 @@
 // tell lets all processes know the limit, as if each had got an answer.
 func (sm *simulation) tell() {
 	for _, sk := range sm.stocks {
-		sk.Observe(sm.now, "s", testStart, sm.limit)
+		sk.Observe(sm.now, sm.now, "s", testStart, sm.limit)
 	}
 }
 
@@ -237,17 +237,19 @@
 	}
 }
 
-// A server that starts again has no limit until it names one; an answer of its run before changes nothing. Limits that can't bind are none.
+// A server that starts again has no limit until it names one; an answer of its run before, or to a request that was sent before the limit was
+// named, changes nothing. Limits that can't bind are none.
 func TestLimitBelongsToOneRun(t *testing.T) {
 	sk, now := NewStock(), time.Unix(1_000, 0)
-	sk.Observe(now, "s", 1, 5)
+	sk.Observe(now, now, "s", 1, 5)
+	sk.Observe(now, now.Add(-time.Second), "s", 1, 0)
 	if allowed, limited := sk.Allows(now, "s", 1); allowed || !limited {
 		t.Errorf("without slots: allowed %t, limited %t", allowed, limited)
 	}
 	if allowed, _ := sk.Allows(now, "s", 2); !allowed {
 		t.Error("a later run has the limit of the one before")
 	}
-	sk.Observe(now, "s", 2, 1e300)
+	sk.Observe(now, now, "s", 2, 1e300)
 	if allowed, limited := sk.Allows(now, "s", 2); !allowed || limited {
 		t.Errorf("with a huge limit: allowed %t, limited %t", allowed, limited)
 	}
--- a/core/quota/stock.go
+++ b/core/quota/stock.go
@@ -1,14 +1,15 @@
 package quota
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
 )
 
 const (
-	// endDelay is how long after the last answer with a limit one without ends it; responses may overtake each other.
-	endDelay = 300 * time.Millisecond
+	// holdingTTL is how long a limit is kept after it was last named, once other servers name limits.
+	holdingTTL = 10 * time.Minute
 	// failedRetry is the time after which a process asks again if it got no reply.
 	failedRetry = 250 * time.Millisecond
 )
@@ -46,9 +47,10 @@
 	return &Stock{wanted: make(chan struct{}, 1), holdings: make(map[string]*holding)}
 }
 
-// Observe records the limit in an answer of a server, in requests per second, or that it has none if perSecond is zero. It reports whether the
-// server began or ceased to have a limit.
-func (sk *Stock) Observe(now time.Time, server string, startUnixMilli int64, perSecond float64) bool {
+// Observe records the limit in an answer of a server, in requests per second, or that it has none if perSecond is zero. The request was sent
+// at sentAt: an answer to one that was sent before the last limit came may be older, and does not end the limit. Observe reports whether the server
+// began or ceased to have a limit.
+func (sk *Stock) Observe(now, sentAt time.Time, server string, startUnixMilli int64, perSecond float64) bool {
 	sk.mu.Lock()
 	defer sk.mu.Unlock()
 	hd := sk.holding(server, startUnixMilli)
@@ -58,13 +60,14 @@
 	if perSecond > 0 && perSecond < maxLimit {
 		begins := hd == nil || hd.perSecond == 0
 		if begins {
+			maps.DeleteFunc(sk.holdings, func(_ string, old *holding) bool { return now.Sub(old.namedAt) > holdingTTL })
 			hd = &holding{startUnixMilli: startUnixMilli, target: 1}
 			sk.holdings[server] = hd
 		}
 		hd.perSecond, hd.namedAt = perSecond, now
 		return begins
 	}
-	if hd == nil || hd.perSecond == 0 || now.Sub(hd.namedAt) < endDelay {
+	if hd == nil || hd.perSecond == 0 || sentAt.Before(hd.namedAt) {
 		return false
 	}
 	// The other processes learn from the dispenser that the limit has ended.
--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -91,7 +91,8 @@
 		return
 	}
 	now := time.Now()
-	if gt.picker.Limits().Observe(now, sv.ID(), sv.StartUnixMilli(), info.Limit) {
+	// A rejection need not name the limit.
+	if (info.Limit > 0 || !info.NotExecuted) && gt.picker.Limits().Observe(now, at.sentAt, sv.ID(), sv.StartUnixMilli(), info.Limit) {
 		gt.log.WithFields(logrus.Fields{"event": "server_limited", "server": sv.ID(), "per_second": info.Limit}).
 			Info("server named a limit of requests, or none any more")
 	}
