Gates agree in all zones on who gives out slots (LIMIT)

Now one gate of each other zone passes the introduction on, and a gate that is not listed is never the first.

--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -6,6 +6,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -137,6 +138,9 @@
 // HasServer reports whether a backend server is in use.
 func (gt *Gate) HasServer(id string) bool { return gt.picker.View().Server(id) != nil }
 
+// HasPeer reports whether the gate with a peer address is known.
+func (gt *Gate) HasPeer(address string) bool { return slices.Contains(gt.peers(), address) }
+
 // Serve serves callers, the load balancer's readiness checks and peers until ctx is done, then stops gracefully.
 func (gt *Gate) Serve(ctx context.Context, callers, ready, peers net.Listener) error {
 	defer close(gt.done)
--- a/io/gate/hint.go
+++ b/io/gate/hint.go
@@ -218,12 +218,21 @@
 	}
 }
 
-// introduce makes this gate known to the other gates, whose nodes table may not have its row yet.
+// introduce makes this gate known to the other gates, whose nodes table may not have its row yet. One gate of each other zone passes that on.
 func (hx *hintExchange) introduce(ctx context.Context) {
 	opts := hx.gate.opts
-	message := &wire.CacheHints{Sender: &wire.GateInfo{Address: opts.PeerAddress, Zone: opts.Zone, Capacity: opts.Capacity}}
-	for _, address := range hx.gate.peers() {
-		hx.call(ctx, address, message)
+	gi := &wire.GateInfo{Address: opts.PeerAddress, Zone: opts.Zone, Capacity: opts.Capacity}
+	hx.sendIntroduction(ctx, gi)
+	now := time.Now()
+	for _, address := range hx.gate.gateList.Relays(opts.Zone, opts.PeerAddress, func(address string) bool { return hx.isUsable(now, address) }) {
+		hx.call(ctx, address, &wire.CacheHints{Sender: gi, Relay: true})
+	}
+}
+
+// sendIntroduction makes a gate known to the other gates of this gate's zone.
+func (hx *hintExchange) sendIntroduction(ctx context.Context, gi *wire.GateInfo) {
+	for _, address := range hx.gate.zonePeers() {
+		hx.call(ctx, address, &wire.CacheHints{Sender: gi})
 	}
 }
 
@@ -265,11 +274,15 @@
 }
 
 // Hint handles the Hint RPC: it applies what another gate knows about engines' caches and speed, and passes it on if asked to.
-func (nh *nodeHandler) Hint(_ context.Context, ch *wire.CacheHints) (*wire.Received, error) {
+func (nh *nodeHandler) Hint(ctx context.Context, ch *wire.CacheHints) (*wire.Received, error) {
 	gt, now := nh.gate, time.Now()
 	if gi := ch.GetSender(); gi.GetAddress() != "" {
 		gt.gateList.add(Node{Role: RoleGate, Address: gi.GetAddress(), Zone: gi.GetZone(), Capacity: gi.GetCapacity()})
 		gt.watcher.countSenders()
+		if ch.GetRelay() {
+			// The calls outlive this one.
+			gt.hints.sendIntroduction(context.WithoutCancel(ctx), gi)
+		}
 	}
 	hb := decodeHints(now, ch)
 	gt.picker.ApplyHints(now, hb.hints)
--- a/io/gate/limit.go
+++ b/io/gate/limit.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -80,6 +81,9 @@
 	for _, address := range ls.dispensers(time.Now(), ak.Server()) {
 		ak := ls.withElsewhere(time.Now(), ak, address)
 		gr, err := ls.askGate(ctx, address, ak)
+		if ctx.Err() != nil {
+			return
+		}
 		ls.recordReply(address, err)
 		if err == nil {
 			ls.recordSource(time.Now(), ak.Server(), address, gr)
@@ -178,16 +182,17 @@
 	return ls.dispenser.Dispense(now, ak, sender, ls.share(now, ak.Server()))
 }
 
-// share returns the part of a server's limit that this gate gives out.
+// share returns the part of a server's limit that this gate gives out. A gate that is not listed is not the first one: it may know no other.
 func (ls *limitSharing) share(now time.Time, server string) float64 {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
 	ranked := ls.ranked(server)
+	own := slices.Index(ranked, ls.gate.opts.PeerAddress)
+	if own < 0 {
+		return quota.Share(max(len(ranked), 1), len(ranked))
+	}
 	rank := 0
-	for _, address := range ranked {
-		if address == ls.gate.opts.PeerAddress {
-			break
-		}
+	for _, address := range ranked[:own] {
 		if ag, away := ls.away[address]; !away || !ag.refuses && now.Sub(ag.since) < promotionDelay {
 			rank++
 		}
