core/pick: Choice.Limited goes, since nothing calls it

Left over from a first form of the choice among limited servers. go vet, staticcheck, go test -race of core/pick and io/gate, core/quota: passed.

--- a/core/pick/call.go
+++ b/core/pick/call.go
@@ -103,9 +103,6 @@
 // isBetterThan reports whether a choice costs less than another one, which may be the zero Choice.
 func (ch Choice) isBetterThan(other Choice) bool { return other.server == nil || ch.cost < other.cost }
 
-// Limited reports whether the server has named a limit of requests.
-func (ch Choice) Limited() bool { return ch.limited }
-
 func (ch Choice) Server() *fleet.Server { return ch.server }
 
 // Version returns the weight version that the server is assumed to have, or zero if unknown.
