--- a/io/gate/crashrows.go
+++ b/io/gate/crashrows.go
@@ -36,7 +36,7 @@
 }
 
 // ruleRowKey returns the key of a rule's row in the nodes table.
-func ruleRowKey(key uint64) string { return "rule-" + ruleName(key) }
+func ruleRowKey(key uint64) string { return "rule-" + keyName(key) }
 
 // applyRows applies the rules in rows of the nodes table.
 func (cw *crashWatch) applyRows(rows []feed.Row) {
@@ -89,7 +89,7 @@
 
 // writesRule reports whether this gate is one of those that write a rule's row.
 func (cw *crashWatch) writesRule(key uint64) bool {
-	writers := cw.gate.gateList.Ranked(ruleName(key))
+	writers := cw.gate.gateList.Ranked(keyName(key))
 	return slices.Contains(writers[:min(len(writers), ruleWriters)], cw.gate.opts.PeerAddress)
 }
 
@@ -107,7 +107,7 @@
 		}
 	}
 	if err != nil {
-		cw.gate.log.WithError(err).WithField("rule", ruleName(key)).Info("writing a rule about crashes failed; retrying")
+		cw.gate.log.WithError(err).WithField("rule", keyName(key)).Info("writing a rule about crashes failed; retrying")
 		return
 	}
 	cw.recordSaved(key)
@@ -150,7 +150,7 @@
 		return
 	}
 	if err := cw.commitRow(ctx, rl.Key(), newRuleRow(rl, period), rows[0].Revision()); err != nil {
-		cw.gate.log.WithError(err).WithField("rule", ruleName(rl.Key())).Debug("another gate tries a prompt, or the store does not answer")
+		cw.gate.log.WithError(err).WithField("rule", keyName(rl.Key())).Debug("another gate tries a prompt, or the store does not answer")
 		return
 	}
 	cw.mu.Lock()
--- a/io/gate/crashwatch.go
+++ b/io/gate/crashwatch.go
@@ -86,7 +86,7 @@
 	switch {
 	case verdict.Trial:
 		rq.trial = true
-		cw.gate.log.WithFields(logrus.Fields{"event": "crash_trial", "request_id": rq.info.RequestID, "rule": ruleName(verdict.Rule.Key())}).
+		cw.gate.log.WithFields(logrus.Fields{"event": "crash_trial", "request_id": rq.info.RequestID, "rule": keyName(verdict.Rule.Key())}).
 			Info("trying a prompt with parts on which servers crashed")
 		return nil
 	case !verdict.Forbidden:
@@ -95,7 +95,7 @@
 		cw.calls.Go(func() { cw.claimTrial(context.WithoutCancel(ctx), verdict.Rule, verdict.Offer) })
 	}
 	return answer.NewError(answer.CrashingPrompt, answer.NotRun, verdict.RetryAfter, "servers crash on parts of the prompt (rule %s)",
-		ruleName(verdict.Rule.Key()))
+		keyName(verdict.Rule.Key()))
 }
 
 func (cw *crashWatch) decide(now time.Time, parts []uint64) crash.Verdict {
@@ -123,7 +123,7 @@
 // may have been the end of the answer. A server that has announced its stop closes connections when it stops.
 func (cw *crashWatch) recordClosed(ctx context.Context, at *attempt, answered bool) {
 	parts, sv := at.rq.partHashes, at.choice.Server()
-	if len(parts) == 0 || cw.gate.picker.Leaving(sv) {
+	if cw.gate.picker.Leaving(sv) {
 		return
 	}
 	cw.mu.Lock()
@@ -214,7 +214,7 @@
 		if !cw.logged[key] {
 			cw.logged[key] = true
 			delete(cw.ended, key)
-			cw.gate.log.WithFields(logrus.Fields{"event": "crash_rule", "rule": ruleName(key)}).
+			cw.gate.log.WithFields(logrus.Fields{"event": "crash_rule", "rule": keyName(key)}).
 				Warn("prompts with parts on which servers crash are refused")
 		}
 	}
@@ -223,11 +223,11 @@
 			delete(cw.logged, key)
 			delete(cw.saved, key)
 			cw.ended[key] = true
-			cw.gate.log.WithFields(logrus.Fields{"event": "crash_rule_ended", "rule": ruleName(key)}).
+			cw.gate.log.WithFields(logrus.Fields{"event": "crash_rule_ended", "rule": keyName(key)}).
 				Info("prompts with parts that were blamed for crashes are accepted again")
 		}
 	}
 }
 
-// ruleName returns the name of the rule with a key, in logs and in the store.
-func ruleName(key uint64) string { return strconv.FormatUint(key, 16) }
+// keyName returns the text of a key, in logs and in the store.
+func keyName(key uint64) string { return strconv.FormatUint(key, 16) }
--- a/io/gate/finish.go
+++ b/io/gate/finish.go
@@ -121,12 +121,15 @@
 	if rq.workspace != nil {
 		fields["workspace"] = rq.workspace.Name()
 	}
+	if rq.key != 0 {
+		fields["request_key"] = keyName(rq.key)
+	}
 	if rq.log.serverID != "" {
 		fields["server"] = rq.log.serverID
 		fields["weights"] = rq.log.weightVersion
 		fields["first_ms"] = rq.log.timeToFirstEvent.Milliseconds()
 		if rq.call.Key() != 0 {
-			fields["prompt_key"] = strconv.FormatUint(rq.call.Key(), 16)
+			fields["prompt_key"] = keyName(rq.call.Key())
 			fields["expected_ms"] = rq.log.expectedTimeToFirstEvent.Milliseconds()
 			fields["held_parts"] = rq.log.cachedParts
 			fields["copied_from"] = rq.log.cacheSourceID
@@ -145,15 +148,16 @@
 // logFailedAttempt writes the log entry of an attempt that failed.
 func (gt *Gate) logFailedAttempt(rq *request, ch pick.Choice, result attemptResult, er *answer.Error) {
 	fields := logrus.Fields{
-		"event":      "sending_failed",
-		"request_id": rq.info.RequestID,
-		"server":     ch.Server().ID(),
-		"address":    ch.Server().Address(),
-		"weights":    ch.Version(),
-		"send":       rq.sends,
-		"may_repeat": result == notRun || !rq.route.AtMostOnce(),
-		"outcome":    string(er.Outcome()),
-		"reason":     er.Message(),
+		"event":       "sending_failed",
+		"request_id":  rq.info.RequestID,
+		"request_key": keyName(rq.key),
+		"server":      ch.Server().ID(),
+		"address":     ch.Server().Address(),
+		"weights":     ch.Version(),
+		"send":        rq.sends,
+		"may_repeat":  result == notRun || !rq.route.AtMostOnce(),
+		"outcome":     string(er.Outcome()),
+		"reason":      er.Message(),
 	}
 	if parts := rq.info.PromptParts; len(parts) > 1 {
 		fields["parts"] = partIDs(parts)
--- a/io/gate/handle.go
+++ b/io/gate/handle.go
@@ -39,6 +39,8 @@
 	// bodyLate is set if the body was incomplete at its deadline. net/http then cancels the request's context, as if the caller had
 	// disconnected.
 	bodyLate bool
+	// key identifies the request when its caller repeats it under another id; it is zero before the body was read.
+	key uint64
 	// partHashes are the hashes of the prompt's shared parts; trial is set if the request is sent in spite of a rule about them.
 	partHashes []uint64
 	trial      bool
@@ -161,6 +163,7 @@
 		return answer.NewError(answer.BadRequest, answer.NotRun, 0, "read request body: %v", err)
 	}
 	rq.body = body
+	rq.key = requestKey(rq)
 	model := ""
 	if rq.service.IsEngine() {
 		model = rq.info.Model
