--- a/core/answer/answer.go
+++ b/core/answer/answer.go
@@ -44,7 +44,7 @@
 	StreamBroken           Code = "stream_broken"
 	NotConfigured          Code = "not_configured"
 	NotResumable           Code = "not_resumable"
-	CrashingPrompt         Code = "crashing_prompt"
+	CrashingRequest        Code = "crashing_request"
 )
 
 // Error is the reason why a request has no result. It is immutable.
--- a/core/crash/detector.go
+++ b/core/crash/detector.go
@@ -10,24 +10,29 @@
 
 // Limits of what is kept.
 const (
-	// sameCrashWindow is the greatest difference between two reports of one crash; the ids of servers differ from start to start.
-	sameCrashWindow = 10 * time.Second
-	maxCrashes      = 256
-	crashTTL        = 10 * time.Minute
-	maxSuspects     = 256
-	maxServedParts  = 16384
+	// sameCrashWindow is the greatest difference between two reports of one crash of a run of a server, and sameAddressWindow between those
+	// of an address: processes may know different runs of a server that starts under its id again.
+	sameCrashWindow   = 10 * time.Second
+	sameAddressWindow = 500 * time.Millisecond
+	maxCrashes        = 256
+	crashTTL          = 10 * time.Minute
+	maxSuspects       = 512
+	maxServed         = 16384
 	// maxSightings is the number above which sightings of parts that are not suspected are dropped.
 	maxSightings = 4096
-	maxRules     = 64
-	// ruleTTL is how long a rule that refuses no prompt is kept, and usePrecision how exactly processes tell each other of its last use: a
-	// message takes a while, so that a use would become later with each of them.
-	ruleTTL      = 10 * time.Minute
+	// maxRules is the number above which the rules that were used least recently are dropped; a rule does not end otherwise, unless what it
+	// blames is answered. usePrecision is how exactly processes tell each other of its last use: a message takes a while, so that a use
+	// would become later with each of them.
+	maxRules     = 256
 	usePrecision = time.Minute
+	// maxToldRules bounds the rules that are told at once, and ruleToldFor is how long after its last use a rule is told.
+	maxToldRules = 32
+	ruleToldFor  = 10 * time.Minute
 	// shareDelay is the age from which other processes are told of a rule. By then the reports of all processes have come, which may show that
 	// another part is to blame.
 	shareDelay = time.Second
-	// trialDelay is the time after which a single prompt that a rule forbids is tried, and grantTTL how long a process may wait for one.
-	trialDelay     = time.Minute
+	// offerInterval is the time between the offers of a trial to a process, and grantTTL how long the process may wait for a request.
+	offerInterval  = 2 * time.Second
 	grantTTL       = 10 * time.Second
 	expireInterval = time.Second
 )
@@ -36,24 +41,41 @@
 type Detector struct {
 	// crashes are the known crashes, sorted by time.
 	crashes []Report
-	// served holds when prompts with a part were last answered by this process, and answeredAt when any prompt was, by any process.
-	served     *lru.Cache[uint64, time.Time]
-	answeredAt time.Time
-	// sightings holds, for suspects and parts of rules, when prompts with a part were last answered by any process.
+	// servedParts and servedRequests hold when requests with a key were last answered by this process, and answeredAt when any request was,
+	// by any process.
+	servedParts    *lru.Cache[uint64, time.Time]
+	servedRequests *lru.Cache[uint64, time.Time]
+	answeredAt     time.Time
+	// sightings holds, for suspects and keys of rules, when requests with a key were last answered by any process.
 	sightings map[uint64]time.Time
 	rules     map[uint64]*activeRule
 	// changed is set if reports or sightings have come since the rules were derived.
 	changed   bool
 	expiredAt time.Time
+	// toldKey is the key of the last rule that was told to other processes.
+	toldKey uint64
 }
 
 // NewDetector returns a detector without reports.
 func NewDetector() *Detector {
-	served, err := lru.New[uint64, time.Time](maxServedParts)
+	return &Detector{servedParts: newServed(), servedRequests: newServed(), sightings: make(map[uint64]time.Time),
+		rules: make(map[uint64]*activeRule)}
+}
+
+func newServed() *lru.Cache[uint64, time.Time] {
+	served, err := lru.New[uint64, time.Time](maxServed)
 	if err != nil {
 		panic(err) // The size is positive.
 	}
-	return &Detector{served: served, sightings: make(map[uint64]time.Time), rules: make(map[uint64]*activeRule)}
+	return served
+}
+
+// served returns the cache for a key. That of requests is apart, since most of them come once.
+func (dt *Detector) served(key uint64) *lru.Cache[uint64, time.Time] {
+	if isRequest(key) {
+		return dt.servedRequests
+	}
+	return dt.servedParts
 }
 
 // AddReport adds a report, or merges it with an earlier one about the same crash. It returns the sightings of its parts that other processes
@@ -72,7 +94,7 @@
 func (dt *Detector) ownSightings(parts []uint64) []Sighting {
 	var added []Sighting
 	for _, part := range parts {
-		if at, ok := dt.served.Get(part); ok && dt.sightings[part].Before(at) {
+		if at, ok := dt.served(part).Get(part); ok && dt.sightings[part].Before(at) {
 			dt.sightings[part] = at
 			added = append(added, NewSighting(part, at))
 		}
@@ -83,7 +105,8 @@
 // merge adds a report to crashes. Of too many suspects those that this process has answered are dropped.
 func (dt *Detector) merge(rp Report) {
 	i := slices.IndexFunc(dt.crashes, func(known Report) bool {
-		return known.server == rp.server && rp.at.Sub(known.at).Abs() < sameCrashWindow
+		apart := rp.at.Sub(known.at).Abs()
+		return known.server == rp.server && apart < sameCrashWindow || known.address == rp.address && apart < sameAddressWindow
 	})
 	if i < 0 {
 		i = len(dt.crashes)
@@ -95,7 +118,7 @@
 	}
 	for part, sentAt := range rp.suspects {
 		at, isKnown := known.suspects[part]
-		if isKnown && !at.Before(sentAt) || !isKnown && len(known.suspects) >= maxSuspects/2 && dt.served.Contains(part) {
+		if isKnown && !at.Before(sentAt) || !isKnown && len(known.suspects) >= maxSuspects/2 && dt.served(part).Contains(part) {
 			continue
 		}
 		if isKnown || len(known.suspects) < maxSuspects {
@@ -122,7 +145,7 @@
 	dt.answeredAt = now
 	var sightings []Sighting
 	for _, part := range parts {
-		dt.served.Add(part, now)
+		dt.served(part).Add(part, now)
 		if dt.isSuspectedAfter(part, dt.sightings[part]) {
 			sightings = append(sightings, NewSighting(part, now))
 		}
@@ -163,7 +186,7 @@
 func (dt *Detector) AddRules(now time.Time, rules []Rule) []Sighting {
 	var sightings []Sighting
 	for _, rl := range rules {
-		if len(rl.parts) == 0 || now.Sub(rl.usedAt) > ruleTTL {
+		if len(rl.parts) == 0 {
 			continue
 		}
 		sightings = append(sightings, dt.ownSightings(rl.parts)...)
@@ -173,11 +196,10 @@
 			for _, part := range rl.parts {
 				sightings = append(sightings, NewSighting(part, dt.sightings[part]))
 			}
-		case !ok && len(dt.rules) < maxRules:
-			ar = &activeRule{rule: rl}
-			ar.offered, _ = ar.trialPeriod(now)
-			dt.rules[rl.Key()] = ar
-		case ok:
+		case !ok:
+			dt.addRule(&activeRule{rule: rl})
+		default:
+			ar.rule.early = ar.rule.early || rl.early
 			if rl.since.Before(ar.rule.since) {
 				ar.rule.since = rl.since
 			}
@@ -214,23 +236,52 @@
 		old++
 	}
 	dt.dropCrashes(old)
-	maps.DeleteFunc(dt.rules, func(_ uint64, ar *activeRule) bool { return now.Sub(ar.rule.usedAt) > ruleTTL })
 	if len(dt.sightings) > maxSightings {
 		maps.DeleteFunc(dt.sightings, func(part uint64, _ time.Time) bool { return !dt.isSuspectedAfter(part, time.Time{}) })
 	}
 }
 
-// Rules returns the rules for other processes: those that refuse prompts and whose evidence is complete.
+// addRule adds a rule, and drops that which was used least recently if there are too many.
+func (dt *Detector) addRule(ar *activeRule) {
+	dt.rules[ar.rule.Key()] = ar
+	if len(dt.rules) <= maxRules {
+		return
+	}
+	oldest := ar
+	for _, other := range dt.rules {
+		if other.rule.usedAt.Before(oldest.rule.usedAt) {
+			oldest = other
+		}
+	}
+	delete(dt.rules, oldest.rule.Key())
+}
+
+// Rules returns the rules whose evidence is complete, sorted by key.
 func (dt *Detector) Rules(now time.Time) []Rule {
 	var rules []Rule
-	for _, ar := range dt.rules {
-		if now.Sub(ar.rule.since) >= shareDelay {
-			rules = append(rules, ar.rule)
+	for _, key := range slices.Sorted(maps.Keys(dt.rules)) {
+		if rl := dt.rules[key].rule; now.Sub(rl.since) >= shareDelay {
+			rules = append(rules, rl)
 		}
 	}
 	return rules
 }
 
+// RulesToTell returns rules to tell to other processes, those in use in turn. Processes read the others from the store when they start.
+func (dt *Detector) RulesToTell(now time.Time) []Rule {
+	rules := slices.DeleteFunc(dt.Rules(now), func(rl Rule) bool { return now.Sub(rl.usedAt) > ruleToldFor })
+	if len(rules) <= maxToldRules {
+		return rules
+	}
+	first := 0
+	for first < len(rules) && rules[first].Key() <= dt.toldKey {
+		first++
+	}
+	told := append(rules[first:], rules[:first]...)[:maxToldRules]
+	dt.toldKey = told[maxToldRules-1].Key()
+	return told
+}
+
 // RuleKeys returns the keys of the rules in force.
 func (dt *Detector) RuleKeys() []uint64 { return slices.Collect(maps.Keys(dt.rules)) }
 
@@ -241,14 +292,14 @@
 	RetryAfter time.Duration
 	// Trial is set if the prompt is sent in spite of a rule; it must not be repeated.
 	Trial bool
-	// Offer is the number of the trial period if the process may apply for a trial of Rule, or zero. It is set once in each period.
+	// Offer is the number of the trial period if the process may apply for a trial of Rule, or zero.
 	Offer int
 	// Rule is the rule that the prompt matches.
 	Rule Rule
 }
 
-// Decide decides about a prompt with the given parts.
-func (dt *Detector) Decide(now time.Time, parts []uint64) Verdict {
+// Decide decides about a request with the given keys. mayTry is set if a trial would show whether servers still crash on it.
+func (dt *Detector) Decide(now time.Time, parts []uint64, mayTry bool) Verdict {
 	var verdict Verdict
 	var granted *activeRule
 	for _, ar := range dt.rules {
@@ -264,8 +315,8 @@
 		verdict.Forbidden = true
 		verdict.RetryAfter = max(verdict.RetryAfter, untilNext)
 		verdict.Rule = ar.rule
-		if period > ar.offered {
-			ar.offered = period
+		if period > ar.settled && now.Sub(ar.offeredAt) >= offerInterval && mayTry {
+			ar.offeredAt = now
 			verdict.Offer = period
 		}
 	}
@@ -276,9 +327,15 @@
 	return verdict
 }
 
-// GrantTrial lets the next prompt that a rule forbids pass, as a trial.
-func (dt *Detector) GrantTrial(now time.Time, key uint64) {
-	if ar, ok := dt.rules[key]; ok {
+// SettleTrial records that the trial of a period was claimed. If that was by this process, which granted states, the next request that the
+// rule forbids passes, as a trial.
+func (dt *Detector) SettleTrial(now time.Time, key uint64, period int, granted bool) {
+	ar, ok := dt.rules[key]
+	if !ok {
+		return
+	}
+	ar.settled = max(ar.settled, period)
+	if granted {
 		ar.grantedUntil = now.Add(grantTTL)
 	}
 }
--- a/io/gate/crashnews.go
+++ b/io/gate/crashnews.go
@@ -38,7 +38,7 @@
 	}
 	for _, rl := range cn.rules {
 		message.Rules = append(message.Rules,
-			&wire.CrashRule{Parts: rl.Parts(), SinceAgoMs: agoMillis(now, rl.Since()), UsedAgoMs: agoMillis(now, rl.UsedAt())})
+			&wire.CrashRule{Parts: rl.Parts(), SinceAgoMs: agoMillis(now, rl.Since()), UsedAgoMs: agoMillis(now, rl.UsedAt()), Early: rl.EarlyTrial()})
 	}
 }
 
@@ -48,7 +48,7 @@
 	ago := func(millis uint32) time.Time { return now.Add(-time.Duration(millis) * time.Millisecond) }
 	for _, sc := range ch.GetCrashes() {
 		suspects := make(map[uint64]time.Time)
-		for i := range min(len(sc.GetParts()), len(sc.GetSentAgoMs()), maxReportedParts) {
+		for i := range min(len(sc.GetParts()), len(sc.GetSentAgoMs()), maxReportedKeys) {
 			suspects[sc.GetParts()[i]] = ago(sc.GetSentAgoMs()[i])
 		}
 		cn.reports = append(cn.reports, crash.NewReport(sc.GetServer(), sc.GetAddress(), ago(sc.GetAgoMs()), suspects))
@@ -57,7 +57,8 @@
 		cn.sightings = append(cn.sightings, crash.NewSighting(ps.GetPart(), ago(ps.GetAgoMs())))
 	}
 	for _, cr := range ch.GetRules() {
-		cn.rules = append(cn.rules, crash.NewRule(cr.GetParts(), ago(cr.GetSinceAgoMs()), ago(cr.GetUsedAgoMs())))
+		rl := crash.NewRule(cr.GetParts(), ago(cr.GetSinceAgoMs()), ago(cr.GetUsedAgoMs()))
+		cn.rules = append(cn.rules, rl.WithEarlyTrial(cr.GetEarly()))
 	}
 	return cn
 }
--- a/io/gate/crashrows.go
+++ b/io/gate/crashrows.go
@@ -18,8 +18,6 @@
 	// saveRulesInterval is the time between attempts to write rules, and ruleWriters the number of gates that write each.
 	saveRulesInterval = time.Second
 	ruleWriters       = 2
-	// maxRuleRowAge is the age above which a row is ignored.
-	maxRuleRowAge = time.Hour
 )
 
 // ruleRow is the row of a rule. A rule that has ended has no parts.
@@ -27,12 +25,13 @@
 	Role           string   `json:"role"`
 	Parts          []uint64 `json:"parts"`
 	SinceUnixMilli int64    `json:"since"`
+	Early          bool     `json:"early,omitempty"`
 	// Trials is the number of the last trial period in which a gate has tried a prompt.
 	Trials int `json:"trials"`
 }
 
 func newRuleRow(rl crash.Rule, trials int) ruleRow {
-	return ruleRow{Role: roleCrashRule, Parts: rl.Parts(), SinceUnixMilli: rl.Since().UnixMilli(), Trials: trials}
+	return ruleRow{Role: roleCrashRule, Parts: rl.Parts(), SinceUnixMilli: rl.Since().UnixMilli(), Early: rl.EarlyTrial(), Trials: trials}
 }
 
 // ruleRowKey returns the key of a rule's row in the nodes table.
@@ -48,9 +47,8 @@
 			// Rows of other roles, and rules that have ended.
 			continue
 		}
-		if age := now.Sub(time.UnixMilli(rr.SinceUnixMilli)); age < maxRuleRowAge {
-			cn.rules = append(cn.rules, crash.NewRule(rr.Parts, now.Add(-max(age, 0)), now))
-		}
+		since := now.Add(-max(now.Sub(time.UnixMilli(rr.SinceUnixMilli)), 0))
+		cn.rules = append(cn.rules, crash.NewRule(rr.Parts, since, since).WithEarlyTrial(rr.Early))
 	}
 	cw.apply(now, cn)
 }
@@ -139,23 +137,30 @@
 	return nil
 }
 
-// claimTrial lets one prompt that a rule forbids pass at this gate, if no other gate has claimed the trial of the period.
+// claimTrial lets one request that a rule forbids pass at this gate, if no other gate has claimed the trial of the period.
 func (cw *crashWatch) claimTrial(ctx context.Context, rl crash.Rule, period int) {
-	rows, _ := cw.gate.nodeTable.Rows(ruleRowKey(rl.Key()))
-	if len(rows) != 1 {
-		return
-	}
-	var rr ruleRow
-	if err := json.Unmarshal(rows[0].Value(), &rr); err != nil || rr.Trials >= period {
-		return
+	err := cw.commitRow(ctx, rl.Key(), newRuleRow(rl, period), 0)
+	var ce *table.ConflictError
+	if errors.As(err, &ce) {
+		var stored ruleRow
+		cell := ce.Cell(cw.rowPath(rl.Key()))
+		if json.Unmarshal(cell.Value, &stored) == nil && stored.Trials >= period {
+			cw.settleTrial(rl.Key(), period, false)
+			return
+		}
+		err = cw.commitRow(ctx, rl.Key(), newRuleRow(rl, period), cell.Version)
 	}
-	if err := cw.commitRow(ctx, rl.Key(), newRuleRow(rl, period), rows[0].Revision()); err != nil {
-		cw.gate.log.WithError(err).WithField("rule", keyName(rl.Key())).Debug("another gate tries a prompt, or the store does not answer")
+	if err != nil {
+		cw.gate.log.WithError(err).WithField("rule", keyName(rl.Key())).Debug("another gate tries a request, or the store does not answer")
 		return
 	}
+	cw.settleTrial(rl.Key(), period, true)
+}
+
+func (cw *crashWatch) settleTrial(key uint64, period int, granted bool) {
 	cw.mu.Lock()
 	defer cw.mu.Unlock()
-	cw.detector.GrantTrial(time.Now(), rl.Key())
+	cw.detector.SettleTrial(time.Now(), key, period, granted)
 }
 
 // rewriteRules writes the rules again after a restore of the store.
--- a/io/gate/crashwatch.go
+++ b/io/gate/crashwatch.go
@@ -19,20 +19,24 @@
 	"shallotcleat/io/timer"
 )
 
-// Parameters of the watch for parts of prompts on which servers crash.
+// Parameters of the watch for requests, and parts of prompts, on which servers crash.
 const (
 	// beginWindow is how long after its first event an answer counts as having just begun.
 	beginWindow = 500 * time.Millisecond
 	// collectDelay is how long the gate waits for other calls that broke off with the same server.
 	collectDelay   = 30 * time.Millisecond
 	examineTimeout = 400 * time.Millisecond
-	// maxReportedParts bounds the parts in a report.
-	maxReportedParts = 256
+	// confirmTimeout is how long after a server closed connections, but took new ones, its entry may show that it has ended.
+	confirmTimeout = 8 * time.Second
+	// maxReportedKeys bounds the keys in a report.
+	maxReportedKeys = 512
 	// refreshRulesInterval is the time between derivations of rules.
 	refreshRulesInterval = 100 * time.Millisecond
+	// soundPeriod is how long after the last crash that this gate saw a service counts as sound, even if it has answered nothing since.
+	soundPeriod = 10 * time.Second
 )
 
-// crashWatch finds, together with the other gates, the parts of prompts on which servers crash, and refuses prompts with them.
+// crashWatch finds, together with the other gates, the requests and parts of prompts on which servers crash, and refuses requests with them.
 type crashWatch struct {
 	gate *Gate
 	// calls are the examinations of servers and the claims of trials in progress.
@@ -41,8 +45,11 @@
 	// mu guards the fields below. It is not held during calls of the nodes table's copy, whose lock is taken first.
 	mu       sync.Mutex
 	detector *crash.Detector
-	// examined holds the examinations in progress by server id.
-	examined map[string]*examination
+	// examined holds the examinations in progress by server id, and unconfirmed those of servers that took new connections.
+	examined    map[string]*examination
+	unconfirmed []*examination
+	// services holds what this gate has seen of each service.
+	services map[string]serviceHealth
 	// news has not been sent to the other gates yet.
 	news crashNews
 	// logged holds the keys of the rules in force, saved those of rules that this gate has written to the store, and ended those of rules
@@ -52,77 +59,90 @@
 	ended  map[uint64]bool
 }
 
-// examination is what is known about a server that has closed connections and is being examined.
+// serviceHealth is when servers of a service last answered and last crashed.
+type serviceHealth struct {
+	answeredAt time.Time
+	crashedAt  time.Time
+}
+
+// examination is what is known about a server that has closed connections.
 type examination struct {
-	// suspects holds when the last prompt with a part was sent, for calls that had just begun or were about to.
+	server   *fleet.Server
+	closedAt time.Time
+	// suspects holds when the last request with a key was sent, for calls that had just begun or were about to.
 	suspects map[uint64]time.Time
-	// answered holds the parts of prompts whose answers ended with their connections.
+	// answered holds the keys of requests whose answers ended with their connections.
 	answered [][]uint64
 }
 
 func newCrashWatch(gt *Gate) *crashWatch {
-	return &crashWatch{gate: gt, detector: crash.NewDetector(), examined: make(map[string]*examination),
+	return &crashWatch{gate: gt, detector: crash.NewDetector(), examined: make(map[string]*examination), services: make(map[string]serviceHealth),
 		logged: make(map[uint64]bool), saved: make(map[uint64]bool), ended: make(map[uint64]bool)}
 }
 
-// hashParts returns the hashes of a prompt's shared parts. The last part belongs to the call or its conversation alone.
-func hashParts(model string, parts []pick.Part) []uint64 {
+// suspectKeys returns the keys under which a request may be blamed: that of the request, and those of its prompt's shared parts. The last part
+// belongs to the call or its conversation alone.
+func suspectKeys(requestKey uint64, model string, parts []pick.Part) []uint64 {
+	keys := []uint64{crash.RequestKey(requestKey)}
 	if model == "" || len(parts) < 2 {
-		return nil
+		return keys
 	}
-	hashes := make([]uint64, 0, len(parts)-1)
 	for _, pt := range parts[:len(parts)-1] {
-		hashes = append(hashes, xxhash.Sum64String(model+"/"+pt.ID()))
+		keys = append(keys, crash.PartKey(xxhash.Sum64String(model+"/"+pt.ID())))
 	}
-	return hashes
+	return keys
 }
 
 // check returns the reason why a request must not be sent to a server, or nil.
 func (cw *crashWatch) check(ctx context.Context, now time.Time, rq *request) *answer.Error {
-	if len(rq.partHashes) == 0 || rq.trial {
+	if rq.trial {
 		return nil
 	}
-	verdict := cw.decide(now, rq.partHashes)
+	verdict := cw.decide(now, rq)
 	switch {
 	case verdict.Trial:
 		rq.trial = true
 		cw.gate.log.WithFields(logrus.Fields{"event": "crash_trial", "request_id": rq.info.RequestID, "rule": keyName(verdict.Rule.Key())}).
-			Info("trying a prompt with parts on which servers crashed")
+			Info("trying a request on which servers crashed")
 		return nil
 	case !verdict.Forbidden:
 		return nil
 	case verdict.Offer > 0:
 		cw.calls.Go(func() { cw.claimTrial(context.WithoutCancel(ctx), verdict.Rule, verdict.Offer) })
 	}
-	return answer.NewError(answer.CrashingPrompt, answer.NotRun, verdict.RetryAfter, "servers crash on parts of the prompt (rule %s)",
+	return answer.NewError(answer.CrashingRequest, answer.NotRun, verdict.RetryAfter, "servers crash on the request or parts of its prompt (rule %s)",
 		keyName(verdict.Rule.Key()))
 }
 
-func (cw *crashWatch) decide(now time.Time, parts []uint64) crash.Verdict {
+// decide decides about a request. While the servers of a service crash whatever they run, a trial would show nothing.
+func (cw *crashWatch) decide(now time.Time, rq *request) crash.Verdict {
 	cw.mu.Lock()
 	defer cw.mu.Unlock()
-	return cw.detector.Decide(now, parts)
+	health := cw.services[rq.service.Name()]
+	sound := health.answeredAt.After(health.crashedAt) || now.Sub(health.crashedAt) > soundPeriod
+	return cw.detector.Decide(now, rq.suspectKeys, sound && cw.gate.picker.CountAvailable(now, rq.service.Name()) > 0)
 }
 
 // recordServed records that a request was answered.
 func (cw *crashWatch) recordServed(rq *request) {
-	if len(rq.partHashes) == 0 {
-		return
-	}
 	cw.mu.Lock()
 	defer cw.mu.Unlock()
-	cw.addServed(rq.partHashes)
+	now := time.Now()
+	cw.addServed(now, rq.suspectKeys)
+	health := cw.services[rq.service.Name()]
+	health.answeredAt = now
+	cw.services[rq.service.Name()] = health
 }
 
-// addServed is recordServed; the caller holds mu.
-func (cw *crashWatch) addServed(parts []uint64) {
-	cw.news.sightings = append(cw.news.sightings, cw.detector.AddServed(time.Now(), parts)...)
+// addServed records that a request with the given keys was answered; the caller holds mu.
+func (cw *crashWatch) addServed(at time.Time, keys []uint64) {
+	cw.news.sightings = append(cw.news.sightings, cw.detector.AddServed(at, keys)...)
 }
 
 // recordClosed records that a server closed the connection of an attempt, and examines whether the server has crashed. answered is set if that
 // may have been the end of the answer. A server that has announced its stop closes connections when it stops.
 func (cw *crashWatch) recordClosed(ctx context.Context, at *attempt, answered bool) {
-	parts, sv := at.rq.partHashes, at.choice.Server()
+	keys, sv := at.rq.suspectKeys, at.choice.Server()
 	if cw.gate.picker.Leaving(sv) {
 		return
 	}
@@ -130,50 +150,97 @@
 	defer cw.mu.Unlock()
 	ex, ok := cw.examined[sv.ID()]
 	if !ok {
-		ex = &examination{suspects: make(map[uint64]time.Time)}
+		ex = &examination{server: sv, closedAt: time.Now(), suspects: make(map[uint64]time.Time)}
 		cw.examined[sv.ID()] = ex
-		closedAt := time.Now()
-		cw.calls.Go(func() { cw.examine(context.WithoutCancel(ctx), sv, closedAt) })
+		cw.calls.Go(func() { cw.examine(context.WithoutCancel(ctx), ex) })
 	}
 	if answered {
-		ex.answered = append(ex.answered, parts)
+		ex.answered = append(ex.answered, keys)
 	}
-	if !at.firstEventAt.IsZero() && time.Since(at.firstEventAt) > beginWindow {
+	if !at.firstEventAt.IsZero() && time.Since(at.firstEventAt) > beginWindow || at.sentAt.After(ex.closedAt) {
 		return
 	}
-	for _, part := range parts {
-		if len(ex.suspects) < maxReportedParts && ex.suspects[part].Before(at.sentAt) {
-			ex.suspects[part] = at.sentAt
+	suspects := make(map[uint64]time.Time, len(keys))
+	for _, key := range keys {
+		suspects[key] = at.sentAt
+	}
+	ex.addSuspects(suspects)
+}
+
+// addSuspects adds keys and when the last request with each was sent, within the limit of a report.
+func (ex *examination) addSuspects(suspects map[uint64]time.Time) {
+	for key, sentAt := range suspects {
+		if len(ex.suspects) < maxReportedKeys && ex.suspects[key].Before(sentAt) {
+			ex.suspects[key] = sentAt
 		}
 	}
 }
 
-// examine reports a server as crashed if it refuses connections. One that accepts them has ended or broken off single answers; a VM that does
-// not respond was cut off or lost power.
-func (cw *crashWatch) examine(parent context.Context, sv *fleet.Server, closedAt time.Time) {
+// examine reports a server as crashed if it refuses connections. One that accepts them has broken off single answers, or has ended and started
+// again; a VM that does not respond was cut off or lost power.
+func (cw *crashWatch) examine(parent context.Context, ex *examination) {
 	ctx, cancel := context.WithTimeout(parent, examineTimeout)
 	defer cancel()
-	crashed := client.RefusesConnections(ctx, sv.Address())
+	crashed := client.RefusesConnections(ctx, ex.server.Address())
 	timer.Sleep(ctx, collectDelay)
 	cw.mu.Lock()
 	defer cw.mu.Unlock()
-	ex := cw.examined[sv.ID()]
-	delete(cw.examined, sv.ID())
-	if !crashed {
-		for _, parts := range ex.answered {
-			cw.addServed(parts)
-		}
+	delete(cw.examined, ex.server.ID())
+	if crashed {
+		cw.reportCrash(ex, "server closed its connections and refuses new ones")
 		return
 	}
-	cw.gate.log.WithFields(logrus.Fields{"event": "server_crashed", "server": sv.ID(), "suspects": len(ex.suspects)}).
-		Info("server closed its connections and refuses new ones")
+	cw.unconfirmed = append(cw.unconfirmed, ex)
+}
+
+// confirm reports those servers as crashed that took new connections and whose entries show by now that they have ended; the caller holds mu.
+// Several examinations of one run count as one crash, since it is not known how often the server has ended.
+func (cw *crashWatch) confirm(now time.Time) {
+	view := cw.gate.picker.View()
+	confirmed := make(map[string]*examination)
+	cw.unconfirmed = slices.DeleteFunc(cw.unconfirmed, func(ex *examination) bool {
+		sv := view.Server(ex.server.ID())
+		switch {
+		case cw.gate.picker.Leaving(ex.server) || sv != nil && sv.Draining():
+			return true
+		case sv == nil || sv.StartUnixMilli() > ex.server.StartUnixMilli():
+			if earlier, ok := confirmed[ex.server.ID()]; ok {
+				earlier.addSuspects(ex.suspects)
+			} else {
+				confirmed[ex.server.ID()] = ex
+			}
+			return true
+		case now.Sub(ex.closedAt) < confirmTimeout:
+			return false
+		}
+		for _, keys := range ex.answered {
+			cw.addServed(ex.closedAt, keys)
+		}
+		return true
+	})
+	for _, ex := range confirmed {
+		cw.reportCrash(ex, "server closed its connections, and its entry was removed or shows a later start")
+	}
+}
+
+// reportCrash reports a server as crashed; the caller holds mu.
+func (cw *crashWatch) reportCrash(ex *examination, reason string) {
+	cw.gate.log.WithFields(logrus.Fields{"event": "server_crashed", "server": ex.server.ID(), "suspects": len(ex.suspects)}).Info(reason)
+	health := cw.services[ex.server.Service()]
+	health.crashedAt = time.Now()
+	cw.services[ex.server.Service()] = health
 	if len(ex.suspects) > 0 {
-		rp := crash.NewReport(sv.Hash(), xxhash.Sum64String(sv.Address()), closedAt, ex.suspects)
+		rp := crash.NewReport(runHash(ex.server), xxhash.Sum64String(ex.server.Address()), ex.closedAt, ex.suspects)
 		cw.news.reports = append(cw.news.reports, rp)
 		cw.news.sightings = append(cw.news.sightings, cw.detector.AddReport(rp)...)
 	}
 }
 
+// runHash returns a hash of one run of a server, which may start again under its id.
+func runHash(sv *fleet.Server) uint64 {
+	return xxhash.Sum64String(sv.ID() + "/" + strconv.FormatInt(sv.StartUnixMilli(), 10))
+}
+
 // apply applies the news of another gate.
 func (cw *crashWatch) apply(now time.Time, cn crashNews) {
 	if cn.size() == 0 {
@@ -197,25 +264,27 @@
 	return cn
 }
 
-// rules returns the rules for the other gates.
-func (cw *crashWatch) rules(now time.Time) []crash.Rule {
+// rulesToTell returns rules for the other gates.
+func (cw *crashWatch) rulesToTell(now time.Time) []crash.Rule {
 	cw.mu.Lock()
 	defer cw.mu.Unlock()
-	return cw.detector.Rules(now)
+	return cw.detector.RulesToTell(now)
 }
 
 // refresh derives the rules from the latest reports, and logs those that have come into force or ended.
 func (cw *crashWatch) refresh() {
 	cw.mu.Lock()
 	defer cw.mu.Unlock()
-	cw.detector.Refresh(time.Now())
+	now := time.Now()
+	cw.confirm(now)
+	cw.detector.Refresh(now)
 	keys := cw.detector.RuleKeys()
 	for _, key := range keys {
 		if !cw.logged[key] {
 			cw.logged[key] = true
 			delete(cw.ended, key)
 			cw.gate.log.WithFields(logrus.Fields{"event": "crash_rule", "rule": keyName(key)}).
-				Warn("prompts with parts on which servers crash are refused")
+				Warn("requests on which servers crash are refused")
 		}
 	}
 	for key := range cw.logged {
@@ -224,7 +293,7 @@
 			delete(cw.saved, key)
 			cw.ended[key] = true
 			cw.gate.log.WithFields(logrus.Fields{"event": "crash_rule_ended", "rule": keyName(key)}).
-				Info("prompts with parts that were blamed for crashes are accepted again")
+				Info("requests that were blamed for crashes are accepted again")
 		}
 	}
 }
--- a/io/gate/handle.go
+++ b/io/gate/handle.go
@@ -41,9 +41,9 @@
 	bodyLate bool
 	// key identifies the request when its caller repeats it under another id; it is zero before the body was read.
 	key uint64
-	// partHashes are the hashes of the prompt's shared parts; trial is set if the request is sent in spite of a rule about them.
-	partHashes []uint64
-	trial      bool
+	// suspectKeys are the keys under which the request may be blamed for crashes; trial is set if it is sent in spite of a rule about them.
+	suspectKeys []uint64
+	trial       bool
 
 	// excluded holds the ids of the servers to which the request is not sent again.
 	excluded map[string]bool
@@ -170,7 +170,7 @@
 	}
 	rq.call = pick.NewCall(rq.service.Name(), model, cacheScope(rq.workspace), rq.info.PromptParts, rq.info.PromptTokens,
 		rq.route.AtMostOnce()).WithPriority(rq.workspace.Priority(rq.route)).WithOutput(rq.info.ExpectedTokens)
-	rq.partHashes = hashParts(model, rq.info.PromptParts)
+	rq.suspectKeys = suspectKeys(rq.key, model, rq.info.PromptParts)
 	rq.excluded = make(map[string]bool)
 	return nil
 }
--- a/io/gate/hint.go
+++ b/io/gate/hint.go
@@ -186,7 +186,7 @@
 	var announcements []pick.Announcement
 	var rules []crash.Rule
 	if now.Sub(hx.announcedAt) >= announcementInterval {
-		announcements, rules, hx.announcedAt = gt.picker.Announcements(now), gt.crashes.rules(now), now
+		announcements, rules, hx.announcedAt = gt.picker.Announcements(now), gt.crashes.rulesToTell(now), now
 	}
 	local, news := own, hx.news
 	local.add(hx.relayed)
