--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -22,9 +22,10 @@
 	choice      pick.Choice
 	pickAttempt *pick.Attempt
 	sentAt      time.Time
-	// firstEventAt is when the first event of a stream came, or zero. proven is set once the server is known to have survived the prompt.
+	// firstEventAt is when the first event of a stream came, or zero. promptServed is set once the server is known to have survived the prompt;
+	// it has survived the request only when the answer is complete.
 	firstEventAt time.Time
-	proven       bool
+	promptServed bool
 	// watchdog fires after the response timeout unless the first event of a stream or a complete other response arrives before. It
 	// cancels the attempt, or marks the server unreachable if the request must not run more than once.
 	watchdog *time.Timer
@@ -181,17 +182,23 @@
 	return mayHaveRun, answer.NewError(answer.StreamBroken, answer.Unknown, 0, "%v", err)
 }
 
-// recordAnswered records that the prompt was answered to its end. If the end is that of the connection, the server may have crashed right
+// recordAnswered records that the request was answered to its end. If the end is that of the connection, the server may have crashed right
 // then.
 func (at *attempt) recordAnswered(requestCtx context.Context, resp *client.Response) {
-	switch {
-	case at.proven:
-	case resp.Framed:
-		at.gate.crashes.recordServed(at.rq)
-	default:
-		at.gate.crashes.recordClosed(requestCtx, at, true)
+	if resp.Framed {
+		at.gate.crashes.recordServed(at.rq.service.Name(), at.rq.suspectKeys)
+		return
+	}
+	at.gate.crashes.recordClosed(requestCtx, at, true)
+}
+
+// recordPromptServed records, once, that the server has survived the parts of the prompt that other requests share.
+func (at *attempt) recordPromptServed() {
+	if at.promptServed || at.firstEventAt.IsZero() || time.Since(at.firstEventAt) <= beginWindow {
+		return
 	}
-	at.proven = true
+	at.promptServed = true
+	at.gate.crashes.recordServed(at.rq.service.Name(), at.rq.suspectKeys[1:])
 }
 
 // recordBroken records that the attempt failed with err, if the server closed the connection; it may have crashed.
--- a/io/gate/crashwatch.go
+++ b/io/gate/crashwatch.go
@@ -69,7 +69,8 @@
 type examination struct {
 	server   *fleet.Server
 	closedAt time.Time
-	// suspects holds when the last request with a key was sent, for calls that had just begun or were about to.
+	// suspects holds when the last request with a key was sent, for the calls that the server had not answered to their end, and of their prompts'
+	// parts those that it had just read or was about to.
 	suspects map[uint64]time.Time
 	// answered holds the keys of requests whose answers ended with their connections.
 	answered [][]uint64
@@ -80,7 +81,7 @@
 		logged: make(map[uint64]bool), saved: make(map[uint64]bool), ended: make(map[uint64]bool)}
 }
 
-// suspectKeys returns the keys under which a request may be blamed: that of the request, and those of its prompt's shared parts. The last part
+// suspectKeys returns the keys under which a request may be blamed: that of the request first, and those of its prompt's shared parts. The last part
 // belongs to the call or its conversation alone.
 func suspectKeys(requestKey uint64, model string, parts []pick.Part) []uint64 {
 	keys := []uint64{crash.RequestKey(requestKey)}
@@ -123,15 +124,15 @@
 	return cw.detector.Decide(now, rq.suspectKeys, sound && cw.gate.picker.CountAvailable(now, rq.service.Name()) > 0)
 }
 
-// recordServed records that a request was answered.
-func (cw *crashWatch) recordServed(rq *request) {
+// recordServed records that a server of a service has survived what has the given keys.
+func (cw *crashWatch) recordServed(service string, keys []uint64) {
 	cw.mu.Lock()
 	defer cw.mu.Unlock()
 	now := time.Now()
-	cw.addServed(now, rq.suspectKeys)
-	health := cw.services[rq.service.Name()]
+	cw.addServed(now, keys)
+	health := cw.services[service]
 	health.answeredAt = now
-	cw.services[rq.service.Name()] = health
+	cw.services[service] = health
 }
 
 // addServed records that a request with the given keys was answered; the caller holds mu.
@@ -157,9 +158,13 @@
 	if answered {
 		ex.answered = append(ex.answered, keys)
 	}
-	if !at.firstEventAt.IsZero() && time.Since(at.firstEventAt) > beginWindow || at.sentAt.After(ex.closedAt) {
+	if at.sentAt.After(ex.closedAt) {
 		return
 	}
+	if !at.firstEventAt.IsZero() && time.Since(at.firstEventAt) > beginWindow {
+		// The parts of the prompt were read long ago.
+		keys = keys[:1]
+	}
 	suspects := make(map[uint64]time.Time, len(keys))
 	for _, key := range keys {
 		suspects[key] = at.sentAt
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -42,10 +42,7 @@
 			if hasField(event) {
 				at.recordFirstEvent()
 			}
-			if !at.proven && !at.firstEventAt.IsZero() && time.Since(at.firstEventAt) > beginWindow {
-				at.proven = true
-				at.gate.crashes.recordServed(rq)
-			}
+			at.recordPromptServed()
 			if err := rq.response.writeEvent(resp, event); err != nil {
 				at.pickAttempt.End(time.Now(), pick.Abandoned)
 				return mayHaveRun, answer.NewError(answer.StreamBroken, answer.Unknown, 0, "write to caller: %v", err)
