--- a/core/fleet/server.go
+++ b/core/fleet/server.go
@@ -16,6 +16,8 @@
 	// sequence counts the writes of the directory entry since the start.
 	sequence       uint64
 	weightVersions map[string]uint64
+	// softwareVersion is the version of the server's software; it is not ordered.
+	softwareVersion string
 }
 
 // NewServer returns a server; weightVersions holds the weight version of each model, and the map must not be changed later.
@@ -41,6 +43,16 @@
 	return &out
 }
 
+// WithSoftwareVersion returns a copy of the server with the version of its software.
+func (sv *Server) WithSoftwareVersion(version string) *Server {
+	out := *sv
+	out.softwareVersion = version
+	return &out
+}
+
+// SoftwareVersion returns the version of the server's software, or "" if unknown. Versions are not ordered.
+func (sv *Server) SoftwareVersion() string { return sv.softwareVersion }
+
 // ID returns the id of the run; the server rejects calls that are addressed to another id.
 func (sv *Server) ID() string { return sv.id }
 
--- a/io/gate/dialect.go
+++ b/io/gate/dialect.go
@@ -26,6 +26,8 @@
 	ExpectedTokens int
 	// LastEventID is the id of the last event that the caller received of a stream that it resumes, or empty.
 	LastEventID string
+	// Resumes is the id of the request that brought the first event of the stream that the caller resumes, or empty.
+	Resumes string
 }
 
 // AttemptInfo is what the gate adds to the header of one attempt.
--- a/io/gate/finish.go
+++ b/io/gate/finish.go
@@ -95,6 +95,7 @@
 		at.gate.opts.Recorder.RecordFirstToken(elapsed)
 	}
 	rl.serverID = at.choice.Server().ID()
+	rl.softwareVersion = at.choice.Server().SoftwareVersion()
 	rl.weightVersion = at.choice.Version()
 	rl.cachedParts = at.choice.CachedParts()
 	rl.expectedTimeToFirstEvent = at.choice.TimeToFirstEvent()
@@ -126,6 +127,7 @@
 	}
 	if rq.log.serverID != "" {
 		fields["server"] = rq.log.serverID
+		fields["software"] = rq.log.softwareVersion
 		fields["weights"] = rq.log.weightVersion
 		fields["first_ms"] = rq.log.timeToFirstEvent.Milliseconds()
 		if rq.call.Key() != 0 {
@@ -135,6 +137,10 @@
 			fields["copied_from"] = rq.log.cacheSourceID
 		}
 	}
+	if rq.isResumed() {
+		fields["resumes"] = rq.info.Resumes
+		fields["after_event"] = rq.info.LastEventID
+	}
 	if callerLeft {
 		fields["caller_left"] = true
 	}
@@ -152,6 +158,7 @@
 		"request_id":  rq.info.RequestID,
 		"request_key": keyName(rq.key),
 		"server":      ch.Server().ID(),
+		"software":    ch.Server().SoftwareVersion(),
 		"address":     ch.Server().Address(),
 		"weights":     ch.Version(),
 		"send":        rq.sends,
--- a/io/gate/handle.go
+++ b/io/gate/handle.go
@@ -57,10 +57,12 @@
 
 // requestLog describes the last attempt whose response began, except for timeToFirstEvent.
 type requestLog struct {
-	serverID      string
-	weightVersion uint64
-	cachedParts   int
-	cacheSourceID string
+	serverID string
+	// softwareVersion is that of the server.
+	softwareVersion string
+	weightVersion   uint64
+	cachedParts     int
+	cacheSourceID   string
 	// timeToFirstEvent is the time from the arrival of the request to the first event of any attempt, or to a complete response
 	// that is not a stream.
 	timeToFirstEvent time.Duration
@@ -68,6 +70,9 @@
 	expectedTimeToFirstEvent time.Duration
 }
 
+// isResumed reports whether the caller takes up a stream.
+func (rq *request) isResumed() bool { return rq.info.Resumes != "" || rq.info.LastEventID != "" }
+
 // handle serves a request of a caller from admission to the log entry.
 func (gt *Gate) handle(wr http.ResponseWriter, hr *http.Request) {
 	rq := &request{
