--- a/core/pick/call.go
+++ b/core/pick/call.go
@@ -26,6 +26,9 @@
 	atMostOnce bool
 	// priority is 0 for the most urgent calls.
 	priority int
+	// softwareVersion is the only one that servers may have if pinned is set; "" is none.
+	softwareVersion string
+	pinned          bool
 	// outputTokens is the expected length of the response, or zero if unknown.
 	outputTokens int
 	// keys are those of the parts that other calls may share; partTokens are the lengths of these parts. The last part of a prompt
@@ -52,6 +55,20 @@
 	return cl
 }
 
+// WithSoftwareVersion returns the call for servers of one software version only. If that is unknown, which is "", there are none.
+func (cl Call) WithSoftwareVersion(version string) Call {
+	cl.softwareVersion, cl.pinned = version, true
+	return cl
+}
+
+// SoftwareVersion returns the only software version that servers of the call may have; pinned is false if they may have any.
+func (cl Call) SoftwareVersion() (version string, pinned bool) { return cl.softwareVersion, cl.pinned }
+
+// excludes reports whether the call must not be sent to a server because of its software version.
+func (cl Call) excludes(sv *fleet.Server) bool {
+	return cl.pinned && (cl.softwareVersion == "" || sv.SoftwareVersion() != cl.softwareVersion)
+}
+
 // WithOutput returns the call with the expected length of its response in tokens.
 func (cl Call) WithOutput(tokens int) Call {
 	cl.outputTokens = tokens
--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -233,7 +233,7 @@
 	home := pk.homeServer(now, cl, servers, pk.zone)
 	candidates := make([]candidate, 0, len(servers))
 	for _, sv := range servers {
-		if sv.Draining() || excluded[sv.ID()] || pk.state(sv.ID()).replaced || pk.restrictions[sv.ID()].forbidsCalls(now) {
+		if sv.Draining() || excluded[sv.ID()] || cl.excludes(sv) || pk.state(sv.ID()).replaced || pk.restrictions[sv.ID()].forbidsCalls(now) {
 			continue
 		}
 		version, loading := pk.weightVersion(now, sv, cl.model)
--- a/core/pick/restrict.go
+++ b/core/pick/restrict.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"slices"
 	"time"
 
 	"shallotcleat/core/fleet"
@@ -78,6 +79,15 @@
 	return sv.Draining() || current != nil && current.Draining() || pk.restrictions[sv.ID()].leaving
 }
 
+// HasServer reports whether a server that is not leaving may take a call, now or after a while.
+func (pk *Picker) HasServer(cl Call) bool {
+	pk.mu.Lock()
+	defer pk.mu.Unlock()
+	return slices.ContainsFunc(pk.view.Servers(cl.service), func(sv *fleet.Server) bool {
+		return !sv.Draining() && !pk.restrictions[sv.ID()].leaving && !pk.state(sv.ID()).replaced && !cl.excludes(sv)
+	})
+}
+
 // Limits returns the slots of servers with limits, of which Choose takes one for each call.
 func (pk *Picker) Limits() *quota.Stock { return pk.limits }
 
--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -26,6 +26,8 @@
 	// it has survived the request only when the answer is complete.
 	firstEventAt time.Time
 	promptServed bool
+	// versionChecked is set once checkVersion has been called.
+	versionChecked bool
 	// watchdog fires after the response timeout unless the first event of a stream or a complete other response arrives before. It
 	// cancels the attempt, or marks the server unreachable if the request must not run more than once.
 	watchdog *time.Timer
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -89,6 +89,7 @@
 	hints            *hintExchange
 	crashes          *crashWatch
 	limits           *limitSharing
+	origins          *origins
 	// meter measures how much work each workspace sends to engines.
 	meter *share.Meter
 
@@ -125,6 +126,7 @@
 	gt.hints = newHintExchange(gt)
 	gt.crashes = newCrashWatch(gt)
 	gt.limits = newLimitSharing(gt)
+	gt.origins = newOrigins(gt)
 	gt.retryBudgets = newRetryBudgets(opts.RetryBudget, gt.gateCount)
 	gt.tableServer = feed.NewPullServer(gt.configTable, gt.serverTable, gt.nodeTable)
 	gt.watcher = newWatcher(gt)
--- a/io/gate/handle.go
+++ b/io/gate/handle.go
@@ -71,7 +71,9 @@
 }
 
 // isResumed reports whether the caller takes up a stream.
-func (rq *request) isResumed() bool { return rq.info.Resumes != "" || rq.info.LastEventID != "" }
+func (rq *request) isResumed() bool {
+	return rq.route != nil && rq.route.Stream() && (rq.info.Resumes != "" || rq.info.LastEventID != "")
+}
 
 // handle serves a request of a caller from admission to the log entry.
 func (gt *Gate) handle(wr http.ResponseWriter, hr *http.Request) {
@@ -113,7 +115,8 @@
 	if rq.workspace = rq.routes.Authenticate(rq.route, rq.info.APIKey); rq.workspace == nil {
 		return answer.NewError(answer.Unauthorized, answer.NotRun, 0, "no workspace has this API key")
 	}
-	name := rq.route.Service(rq.info.RequestID)
+	// A stream is resumed at the service at which it began.
+	name := rq.route.Service(rq.streamID())
 	if rq.service = rq.routes.Service(name); rq.service == nil {
 		return answer.NewError(answer.NoBackendServer, answer.NotRun, serverRetryAfter, "unknown service %q", name)
 	}
--- /dev/null
+++ b/io/gate/origins.go
@@ -0,0 +1,263 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"shallotcleat/core/answer"
+	"shallotcleat/core/origin"
+	"shallotcleat/io/wire"
+)
+
+// Parameters of the exchange of streams' origins.
+const (
+	// originHolders is how many other gates know at which software version a stream of this gate began.
+	originHolders = 2
+	// tellOriginsTimeout bounds a message to a holder, and holderBackoff is how long one that did not reply is not used.
+	tellOriginsTimeout = 300 * time.Millisecond
+	holderBackoff      = 2 * time.Second
+	// findOriginTimeout bounds the question at which version a stream began.
+	findOriginTimeout = 150 * time.Millisecond
+	// maxUntoldOrigins bounds the records that wait for one holder.
+	maxUntoldOrigins = 4096
+	// resumeRetryAfter is told to callers whose streams cannot be resumed; they may start them anew at once.
+	resumeRetryAfter = 100 * time.Millisecond
+)
+
+// origins knows at which software versions streams began. Each gate tells two others as the first event of a stream goes out, since it may be
+// killed right then; the gate that gets a resumed stream asks all others.
+type origins struct {
+	gate  *Gate
+	table *origin.Table
+	// calls are the messages in progress.
+	calls conc.WaitGroup
+
+	// mu guards the fields below.
+	mu sync.Mutex
+	// untold holds the records that each holder has not been told yet, by its address, and telling the holders to which a message is in
+	// progress; awayUntil is until when holders that did not reply are not used.
+	untold    map[string][]origin.Record
+	telling   map[string]bool
+	awayUntil map[string]time.Time
+}
+
+func newOrigins(gt *Gate) *origins {
+	return &origins{gate: gt, table: origin.NewTable(), untold: make(map[string][]origin.Record), telling: make(map[string]bool),
+		awayUntil: make(map[string]time.Time)}
+}
+
+// record records at which version a stream began, and tells the holders. It does not wait for them.
+func (og *origins) record(ctx context.Context, rc origin.Record) {
+	now := time.Now()
+	og.table.Put(now, rc)
+	holders := og.holders(now)
+	og.mu.Lock()
+	defer og.mu.Unlock()
+	for _, address := range holders {
+		if len(og.untold[address]) < maxUntoldOrigins {
+			og.untold[address] = append(og.untold[address], rc)
+		}
+		if !og.telling[address] {
+			og.telling[address] = true
+			og.calls.Go(func() { og.tell(context.WithoutCancel(ctx), address) })
+		}
+	}
+}
+
+// holders returns the gates that are told: the first one of this gate's zone, and the first one of another zone.
+func (og *origins) holders(now time.Time) []string {
+	gt := og.gate
+	zones := make(map[string]string)
+	for _, nd := range gt.gateList.Gates() {
+		zones[nd.Address] = nd.Zone
+	}
+	og.mu.Lock()
+	defer og.mu.Unlock()
+	var holders, others []string
+	inZone, elsewhere := false, false
+	for _, address := range gt.gateList.Ranked(gt.opts.PeerAddress) {
+		taken := &elsewhere
+		if zones[address] == gt.opts.Zone {
+			taken = &inZone
+		}
+		switch {
+		case address == gt.opts.PeerAddress || now.Before(og.awayUntil[address]):
+		case *taken:
+			others = append(others, address)
+		default:
+			*taken = true
+			holders = append(holders, address)
+		}
+	}
+	holders = append(holders, others...)
+	return holders[:min(len(holders), originHolders)]
+}
+
+// tell sends a holder what it has not been told, until there is nothing left.
+func (og *origins) tell(parent context.Context, address string) {
+	for {
+		records := og.takeUntold(address)
+		if len(records) == 0 {
+			return
+		}
+		ctx, cancel := context.WithTimeout(parent, tellOriginsTimeout)
+		_, err := og.gate.opts.Links.Node(address).TellOrigins(ctx, encodeOrigins(records))
+		cancel()
+		if err != nil {
+			og.gate.log.WithError(err).WithField("peer", address).Debug("telling a peer at which software versions streams began failed")
+			og.mu.Lock()
+			og.awayUntil[address] = time.Now().Add(holderBackoff)
+			og.mu.Unlock()
+		}
+	}
+}
+
+// takeUntold returns the records that a holder has not been told. If there are none, it records that no message is in progress.
+func (og *origins) takeUntold(address string) []origin.Record {
+	og.mu.Lock()
+	defer og.mu.Unlock()
+	records := og.untold[address]
+	delete(og.untold, address)
+	if len(records) == 0 {
+		delete(og.telling, address)
+	}
+	return records
+}
+
+// find returns the record of a stream, and false if no gate that replies knows it.
+func (og *origins) find(parent context.Context, stream uint64) (origin.Record, bool) {
+	if version, ok := og.table.Version(time.Now(), stream); ok {
+		return origin.NewRecord(stream, version), true
+	}
+	ctx, cancel := context.WithTimeout(parent, findOriginTimeout)
+	defer cancel()
+	peers := og.gate.peers()
+	replies := make(chan *wire.StreamOrigin, len(peers))
+	for _, address := range peers {
+		og.calls.Go(func() {
+			reply, err := og.gate.opts.Links.Node(address).FindOrigin(ctx, &wire.StreamQuery{Stream: stream})
+			if err != nil {
+				og.gate.log.WithError(err).WithField("peer", address).Debug("asking a peer for the software version of a stream failed")
+			}
+			replies <- reply
+		})
+	}
+	for range peers {
+		if reply := <-replies; reply.GetKnown() {
+			rc := origin.NewRecord(stream, reply.GetVersion())
+			og.table.Put(time.Now(), rc)
+			return rc, true
+		}
+	}
+	return origin.Record{}, false
+}
+
+// encodeOrigins returns a message with records.
+func encodeOrigins(records []origin.Record) *wire.StreamOrigins {
+	message := &wire.StreamOrigins{}
+	indexes := make(map[string]uint32)
+	for _, rc := range records {
+		index, ok := indexes[rc.Version()]
+		if !ok {
+			index = uint32(len(message.Versions))
+			indexes[rc.Version()] = index
+			message.Versions = append(message.Versions, rc.Version())
+		}
+		message.Streams = append(message.Streams, rc.Stream())
+		message.Indexes = append(message.Indexes, index)
+	}
+	return message
+}
+
+// TellOrigins handles the TellOrigins RPC.
+func (nh *nodeHandler) TellOrigins(_ context.Context, so *wire.StreamOrigins) (*wire.Received, error) {
+	now := time.Now()
+	for i := range min(len(so.GetStreams()), len(so.GetIndexes())) {
+		if index := int(so.GetIndexes()[i]); index < len(so.GetVersions()) {
+			nh.gate.origins.table.Put(now, origin.NewRecord(so.GetStreams()[i], so.GetVersions()[index]))
+		}
+	}
+	return &wire.Received{}, nil
+}
+
+// FindOrigin handles the FindOrigin RPC.
+func (nh *nodeHandler) FindOrigin(_ context.Context, sq *wire.StreamQuery) (*wire.StreamOrigin, error) {
+	version, ok := nh.gate.origins.table.Version(time.Now(), sq.GetStream())
+	return &wire.StreamOrigin{Known: ok, Version: version}, nil
+}
+
+// streamID returns the id of the request that began the stream, or begins it.
+func (rq *request) streamID() string {
+	if rq.info.Resumes != "" {
+		return rq.info.Resumes
+	}
+	return rq.info.RequestID
+}
+
+// streamKey returns the key of the stream for package origin.
+func (rq *request) streamKey() uint64 { return origin.Key(rq.workspace.Name(), rq.streamID()) }
+
+// pinResumed limits a resumed stream to servers of the software version at which it began. What is not known is not guessed: pieces of two versions
+// do not fit together.
+func (gt *Gate) pinResumed(ctx context.Context, rq *request) *answer.Error {
+	if !rq.isResumed() {
+		return nil
+	}
+	rc, known := gt.origins.find(ctx, rq.streamKey())
+	service, version, _ := strings.Cut(rc.Version(), originSeparator)
+	switch {
+	case rq.info.Resumes == "" || !known:
+		return answer.NewError(answer.NotResumable, answer.NotRun, resumeRetryAfter, "unknown at which software version stream %q began", rq.info.Resumes)
+	case service != rq.service.Name():
+		return answer.NewError(answer.NotResumable, answer.NotRun, resumeRetryAfter, "stream %q began at service %q", rq.info.Resumes, service)
+	}
+	rq.call = rq.call.WithSoftwareVersion(version)
+	if !gt.picker.HasServer(rq.call) {
+		return answer.NewError(answer.NotResumable, answer.NotRun, resumeRetryAfter, "no server has software version %q, at which stream %q began",
+			version, rq.info.Resumes)
+	}
+	return nil
+}
+
+// originSeparator stands between the service and the software version in a record: versions of two services have nothing to do with each other.
+const originSeparator = " "
+
+// errOtherSoftware means that a server would continue a stream that began at another software version.
+var errOtherSoftware = errors.New("the server may have another software version than the one at which the stream began")
+
+// checkVersion is called before each event goes out. The first event of a stream limits its rest to servers of the software version of its server;
+// checkVersion fails if the attempt's server, which is to continue a stream, may have another one.
+func (at *attempt) checkVersion(ctx context.Context) error {
+	if at.versionChecked {
+		return nil
+	}
+	at.versionChecked = true
+	rq, version := at.rq, at.softwareVersion()
+	began, pinned := rq.call.SoftwareVersion()
+	switch {
+	case pinned && (version == "" || version != began):
+		return errOtherSoftware
+	case version == "":
+		at.gate.log.WithFields(logrus.Fields{"request_id": rq.info.RequestID, "server": at.choice.Server().ID()}).
+			Info("the stream begins at a server of an unknown software version; it cannot be continued")
+	case !rq.route.AtMostOnce():
+		at.gate.origins.record(ctx, origin.NewRecord(rq.streamKey(), rq.service.Name()+originSeparator+version))
+	}
+	rq.call = rq.call.WithSoftwareVersion(version)
+	return nil
+}
+
+// softwareVersion returns the software version of the attempt's server, or "" if it is unknown: the server may have started again under its id.
+func (at *attempt) softwareVersion() string {
+	sv := at.choice.Server()
+	if current := at.gate.picker.View().Server(sv.ID()); current != nil && current.StartUnixMilli() != sv.StartUnixMilli() {
+		return ""
+	}
+	return sv.SoftwareVersion()
+}
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -43,6 +43,9 @@
 				at.recordFirstEvent()
 			}
 			at.recordPromptServed()
+			if err := at.checkVersion(requestCtx); err != nil {
+				return at.endBroken(requestCtx, err)
+			}
 			if err := rq.response.writeEvent(resp, event); err != nil {
 				at.pickAttempt.End(time.Now(), pick.Abandoned)
 				return mayHaveRun, answer.NewError(answer.StreamBroken, answer.Unknown, 0, "write to caller: %v", err)
--- a/io/gate/run.go
+++ b/io/gate/run.go
@@ -50,6 +50,9 @@
 func (gt *Gate) run(parent context.Context, rq *request) *answer.Error {
 	ctx, cancel := context.WithDeadline(parent, rq.deadline)
 	defer cancel()
+	if er := gt.pinResumed(ctx, rq); er != nil {
+		return er
+	}
 	last := answer.NewError(answer.NoBackendServer, answer.NotRun, serverRetryAfter,
 		"no available backend server for service %q", rq.service.Name())
 	for {
--- a/io/gate/shed.go
+++ b/io/gate/shed.go
@@ -8,9 +8,9 @@
 )
 
 // shed returns an error if the first attempt of a request goes to an engine whose response is not expected to begin in time, and
-// nil otherwise. Retries are not shed.
+// nil otherwise. Retries and resumed streams are not shed.
 func (gt *Gate) shed(rq *request, ch pick.Choice) *answer.Error {
-	if !rq.service.IsEngine() || rq.sends > 0 {
+	if !rq.service.IsEngine() || rq.sends > 0 || rq.isResumed() {
 		return nil
 	}
 	fairShareRatio := gt.meter.FairShareRatio(time.Now(), rq.workspace.Name())
--- a/io/gate/watcher.go
+++ b/io/gate/watcher.go
@@ -258,6 +258,7 @@
 	wg.Go(func() { gt.watchCacheStores(ctx) })
 	wg.Go(func() { gt.limits.run(ctx) })
 	wg.Go(func() { <-ctx.Done(); gt.crashes.calls.Wait() })
+	wg.Go(func() { <-ctx.Done(); gt.origins.calls.Wait() })
 	every := func(interval time.Duration, fn func()) {
 		cancel := gt.opts.Timer.Every(interval, fn)
 		wg.Go(func() { <-ctx.Done(); cancel() })
