Streams whose callers do not name their first request are resumed by the request itself (ORDER, LOST)

A stream is recorded under the key of its request, too (workspace, method, host, path, body), which the caller repeats; it is resumed if all streams with that key that any gate knows began at one version, and refused otherwise. Nothing is guessed.

--- a/core/origin/table.go
+++ b/core/origin/table.go
@@ -51,19 +51,22 @@
 	return &Table{records: records}
 }
 
-// Put adds a record. A stream that is known keeps its version.
+// Put adds a record. If the streams with its key began at several versions, none of them may be resumed.
 func (tb *Table) Put(now time.Time, rc Record) {
 	version := rc.version
-	if known, ok := tb.Version(now, rc.stream); ok {
-		version = known
+	if known, ok := tb.records.Peek(rc.stream); ok && now.Sub(known.at) <= recordTTL && known.version != rc.version {
+		version = ambiguous
 	}
 	tb.records.Add(rc.stream, entry{version: version, at: now})
 }
 
-// Version returns the software version at which a stream began; ok is false if that is not known.
+// ambiguous is the version of streams that began at several versions under one key.
+const ambiguous = ""
+
+// Version returns the software version at which the streams with a key began; ok is false if that is not known.
 func (tb *Table) Version(now time.Time, stream uint64) (version string, ok bool) {
 	en, ok := tb.records.Peek(stream)
-	if !ok || now.Sub(en.at) > recordTTL {
+	if !ok || en.version == ambiguous || now.Sub(en.at) > recordTTL {
 		return "", false
 	}
 	return en.version, true
--- a/core/origin/table_test.go
+++ b/core/origin/table_test.go
@@ -5,21 +5,24 @@
 	"time"
 )
 
-// A stream keeps the version at which it began while it may be resumed, and is not known after that.
+// The version of a stream is known while the stream may be resumed, and not after that; if streams with one key began at several versions, it is not.
 func TestTable(t *testing.T) {
 	start := time.Unix(1000, 0)
 	tb := NewTable()
-	stream := Key("north", "id-1")
-	tb.Put(start, NewRecord(stream, "v2"))
-	tb.Put(start.Add(recordTTL), NewRecord(stream, "v1"))
+	known, ambiguous := Key("north", "id-1"), Key("north", "id-2")
+	tb.Put(start, NewRecord(known, "v2"))
+	tb.Put(start.Add(recordTTL), NewRecord(known, "v2"))
+	tb.Put(start, NewRecord(ambiguous, "v2"))
+	tb.Put(start.Add(recordTTL), NewRecord(ambiguous, "v1"))
 	for _, tt := range []struct {
 		stream uint64
 		after  time.Duration
 		want   string
 		wantOK bool
 	}{
-		{stream, 2 * recordTTL, "v2", true},
-		{stream, 2*recordTTL + time.Second, "", false},
+		{known, 2 * recordTTL, "v2", true},
+		{known, 2*recordTTL + time.Second, "", false},
+		{ambiguous, recordTTL, "", false},
 		{Key("south", "id-1"), 0, "", false},
 	} {
 		if got, ok := tb.Version(start.Add(tt.after), tt.stream); got != tt.want || ok != tt.wantOK {
--- a/io/gate/origins.go
+++ b/io/gate/origins.go
@@ -53,15 +53,17 @@
 }
 
 // record records at which version a stream began, and tells the holders. It does not wait for them.
-func (og *origins) record(ctx context.Context, rc origin.Record) {
+func (og *origins) record(ctx context.Context, records ...origin.Record) {
 	now := time.Now()
-	og.table.Put(now, rc)
+	for _, rc := range records {
+		og.table.Put(now, rc)
+	}
 	holders := og.holders(now)
 	og.mu.Lock()
 	defer og.mu.Unlock()
 	for _, address := range holders {
 		if len(og.untold[address]) < maxUntoldOrigins {
-			og.untold[address] = append(og.untold[address], rc)
+			og.untold[address] = append(og.untold[address], records...)
 		}
 		if !og.telling[address] {
 			og.telling[address] = true
@@ -130,9 +132,11 @@
 	return records
 }
 
-// find returns the record of a stream, and false if no gate that replies knows it.
-func (og *origins) find(parent context.Context, stream uint64) (origin.Record, bool) {
-	if version, ok := og.table.Version(time.Now(), stream); ok {
+// find returns the record of a stream, and false if no gate that replies knows it. The key of a request, unlike that of an id, may be that of
+// several streams, so that all gates are asked whether these began at one version.
+func (og *origins) find(parent context.Context, stream uint64, isRequest bool) (origin.Record, bool) {
+	version, known := og.table.Version(time.Now(), stream)
+	if known && !isRequest {
 		return origin.NewRecord(stream, version), true
 	}
 	ctx, cancel := context.WithTimeout(parent, findOriginTimeout)
@@ -149,13 +153,17 @@
 		})
 	}
 	for range peers {
-		if reply := <-replies; reply.GetKnown() {
-			rc := origin.NewRecord(stream, reply.GetVersion())
-			og.table.Put(time.Now(), rc)
-			return rc, true
+		reply := <-replies
+		if !reply.GetKnown() {
+			continue
+		}
+		og.table.Put(time.Now(), origin.NewRecord(stream, reply.GetVersion()))
+		if !isRequest {
+			break
 		}
 	}
-	return origin.Record{}, false
+	version, known = og.table.Version(time.Now(), stream)
+	return origin.NewRecord(stream, version), known
 }
 
 // encodeOrigins returns a message with records.
@@ -200,8 +208,11 @@
 	return rq.info.RequestID
 }
 
-// streamKey returns the key of the stream for package origin.
-func (rq *request) streamKey() uint64 { return origin.Key(rq.workspace.Name(), rq.streamID()) }
+// origins returns the records of the stream that the request begins or resumes. Callers that do not name the request that began their stream repeat
+// that request, so that its key shows which one it was.
+func (rq *request) origins(version string) []origin.Record {
+	return []origin.Record{origin.NewRecord(origin.Key(rq.workspace.Name(), rq.streamID()), version), origin.NewRecord(rq.key, version)}
+}
 
 // pinResumed limits a resumed stream to servers of the software version at which it began. What is not known is not guessed: pieces of two versions
 // do not fit together.
@@ -209,10 +220,14 @@
 	if !rq.isResumed() {
 		return nil
 	}
-	rc, known := gt.origins.find(ctx, rq.streamKey())
+	stream, isRequest := origin.Key(rq.workspace.Name(), rq.info.Resumes), false
+	if rq.info.Resumes == "" {
+		stream, isRequest = rq.key, true
+	}
+	rc, known := gt.origins.find(ctx, stream, isRequest)
 	service, version, _ := strings.Cut(rc.Version(), originSeparator)
 	switch {
-	case rq.info.Resumes == "" || !known:
+	case !known:
 		return answer.NewError(answer.NotResumable, answer.NotRun, resumeRetryAfter, "unknown at which software version stream %q began", rq.info.Resumes)
 	case service != rq.service.Name():
 		return answer.NewError(answer.NotResumable, answer.NotRun, resumeRetryAfter, "stream %q began at service %q", rq.info.Resumes, service)
@@ -247,7 +262,7 @@
 		at.gate.log.WithFields(logrus.Fields{"request_id": rq.info.RequestID, "server": at.choice.Server().ID()}).
 			Info("the stream begins at a server of an unknown software version; it cannot be continued")
 	case !rq.route.AtMostOnce():
-		at.gate.origins.record(ctx, origin.NewRecord(rq.streamKey(), rq.service.Name()+originSeparator+version))
+		at.gate.origins.record(ctx, rq.origins(rq.service.Name()+originSeparator+version)...)
 	}
 	rq.call = rq.call.WithSoftwareVersion(version)
 	return nil
