Records of streams' versions reach gates that are there (LOST)

Found by reading: a record that a holder did not take was lost, and rows of gates that were removed for good stay in the table, so that the first records of each two seconds went to nobody. A record that one gate does not take is told to others; those that do not reply are left out for 2 s.

--- a/io/gate/origins.go
+++ b/io/gate/origins.go
@@ -58,6 +58,11 @@
 	for _, rc := range records {
 		og.table.Put(now, rc)
 	}
+	og.enqueue(ctx, now, records)
+}
+
+// enqueue lets the holders be told of records.
+func (og *origins) enqueue(ctx context.Context, now time.Time, records []origin.Record) {
 	holders := og.holders(now)
 	og.mu.Lock()
 	defer og.mu.Unlock()
@@ -101,7 +106,8 @@
 	return holders[:min(len(holders), originHolders)]
 }
 
-// tell sends a holder what it has not been told, until there is nothing left.
+// tell sends a holder what it has not been told, until there is nothing left. If the holder does not reply, others are told instead; one of
+// them may know already.
 func (og *origins) tell(parent context.Context, address string) {
 	for {
 		records := og.takeUntold(address)
@@ -113,13 +119,20 @@
 		cancel()
 		if err != nil {
 			og.gate.log.WithError(err).WithField("peer", address).Debug("telling a peer at which software versions streams began failed")
-			og.mu.Lock()
-			og.awayUntil[address] = time.Now().Add(holderBackoff)
-			og.mu.Unlock()
+			now := time.Now()
+			og.setAway(now, address)
+			og.enqueue(parent, now, records)
 		}
 	}
 }
 
+// setAway records that a holder did not reply.
+func (og *origins) setAway(now time.Time, address string) {
+	og.mu.Lock()
+	defer og.mu.Unlock()
+	og.awayUntil[address] = now.Add(holderBackoff)
+}
+
 // takeUntold returns the records that a holder has not been told. If there are none, it records that no message is in progress.
 func (og *origins) takeUntold(address string) []origin.Record {
 	og.mu.Lock()
