An entry that a restored directory no longer has is not taken later (DRAIN)

Cause, from the logs: a gate that had restarted took the row of a server that had left from the restored store; a peer told it of the departure, so that it set the row aside for ten seconds; the row's deletion came with a full read, which only looks at servers in use, and after ten seconds (0.13 s before the request) the row was taken. The same if the row is missing before the departure is known. TestOutdatedEntryEndsWithItsRow: both cases in use after 10 s before, never after.

--- a/core/fleet/registry.go
+++ b/core/fleet/registry.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -166,7 +167,9 @@
 			if sv.draining || !dp.covers(sv) {
 				continue
 			}
-			rg.outdated[dp.id] = outdatedEntry{server: sv, expires: now.Add(outdatedTTL)}
+			if rg.isListed(dp.id) {
+				rg.outdated[dp.id] = outdatedEntry{server: sv, expires: now.Add(outdatedTTL)}
+			}
 			rg.deleteServer(now, dp.id)
 			changed = true
 		}
@@ -175,6 +178,13 @@
 	return changed
 }
 
+// isListed reports whether the directory has an entry of a server in use, as far as is known.
+func (rg *Registry) isListed(id string) bool {
+	_, missing := rg.missingUntil[id]
+	_, unlisted := rg.unlistedUntil[id]
+	return !missing && !unlisted
+}
+
 // isOutdated reports whether an entry is the one that PutRestored has ignored.
 func (rg *Registry) isOutdated(sv *Server) bool {
 	oe, ok := rg.outdated[sv.id]
@@ -253,8 +263,9 @@
 	}
 }
 
-// Retain calls Remove for the servers that are not among the ids of a full read of the directory.
+// Retain calls Remove for the servers that are not among the ids of a full read of the directory, and forgets outdated entries that are not.
 func (rg *Registry) Retain(now time.Time, ids map[string]bool) {
+	maps.DeleteFunc(rg.outdated, func(id string, _ outdatedEntry) bool { return !ids[id] })
 	for id := range rg.servers {
 		if !ids[id] {
 			rg.Remove(now, id)
--- a/core/fleet/registry_test.go
+++ b/core/fleet/registry_test.go
@@ -174,3 +174,30 @@
 		t.Error("the same departures reported as a change again")
 	}
 }
+
+// Guards against DRAIN: an entry that a restored directory no longer had was taken ten seconds later, since its end was seen in a full read, or before
+// a peer told of the departure.
+func TestOutdatedEntryEndsWithItsRow(t *testing.T) {
+	start := time.Unix(1000, 0)
+	sv := NewServer("s1", "10.0.0.1:80", "a", "chat", 8, false, 1000, nil)
+	departure := []Departure{sv.departure()}
+	for _, tt := range []struct {
+		name   string
+		events func(rg *Registry)
+	}{
+		{"removed in a full read", func(rg *Registry) { rg.AddDepartures(start, departure); rg.Retain(start, nil) }},
+		{"removed before the departure is known", func(rg *Registry) { rg.Retain(start, nil); rg.AddDepartures(start, departure) }},
+	} {
+		rg := NewRegistry()
+		rg.RecordOutage(start)
+		rg.PutRestored(start, sv)
+		tt.events(rg)
+		for after := time.Duration(0); after < 2*outdatedTTL; after += time.Second {
+			rg.Expire(start.Add(after))
+			if rg.View().Server("s1") != nil {
+				t.Errorf("%s: the server is in use after %s", tt.name, after)
+				break
+			}
+		}
+	}
+}
