review: requests run at another service after its engine took over an address

A gate adds a server that a tender reports before its directory entry is read, and takes its service from the earlier server at the address. If the address has gone to another service, requests of the old one run there. The script lets engines crash for good and gives their addresses to engines of another service. Only the second engine of each pair got such requests: the entry of the first one starts the second for which gates collect changes.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -5,4 +5,4 @@
 	echo "run the build command of deploy/system.toml and review/build.sh first" >&2
 	exit 2
 fi
-exec target/review/standin split . review/4/record.txt
+exec target/review/standin takeup . review/4/record.txt
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -43,3 +43,14 @@
 		pr.start()
 	}
 }
+
+// engines returns the engines in the order in which they were added.
+func (rn *run) engines() []*replica {
+	var engines []*replica
+	for _, rp := range rn.replicas {
+		if rp.isEngine {
+			engines = append(engines, rp)
+		}
+	}
+	return engines
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -36,6 +36,8 @@
 	mu     sync.Mutex
 	record *os.File
 	runs   map[string][]string
+	// misrouted describes the runs at services to which no route leads the request; only the case of reused addresses looks at it.
+	misrouted []string
 }
 
 // current is the run in progress, for exit.
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -159,6 +159,7 @@
 	}
 	rp.run.recordf("run id=%s replica=%s software=%s tenant=%s after=%s", requestID, id, software, hr.Header.Get("X-Tenant"), hr.Header.Get("Last-Event-Id"))
 	rp.run.countRun(requestID, id)
+	rp.run.checkRoute(requestID, hr.URL.Path, rp.service, id)
 	rp.mu.Lock()
 	rp.active++
 	prefill, gap, events := rp.prefill, rp.gap, rp.events
