--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -93,8 +93,6 @@
 
 // start starts the process with the command and settings of the deploy file.
 func (pr *process) start() {
-	pr.mu.Lock()
-	defer pr.mu.Unlock()
 	cm := exec.Command(filepath.Join(pr.run.root, pr.role.command[0]), pr.role.command[1:]...)
 	cm.Dir = pr.run.root
 	cm.Env = []string{"PATH=" + os.Getenv("PATH")}
@@ -118,15 +116,18 @@
 	cm.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	check(cm.Start())
 	_ = out.Close()
-	pr.command, pr.startedAt, pr.ended, pr.misses = cm, time.Now(), make(chan struct{}), 2
+	ended := make(chan struct{})
+	pr.mu.Lock()
+	pr.command, pr.startedAt, pr.ended, pr.misses = cm, time.Now(), ended, 2
+	pr.mu.Unlock()
 	pr.run.recordf("started %s pid=%d", name, cm.Process.Pid)
-	go func(ended chan struct{}) {
+	go func() {
 		_ = cm.Wait()
 		pr.mu.Lock()
 		pr.startedAt = time.Time{}
 		pr.mu.Unlock()
 		close(ended)
-	}(pr.ended)
+	}()
 }
 
 // signal sends a signal to the process.
