io/cmds: settings that only some deployments state come from a file

A placeholder of the environment must have a value on each deployment. The template deploy/settings.env leaves out the lines without one, and the process applies the others unless its environment has them.

--- a/io/cmds/run.go
+++ b/io/cmds/run.go
@@ -68,6 +68,10 @@
 		}
 		commands[sc.name] = sc.command
 	}
+	if err := loadSettingsFile(os.Getenv(settingsFileVariable)); err != nil {
+		_, _ = fmt.Fprintln(errOut, "shallotcleat:", err)
+		return exitUsage
+	}
 	if _, err := parser.ParseArgs(args); err != nil {
 		return printParseError(err, out, errOut)
 	}
