An address that went to another service is not used for the earlier one (ROUTE)

An engine crashed, 2 s later its address went to an engine of another service, and the tender beside it reported the new run. RecordStart gave that run the service of the earlier run at the address, whose entry was still listed.

The tender now names the previous run only if that responded less than the reuse time of addresses ago (--address-reuse, 2 s), by the longer of the monotonic clock and the time of day; otherwise the run is used once the directory lists it. Its earlier runs get no more calls in either case.

Price: an engine that comes back under a new id after 2 s or more waits for its entry, at most a heartbeat.

--- a/core/fleet/registry.go
+++ b/core/fleet/registry.go
@@ -206,31 +206,51 @@
 	delete(rg.unlistedUntil, sv.id)
 }
 
-// RecordStart records the id that the tender of a server reported for its current run. A run that is not listed yet is added only
-// if an earlier run that is not draining is still tracked at the address, so that a server that has left is not restored. Earlier
-// runs at the address get no more calls. RecordStart reports whether the view has changed.
-func (rg *Registry) RecordStart(now time.Time, id, address string, weightVersions map[string]uint64) bool {
-	predecessor, changed := rg.supersede(id, address)
-	if _, ok := rg.servers[id]; ok {
-		if _, ok := rg.unlistedUntil[id]; ok {
-			rg.unlistedUntil[id] = now.Add(unlistedTTL)
+// Start is a run of a server as its tender reports it.
+type Start struct {
+	id             string
+	address        string
+	startUnixMilli int64
+	weightVersions map[string]uint64
+	// previousID is the id of the previous run if this one is certain to belong to its service.
+	previousID string
+}
+
+// NewStart returns the run with an id at an address. startUnixMilli is its start time in milliseconds since the Unix epoch, or zero if unknown.
+// previousID is the id of the previous run there if the address cannot have gone to another service in between, and "" otherwise. The map
+// must not be changed later.
+func NewStart(id, address string, startUnixMilli int64, weightVersions map[string]uint64, previousID string) Start {
+	return Start{id: id, address: address, startUnixMilli: startUnixMilli, weightVersions: weightVersions, previousID: previousID}
+}
+
+// RecordStart records the run that the tender of a server reported. A run that is not listed yet is added only if it is certain to belong to
+// the service of a previous run that is still tracked and not draining: so a server that has left is not restored, and an address that went
+// to another service is not used before the directory lists its new server. Earlier runs at the address get no more calls.
+// RecordStart reports whether the view has changed.
+func (rg *Registry) RecordStart(now time.Time, start Start) bool {
+	changed := rg.supersede(start.id, start.address)
+	if _, ok := rg.servers[start.id]; ok {
+		if _, ok := rg.unlistedUntil[start.id]; ok {
+			rg.unlistedUntil[start.id] = now.Add(unlistedTTL)
 		}
 		return changed
 	}
-	if predecessor == nil || predecessor.draining {
+	previous := rg.servers[start.previousID]
+	if previous == nil || previous.draining || previous.address != start.address {
 		return changed
 	}
-	rg.servers[id] = NewServer(id, address, predecessor.zone, predecessor.service, predecessor.slots, false, 0, weightVersions)
-	rg.unlistedUntil[id] = now.Add(unlistedTTL)
+	rg.servers[start.id] = NewServer(start.id, start.address, previous.zone, previous.service, previous.slots, false,
+		start.startUnixMilli, start.weightVersions)
+	rg.unlistedUntil[start.id] = now.Add(unlistedTTL)
 	return true
 }
 
-// supersede records the id of the current run at an address and marks the other runs there as superseded. It returns one of them,
-// or nil, and reports whether the superseded runs have changed.
-func (rg *Registry) supersede(id, address string) (predecessor *Server, changed bool) {
+// supersede records the id of the current run at an address and marks the other runs there as superseded. It reports whether the superseded
+// runs have changed.
+func (rg *Registry) supersede(id, address string) (changed bool) {
 	_, listed := rg.servers[id]
 	if rg.latestRun[address] == id && listed {
-		return nil, false
+		return false
 	}
 	rg.latestRun[address] = id
 	changed = rg.superseded[id]
@@ -241,9 +261,8 @@
 		}
 		changed = changed || !rg.superseded[sv.id]
 		rg.superseded[sv.id] = true
-		predecessor = sv
 	}
-	return predecessor, changed
+	return changed
 }
 
 // Remove records that the entry of a server has disappeared. During and right after an outage, the server stays in use for a grace
--- a/core/fleet/registry_test.go
+++ b/core/fleet/registry_test.go
@@ -57,11 +57,11 @@
 func TestRecordStartAddsUnlistedRun(t *testing.T) {
 	now := time.Unix(1000, 0)
 	rg := NewRegistry()
-	if rg.RecordStart(now, "left", "10.0.0.1:80", nil) {
+	if rg.RecordStart(now, NewStart("left", "10.0.0.1:80", 2, nil, "old")) {
 		t.Error("server added without a listed earlier run")
 	}
 	rg.Put(newTestServer("old", "10.0.0.1:80", false))
-	if !rg.RecordStart(now, "new", "10.0.0.1:80", nil) || rg.View().Server("new") == nil {
+	if !rg.RecordStart(now, NewStart("new", "10.0.0.1:80", 2, nil, "old")) || rg.View().Server("new") == nil {
 		t.Fatal("reported server not added")
 	}
 	rg.Retain(now, map[string]bool{"old": true})
@@ -80,7 +80,7 @@
 	rg := NewRegistry()
 	rg.Put(newTestServer("old", "10.0.0.1:80", false))
 	rg.Put(newTestServer("other", "10.0.0.2:80", false))
-	rg.RecordStart(now, "new", "10.0.0.1:80", nil)
+	rg.RecordStart(now, NewStart("new", "10.0.0.1:80", 2, nil, "old"))
 	if rg.View().Server("old") != nil {
 		t.Error("earlier run of the engine is still in use")
 	}
@@ -103,14 +103,35 @@
 	rg := NewRegistry()
 	rg.Put(newTestServer("old", "10.0.0.1:80", false))
 	rg.Put(newTestServer("new", "10.0.0.1:80", false))
-	if !rg.RecordStart(now, "new", "10.0.0.1:80", nil) || rg.View().Server("old") != nil {
+	if !rg.RecordStart(now, NewStart("new", "10.0.0.1:80", 2, nil, "old")) || rg.View().Server("old") != nil {
 		t.Error("earlier run of the engine is still in use")
 	}
-	if rg.RecordStart(now, "new", "10.0.0.1:80", nil) {
+	if rg.RecordStart(now, NewStart("new", "10.0.0.1:80", 2, nil, "old")) {
 		t.Error("repeated report counted as a change")
 	}
 }
 
+// A run that its tender reports is not used for the service of an earlier run if the address may have gone to another service (requests ran
+// at a service that their route does not allow).
+func TestRecordStartIgnoresRunOfUnknownService(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, previousID := range []string{"", "left", "elsewhere"} {
+		rg := NewRegistry()
+		rg.Put(newTestServer("old", "10.0.0.1:80", false))
+		rg.Put(newTestServer("elsewhere", "10.0.0.2:80", false))
+		if !rg.RecordStart(now, NewStart("new", "10.0.0.1:80", 2, nil, previousID)) || rg.View().Server("old") != nil {
+			t.Errorf("previous run %q: earlier run still in use", previousID)
+		}
+		if rg.View().Server("new") != nil {
+			t.Errorf("previous run %q: new run in use before the directory lists it", previousID)
+		}
+		rg.Put(NewServer("new", "10.0.0.1:80", "a", "plain", 8, false, 2, nil))
+		if sv := rg.View().Server("new"); sv == nil || sv.Service() != "plain" {
+			t.Errorf("previous run %q: listed run not in use", previousID)
+		}
+	}
+}
+
 func sequencedServer(id string, draining bool, sequence uint64) *Server {
 	return newTestServer(id, "10.0.0.1:80", draining).WithSequence(sequence)
 }
--- a/io/cmds/tender.go
+++ b/io/cmds/tender.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"time"
 
 	"shallotcleat/io/link"
 	"shallotcleat/io/tend"
@@ -20,12 +21,15 @@
 	gateTenderFlags
 	Engine  string `long:"engine" env:"SHALLOTCLEAT_ENGINE" description:"IP address and port of the model engine on this VM"`
 	Service string `long:"service" env:"SHALLOTCLEAT_SERVICE" description:"name of the engine's service"`
+
+	AddressReuse string `long:"address-reuse" env:"SHALLOTCLEAT_ADDRESS_REUSE" description:"time after the end of a backend server from which its address may go to a server of another service" default:"2s"`
 }
 
 func (cm *tenderCommand) run(ctx context.Context, _ io.Writer) error {
 	var vd validator
 	vd.address("engine", cm.Engine)
 	vd.name("service", cm.Service)
+	addressReuse := vd.duration("address-reuse", cm.AddressReuse, 0, time.Hour)
 	deps, err := cm.dependencies(&vd, "tender")
 	if err != nil {
 		return err
@@ -37,12 +41,14 @@
 		Service:   cm.Service,
 		Address:   cm.Engine,
 		SeedPeers: deps.seedGates,
-		Dialect:   platform.Dialect{},
-		Source:    store,
-		Store:     store,
-		Links:     link.NewPool(),
-		Engine:    platform.NewEngine(cm.Engine),
-		Recorder:  deps.recorder,
+
+		AddressReuse: addressReuse,
+		Dialect:      platform.Dialect{},
+		Source:       store,
+		Store:        store,
+		Links:        link.NewPool(),
+		Engine:       platform.NewEngine(cm.Engine),
+		Recorder:     deps.recorder,
 	})
 	return deps.serve(ctx, td.Serve)
 }
--- a/io/gate/watcher.go
+++ b/io/gate/watcher.go
@@ -194,11 +194,13 @@
 	wt.mu.Lock()
 	defer wt.mu.Unlock()
 	weightVersions := map[string]uint64{ns.GetModel(): ns.GetVersion()}
-	if !wt.registry.RecordStart(now, ns.GetServerId(), ns.GetAddress(), weightVersions) {
+	start := fleet.NewStart(ns.GetServerId(), ns.GetAddress(), ns.GetStartUnixMilli(), weightVersions, ns.GetPreviousId())
+	if !wt.registry.RecordStart(now, start) {
 		return
 	}
 	wt.publish()
-	wt.gate.log.WithFields(logrus.Fields{"server": ns.GetServerId(), "address": ns.GetAddress()}).Info("engine restarted")
+	wt.gate.log.WithFields(logrus.Fields{"server": ns.GetServerId(), "address": ns.GetAddress(), "start_unix_ms": ns.GetStartUnixMilli(),
+		"previous": ns.GetPreviousId()}).Info("engine started again, or responds again")
 }
 
 // publish passes the servers to the picker; the caller holds mu.
--- a/io/tend/notify.go
+++ b/io/tend/notify.go
@@ -174,5 +174,8 @@
 		Ask:      loadRequest,
 		Short:    wt.grant == weight.ShortOnly,
 		Address:  wt.tender.opts.Address,
+
+		StartUnixMilli: wt.startUnixMilli,
+		PreviousId:     wt.previousID,
 	}
 }
--- a/io/tend/tender.go
+++ b/io/tend/tender.go
@@ -72,6 +72,8 @@
 	// Service is the engine's service, and Address the address at which the engine takes calls.
 	Service string
 	Address string
+	// AddressReuse is the time after the end of a backend server from which its address may go to a server of another service.
+	AddressReuse time.Duration
 	// SeedPeers are peer addresses of gates, used in addition to those in the nodes table.
 	SeedPeers []string
 	Dialect   gate.Dialect
--- a/io/tend/watcher.go
+++ b/io/tend/watcher.go
@@ -70,6 +70,11 @@
 	// id is the engine's id, and startUnixMilli the start time of the engine process that has this id.
 	id             string
 	startUnixMilli int64
+	// previousID is the id of the previous run if it responded so lately before this one that the address cannot have gone to another
+	// service, and "" otherwise.
+	previousID string
+	// respondedAt is when the engine last responded.
+	respondedAt time.Time
 	// unreachable is set while the engine does not respond.
 	unreachable bool
 	// notifiedAt is when all gates were last notified of the engine's state.
@@ -184,7 +189,9 @@
 	}
 	wt.unreachable = false
 	wt.state = state
+	now, previous := time.Now(), wt.respondedAt
 	if wt.id != "" && state.StartUnixMilli == wt.startUnixMilli {
+		wt.respondedAt = now
 		return true
 	}
 	id := state.ServerID
@@ -194,11 +201,20 @@
 			return false
 		}
 	}
-	wt.id, wt.startUnixMilli, wt.notified = id, state.StartUnixMilli, servingState{}
+	if wt.previousID = wt.id; elapsed(previous, now) >= td.opts.AddressReuse {
+		wt.previousID = ""
+	}
+	wt.id, wt.startUnixMilli, wt.notified, wt.respondedAt = id, state.StartUnixMilli, servingState{}, now
 	td.log.WithFields(logrus.Fields{"server": id, "weights": state.Version}).Info("identified the engine")
 	return true
 }
 
+// elapsed returns the time between two moments. The monotonic clock does not count the time for which a VM is suspended, and the time of day may
+// be set back, so the longer of both holds.
+func elapsed(from, to time.Time) time.Duration {
+	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)))
+}
+
 // sendOrder notifies the gates that the engine takes no calls, and sends it a load order. If the engine has seen a higher fencing
 // number, the tender claims it again.
 func (wt *watcher) sendOrder(parent context.Context, fence uint64) {
