The software version of an engine that started again is unknown until its entry says it (ORDER)

Engines started again under their ids with another version, and gates took the version from the directory entry of the run before, up to a heartbeat (1.2 s) too long.

The tender's reports carry the engine's start time. A later start under a listed id gives the server no known version until its entry has that start; an engine that does not respond to its tender has none until the tender reports its start again. Entries of earlier runs no longer replace a reported later one. An attempt whose server's version has changed since it was chosen has an unknown version.

--- a/core/fleet/registry.go
+++ b/core/fleet/registry.go
@@ -60,6 +60,9 @@
 	// earlier runs that are still in servers.
 	latestRun  map[string]string
 	superseded map[string]bool
+	// silent holds the ids of the servers that did not respond to their tenders. Such a server may have restarted under its id with other
+	// software, so its software version is unknown until its tender reports its start time again.
+	silent map[string]bool
 	// trustedFrom is the time from which a missing entry means that the server has left.
 	trustedFrom time.Time
 	// departed holds the servers that were deleted within the last departureTTL.
@@ -116,6 +119,7 @@
 		unlistedUntil: make(map[string]time.Time),
 		latestRun:     make(map[string]string),
 		superseded:    make(map[string]bool),
+		silent:        make(map[string]bool),
 		departed:      make(map[string]departedServer),
 		outdated:      make(map[string]outdatedEntry),
 	}
@@ -191,15 +195,20 @@
 	return ok && oe.server.startUnixMilli == sv.startUnixMilli && oe.server.sequence == sv.sequence && oe.server.draining == sv.draining
 }
 
-// Put adds or replaces a server according to its current directory entry. A later run under the same id is not superseded.
+// Put adds or replaces a server according to its current directory entry. A later run under the same id is not superseded, and the entry of
+// an earlier run does not replace a later one that its tender reported.
 func (rg *Registry) Put(sv *Server) {
 	if rg.isOutdated(sv) {
 		return
 	}
+	if known, ok := rg.servers[sv.id]; ok && sv.startUnixMilli != 0 && sv.startUnixMilli < known.startUnixMilli {
+		return
+	}
 	delete(rg.outdated, sv.id)
 	delete(rg.departed, sv.id)
 	if old, ok := rg.servers[sv.id]; ok && sv.startUnixMilli > old.startUnixMilli {
 		delete(rg.superseded, sv.id)
+		delete(rg.silent, sv.id)
 	}
 	rg.servers[sv.id] = sv
 	delete(rg.missingUntil, sv.id)
@@ -226,13 +235,26 @@
 // RecordStart records the run that the tender of a server reported. A run that is not listed yet is added only if it is certain to belong to
 // the service of a previous run that is still tracked and not draining: so a server that has left is not restored, and an address that went
 // to another service is not used before the directory lists its new server. Earlier runs at the address get no more calls.
-// RecordStart reports whether the view has changed.
+// A listed server that has started again under its id has no known software version until its entry is written again. RecordStart reports
+// whether the view has changed.
 func (rg *Registry) RecordStart(now time.Time, start Start) bool {
 	changed := rg.supersede(start.id, start.address)
-	if _, ok := rg.servers[start.id]; ok {
+	if sv, ok := rg.servers[start.id]; ok {
+		if start.startUnixMilli < sv.startUnixMilli {
+			// A late report of an earlier run under the same id, or of a server that does not state its start.
+			return changed
+		}
 		if _, ok := rg.unlistedUntil[start.id]; ok {
 			rg.unlistedUntil[start.id] = now.Add(unlistedTTL)
 		}
+		if rg.silent[start.id] {
+			delete(rg.silent, start.id)
+			changed = true
+		}
+		if sv.startUnixMilli != 0 && start.startUnixMilli > sv.startUnixMilli {
+			rg.servers[start.id] = NewServer(start.id, start.address, sv.zone, sv.service, sv.slots, false, start.startUnixMilli, start.weightVersions)
+			changed = true
+		}
 		return changed
 	}
 	previous := rg.servers[start.previousID]
@@ -245,6 +267,15 @@
 	return true
 }
 
+// RecordSilence records that a server did not respond to its tender, and reports whether the view has changed.
+func (rg *Registry) RecordSilence(id string) bool {
+	if _, ok := rg.servers[id]; !ok || rg.silent[id] {
+		return false
+	}
+	rg.silent[id] = true
+	return true
+}
+
 // supersede records the id of the current run at an address and marks the other runs there as superseded. It reports whether the superseded
 // runs have changed.
 func (rg *Registry) supersede(id, address string) (changed bool) {
@@ -334,6 +365,7 @@
 	delete(rg.missingUntil, id)
 	delete(rg.unlistedUntil, id)
 	delete(rg.superseded, id)
+	delete(rg.silent, id)
 }
 
 // View returns a snapshot of the servers without superseded runs.
@@ -344,6 +376,9 @@
 		if rg.superseded[id] {
 			continue
 		}
+		if rg.silent[id] {
+			sv = sv.WithSoftwareVersion("")
+		}
 		vw.byID[id] = sv
 		vw.byHash[sv.hash] = sv
 		vw.byService[sv.service] = append(vw.byService[sv.service], sv)
--- a/core/fleet/registry_test.go
+++ b/core/fleet/registry_test.go
@@ -132,6 +132,42 @@
 	}
 }
 
+// The software version of a server is unknown from the report that it started again under its id, or does not respond, until its own entry or
+// a report shows which run it is (streams held events of two software versions).
+func TestSoftwareVersionOfRestartedServerIsUnknown(t *testing.T) {
+	now := time.Unix(1000, 0)
+	entry := func(startUnixMilli int64, version string) *Server {
+		return NewServer("s", "10.0.0.1:80", "a", "chat", 8, false, startUnixMilli, nil).WithSoftwareVersion(version)
+	}
+	report := func(startUnixMilli int64) Start { return NewStart("s", "10.0.0.1:80", startUnixMilli, nil, "s") }
+	rg := NewRegistry()
+	check := func(step, want string) {
+		t.Helper()
+		if sv := rg.View().Server("s"); sv == nil || sv.SoftwareVersion() != want {
+			t.Errorf("%s: server %+v, want software version %q", step, sv, want)
+		}
+	}
+	rg.Put(entry(5, "1.0"))
+	rg.RecordStart(now, report(5))
+	check("report of the listed run", "1.0")
+	rg.RecordSilence("s")
+	check("no response", "")
+	rg.RecordStart(now, report(4))
+	check("late report of an earlier run", "")
+	rg.RecordStart(now, report(5))
+	check("response of the listed run", "1.0")
+	rg.RecordSilence("s")
+	rg.RecordStart(now, report(9))
+	check("report of a later run", "")
+	rg.Put(entry(5, "1.0"))
+	check("old entry", "")
+	rg.Put(entry(9, "2.0"))
+	check("entry of the later run", "2.0")
+	rg.RecordSilence("s")
+	rg.Put(entry(12, "3.0"))
+	check("entry of a run after a silence", "3.0")
+}
+
 func sequencedServer(id string, draining bool, sequence uint64) *Server {
 	return newTestServer(id, "10.0.0.1:80", draining).WithSequence(sequence)
 }
--- a/io/gate/resume.go
+++ b/io/gate/resume.go
@@ -113,7 +113,8 @@
 // softwareVersion returns the software version of the attempt's server, or "" if it is unknown: the server may have started again under its id.
 func (at *attempt) softwareVersion() string {
 	sv := at.choice.Server()
-	if current := at.gate.picker.View().Server(sv.ID()); current != nil && current.StartUnixMilli() != sv.StartUnixMilli() {
+	current := at.gate.picker.View().Server(sv.ID())
+	if current != nil && (current.StartUnixMilli() != sv.StartUnixMilli() || current.SoftwareVersion() != sv.SoftwareVersion()) {
 		return ""
 	}
 	return sv.SoftwareVersion()
--- a/io/gate/watcher.go
+++ b/io/gate/watcher.go
@@ -203,6 +203,15 @@
 		"previous": ns.GetPreviousId()}).Info("engine started again, or responds again")
 }
 
+// recordSilence records that an engine does not respond to its tender.
+func (wt *watcher) recordSilence(id string) {
+	wt.mu.Lock()
+	defer wt.mu.Unlock()
+	if wt.registry.RecordSilence(id) {
+		wt.publish()
+	}
+}
+
 // publish passes the servers to the picker; the caller holds mu.
 func (wt *watcher) publish() {
 	wt.gate.picker.SetView(wt.registry.View())
