core/quota, io/gate: limits of workspaces hold over all gates together

No gate read rate-per-s, burst, unit and uncached-tokens of a workspace. A dispenser gate per workspace now keeps the balance and the other gates hold allowances, by the existing Share RPC. Requests over the limit get status 429 with Retry-After before their body is read. Limits are enforced only if the settings name a window.

--- a/core/quota/dispenser.go
+++ b/core/quota/dispenser.go
@@ -12,11 +12,15 @@
 	askerTTL = 2 * maxRetry
 )
 
-// Dispenser gives out the slots of servers; its methods may be called from any goroutine.
+// Dispenser gives out the slots of servers and the tokens of workspaces; its methods may be called from any goroutine.
 type Dispenser struct {
-	// mu guards ledgers.
+	// mu guards the fields below.
 	mu      sync.Mutex
 	ledgers map[string]*ledger
+	// balances are those of the limits of workspaces, by name.
+	balances map[string]*balance
+	bounds   Bounds
+	began    time.Time
 }
 
 // ledger is what a dispenser knows of one server.
@@ -35,7 +39,9 @@
 }
 
 // NewDispenser returns a dispenser that has given out no slots.
-func NewDispenser() *Dispenser { return &Dispenser{ledgers: make(map[string]*ledger)} }
+func NewDispenser() *Dispenser {
+	return &Dispenser{ledgers: make(map[string]*ledger), balances: make(map[string]*balance)}
+}
 
 // Dispense replies to an ask of a process; share is that of this dispenser, as Share returns it. A dispenser
 // that takes over from another one begins with secondShare.
--- a/core/quota/stock.go
+++ b/core/quota/stock.go
@@ -19,9 +19,11 @@
 	// wanted receives a value when asks are due.
 	wanted chan struct{}
 
-	// mu guards holdings.
+	// mu guards the fields below.
 	mu       sync.Mutex
 	holdings map[string]*holding
+	// accounts are those of the limits of workspaces, by name.
+	accounts map[string]*account
 }
 
 // holding is what a process has for one server.
@@ -44,7 +46,8 @@
 
 // NewStock returns a stock for a process that knows of no limits.
 func NewStock() *Stock {
-	return &Stock{wanted: make(chan struct{}, 1), holdings: make(map[string]*holding)}
+	return &Stock{wanted: make(chan struct{}, 1), holdings: make(map[string]*holding),
+		accounts: make(map[string]*account)}
 }
 
 // Observe records the limit in an answer of a server, in requests per second, or that it has none if perSecond is zero. The request was sent
--- a/core/route/spec.go
+++ b/core/route/spec.go
@@ -71,6 +71,19 @@
 	HasPriority bool
 	// Isolated is set if the workspace shares no cached prompt prefixes with others.
 	Isolated bool
+	// Quota limits what the workspace may use over all gates.
+	Quota QuotaSpec
+	// Problems say which of the workspace's figures were not usable.
+	Problems []string
+}
+
+// QuotaSpec limits a workspace to Rate per second and a Burst, in requests or in tokens. A Rate of zero is no limit.
+type QuotaSpec struct {
+	Rate   float64
+	Burst  float64
+	Tokens bool
+	// UncachedTokens is what a request counts that does not say how many tokens it has.
+	UncachedTokens float64
 }
 
 // Limits bound the size of a request, the time that a caller may take to send its header, and the time for which a connection
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -131,6 +131,9 @@
 // Isolated reports whether the workspace shares no cached prompt prefixes with others.
 func (ws *Workspace) Isolated() bool { return ws.spec.Isolated }
 
+// Quota returns the limit of the workspace.
+func (ws *Workspace) Quota() QuotaSpec { return ws.spec.Quota }
+
 // Priority returns the priority of the workspace's calls on a route; 0 is the highest.
 func (ws *Workspace) Priority(rt *Route) int {
 	if ws.spec.HasPriority {
--- a/io/cmds/gate.go
+++ b/io/cmds/gate.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"shallotcleat/core/quota"
 	"shallotcleat/io/gate"
 	"shallotcleat/io/link"
 	"shallotcleat/io/timer"
@@ -34,6 +35,9 @@
 	Settle         string `long:"settle" env:"SHALLOTCLEAT_SETTLE" description:"time after a connection was cut or stalled from which the deadlines for changes hold again" default:"3s"`
 	ConfigDeadline string `long:"config-deadline" env:"SHALLOTCLEAT_CONFIG_DEADLINE" description:"time within which a change of the configuration must be in force" default:"2s"`
 	DrainDeadline  string `long:"drain-deadline" env:"SHALLOTCLEAT_DRAIN_DEADLINE" description:"time after which a leaving server must get no requests" default:"2s"`
+	QuotaWindow    string `long:"quota-window" env:"SHALLOTCLEAT_QUOTA_WINDOW" description:"period over which the limits of workspaces hold; without it they are not enforced"`
+	QuotaOverage   string `long:"quota-overage" env:"SHALLOTCLEAT_QUOTA_OVERAGE" description:"part by which all gates together may exceed the limit of a workspace"`
+	QuotaSlack     string `long:"quota-slack" env:"SHALLOTCLEAT_QUOTA_SLACK" description:"tokens by which all gates together may exceed the limit of a workspace in addition"`
 	OldWeights     string `long:"old-weights" env:"SHALLOTCLEAT_OLD_WEIGHTS" description:"how long after newer weights are announced a request may start on older ones" default:"6s"`
 }
 
@@ -44,6 +48,21 @@
 // and removes a gate after two failures.
 const balancerLag = 3 * time.Second
 
+// quotaBounds returns the bounds of workspaces' limits. The platform renders settings that it lacks as nothing, which leaves a bare unit.
+func (cm *gateCommand) quotaBounds(vd *validator) quota.Bounds {
+	var bd quota.Bounds
+	if cm.QuotaWindow != "" && cm.QuotaWindow != "s" {
+		bd.Window = vd.duration("quota-window", cm.QuotaWindow, time.Second, time.Hour)
+	}
+	if cm.QuotaOverage != "" {
+		bd.Overage = vd.float("quota-overage", cm.QuotaOverage, 0, 10)
+	}
+	if cm.QuotaSlack != "" {
+		bd.Slack = vd.float("quota-slack", cm.QuotaSlack, 0, 1e12)
+	}
+	return bd
+}
+
 func (cm *gateCommand) run(ctx context.Context, _ io.Writer) error {
 	var vd validator
 	opts := gate.Options{
@@ -67,6 +86,7 @@
 		StopTimeout:     vd.duration("stop-timeout", cm.StopTimeout, 2*time.Second, time.Hour) - stopMargin,
 		BalancerLag:     balancerLag,
 		RandomSeed:      randomNonZero(),
+		Quota:           cm.quotaBounds(&vd),
 	}
 	vd.address("listen", cm.Listen)
 	vd.address("ready", cm.Ready)
--- a/io/gate/dialect.go
+++ b/io/gate/dialect.go
@@ -22,6 +22,9 @@
 	// PromptParts are the parts of the prompt in order; PromptTokens is its length.
 	PromptParts  []pick.Part
 	PromptTokens int
+	// CountedTokens is what the request counts towards a limit in tokens, if HasTokenCount is set.
+	CountedTokens float64
+	HasTokenCount bool
 	// ExpectedTokens is the expected number of output tokens, or zero.
 	ExpectedTokens int
 	// LastEventID is the id of the last event that the caller received of a stream that it resumes, or empty.
--- a/io/gate/finish.go
+++ b/io/gate/finish.go
@@ -29,10 +29,11 @@
 
 // statusByCode maps error codes of requests that did not run to HTTP statuses; other codes map to 503.
 var statusByCode = map[answer.Code]int{
-	answer.BadRequest:   http.StatusBadRequest,
-	answer.Unauthorized: http.StatusUnauthorized,
-	answer.NotFound:     http.StatusNotFound,
-	answer.BodyTooLarge: http.StatusRequestEntityTooLarge,
+	answer.BadRequest:    http.StatusBadRequest,
+	answer.Unauthorized:  http.StatusUnauthorized,
+	answer.NotFound:      http.StatusNotFound,
+	answer.BodyTooLarge:  http.StatusRequestEntityTooLarge,
+	answer.LimitExceeded: http.StatusTooManyRequests,
 }
 
 // finish records the outcome of a request, logs it and, after a failure, sends an error response. If the response has already
@@ -41,6 +42,7 @@
 	outcome := answer.Done
 	if er != nil {
 		outcome = er.Outcome()
+		gt.creditQuota(rq, er)
 		gt.opts.Recorder.CountRefusal(string(er.Code()))
 	}
 	gt.opts.Recorder.CountAnswer(string(outcome))
@@ -76,7 +78,7 @@
 		}
 	}
 	hd := rq.response.writer.Header()
-	if er.RetryAfter() > 0 && status == http.StatusServiceUnavailable {
+	if er.RetryAfter() > 0 && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
 		retryAfter := er.RetryAfter().Seconds() * (1 + retryAfterJitter*rand.Float64())
 		hd.Set("Retry-After", strconv.FormatFloat(retryAfter, 'f', 2, 64))
 	}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -17,6 +17,7 @@
 
 	"shallotcleat/core/clock"
 	"shallotcleat/core/pick"
+	"shallotcleat/core/quota"
 	"shallotcleat/core/route"
 	"shallotcleat/core/share"
 	"shallotcleat/core/weight"
@@ -53,6 +54,8 @@
 	Timer       clock.Clock
 	// RetryBudget limits the retries for each service.
 	RetryBudget RetryBudgetOptions
+	// Quota says by how much the limits of workspaces may be exceeded; without a window they are not enforced.
+	Quota quota.Bounds
 	// OldWeightsGrace is how long after newer weights were announced a request may begin on older ones.
 	OldWeightsGrace time.Duration
 	// RandomSeed seeds the random selection among backend servers.
--- a/io/gate/handle.go
+++ b/io/gate/handle.go
@@ -46,6 +46,8 @@
 	suspectKeys []uint64
 	trial       bool
 
+	// quotaAmount is what the request was admitted for of its workspace's limit.
+	quotaAmount float64
 	// excluded holds the ids of the servers to which the request is not sent again.
 	excluded map[string]bool
 	// possibleRuns is the number of servers on which the request may have run; sends is the number of attempts.
@@ -93,6 +95,9 @@
 		wr.Header().Set("Connection", "close")
 	}
 	er := gt.admit(rq, hr)
+	if er == nil {
+		er = gt.claimQuota(hr.Context(), rq)
+	}
 	gt.limitBodyTime(rq, wr, hr)
 	if er == nil {
 		er = gt.readBody(rq, wr, hr)
--- a/io/gate/limit.go
+++ b/io/gate/limit.go
@@ -26,6 +26,11 @@
 	promotionDelay = 30 * time.Second
 	// minElsewhere is the least time since slots came from another gate that is reported, since zero means never.
 	minElsewhere = time.Millisecond
+	// tokenTimeout bounds a call for tokens, for which requests may wait, and tokenProbeTimeout one of a gate that did not reply lately.
+	tokenTimeout      = 150 * time.Millisecond
+	tokenProbeTimeout = 50 * time.Millisecond
+	// tokenFailures is the number of calls for tokens in a row that a gate must not reply to until the next gate is asked: that one gives out little.
+	tokenFailures = 3
 	// sourceTTL is how long it is known which gates slots came from.
 	sourceTTL = time.Minute
 )
@@ -41,6 +46,8 @@
 	away map[string]awayGate
 	// sources holds when slots of a server last came from a gate.
 	sources map[slotSource]time.Time
+	// failures holds how many calls for tokens in a row each gate did not reply to.
+	failures map[string]int
 }
 
 // awayGate is a gate that does not reply to calls for slots.
@@ -54,8 +61,10 @@
 type slotSource struct{ server, gate string }
 
 func newLimitSharing(gt *Gate) *limitSharing {
-	return &limitSharing{gate: gt, dispenser: quota.NewDispenser(), away: make(map[string]awayGate),
-		sources: make(map[slotSource]time.Time)}
+	dp := quota.NewDispenser()
+	dp.SetBounds(time.Now(), gt.opts.Quota)
+	return &limitSharing{gate: gt, dispenser: dp, away: make(map[string]awayGate),
+		sources: make(map[slotSource]time.Time), failures: make(map[string]int)}
 }
 
 // run asks for the slots that the gate wants until ctx is done.
@@ -68,6 +77,10 @@
 		case <-ctx.Done():
 			return
 		case <-stock.Wanted():
+		case <-waitUntil(stock.NextTokenAsk()):
+		}
+		for _, ak := range stock.TakeTokenAsks(time.Now()) {
+			calls.Go(func() { ls.askTokens(ctx, ak) })
 		}
 		for _, ak := range stock.TakeAsks(time.Now()) {
 			calls.Go(func() { ls.ask(ctx, ak) })
@@ -75,6 +88,14 @@
 	}
 }
 
+// waitUntil returns a channel that receives a value at a time, or never if it is zero.
+func waitUntil(at time.Time) <-chan time.Time {
+	if at.IsZero() {
+		return nil
+	}
+	return time.After(max(time.Until(at), time.Millisecond))
+}
+
 // ask asks the first gate that replies for slots.
 func (ls *limitSharing) ask(ctx context.Context, ak quota.Ask) {
 	stock := ls.gate.picker.Limits()
@@ -86,7 +107,9 @@
 		}
 		ls.recordReply(address, err)
 		if err == nil {
-			ls.recordSource(time.Now(), ak.Server(), address, gr)
+			if gr.Count() > 0 {
+				ls.recordSource(time.Now(), ak.Server(), address)
+			}
 			stock.Apply(time.Now(), ak, gr)
 			return
 		}
@@ -114,22 +137,28 @@
 
 // withElsewhere adds to an ask when slots last came from another gate than the given one.
 func (ls *limitSharing) withElsewhere(now time.Time, ak quota.Ask, address string) quota.Ask {
+	if ago := ls.elsewhere(now, ak.Server(), address); ago > 0 {
+		ak = ak.WithElsewhere(ago)
+	}
+	return ak
+}
+
+// elsewhere returns how long ago slots or tokens last came from another gate than the given one, or zero if they did not.
+func (ls *limitSharing) elsewhere(now time.Time, name, address string) time.Duration {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
+	var least time.Duration
 	for src, at := range ls.sources {
 		ago := max(now.Sub(at), minElsewhere)
-		if src.server == ak.Server() && src.gate != address && (ak.Elsewhere() == 0 || ago < ak.Elsewhere()) {
-			ak = ak.WithElsewhere(ago)
+		if src.server == name && src.gate != address && (least == 0 || ago < least) {
+			least = ago
 		}
 	}
-	return ak
+	return least
 }
 
-// recordSource records that a gate has given out slots.
-func (ls *limitSharing) recordSource(now time.Time, server, address string, gr quota.Grant) {
-	if gr.Count() == 0 {
-		return
-	}
+// recordSource records that a gate has given out slots or tokens.
+func (ls *limitSharing) recordSource(now time.Time, server, address string) {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
 	maps.DeleteFunc(ls.sources, func(_ slotSource, at time.Time) bool { return now.Sub(at) > sourceTTL })
@@ -182,26 +211,130 @@
 	return ls.dispenser.Dispense(now, ak, sender, ls.share(now, ak.Server()))
 }
 
-// share returns the part of a server's limit that this gate gives out. A gate that is not listed is not the first one: it may know no other.
+// share returns the part of a server's limit that this gate gives out.
 func (ls *limitSharing) share(now time.Time, server string) float64 {
+	return quota.Share(ls.rank(now, server))
+}
+
+// rank returns how many gates before this one may be giving out slots or tokens, and the number of all. A gate that is not listed is not the first
+// one: it may know no other.
+func (ls *limitSharing) rank(now time.Time, server string) (rank, gates int) {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
 	ranked := ls.ranked(server)
 	own := slices.Index(ranked, ls.gate.opts.PeerAddress)
 	if own < 0 {
-		return quota.Share(max(len(ranked), 1), len(ranked))
+		return max(len(ranked), 1), len(ranked)
 	}
-	rank := 0
 	for _, address := range ranked[:own] {
 		if ag, away := ls.away[address]; !away || !ag.refuses && now.Sub(ag.since) < promotionDelay {
 			rank++
 		}
 	}
-	return quota.Share(rank, len(ranked))
+	return rank, len(ranked)
+}
+
+// askTokens asks the first gate that replies for tokens.
+func (ls *limitSharing) askTokens(ctx context.Context, ak quota.TokenAsk) {
+	stock, name := ls.gate.picker.Limits(), ak.Limit.Name()
+	for _, address := range ls.dispensers(time.Now(), name) {
+		askedAt := time.Now()
+		ak.Elsewhere = ls.elsewhere(askedAt, name, address)
+		gr, err := ls.askGateTokens(ctx, address, ak)
+		if ctx.Err() != nil {
+			break
+		}
+		if err == nil {
+			ls.recordTokenReply(address, nil)
+			if gr.Amount > 0 {
+				ls.recordSource(time.Now(), name, address)
+			}
+			stock.ApplyTokens(time.Now(), askedAt, ak, gr)
+			return
+		}
+		if !ls.recordTokenReply(address, err) {
+			break
+		}
+	}
+	stock.FailTokens(time.Now(), ak)
+}
+
+// recordTokenReply records whether a gate replied to a call for tokens, and reports whether it counts as away.
+func (ls *limitSharing) recordTokenReply(address string, err error) (away bool) {
+	ls.mu.Lock()
+	if err == nil {
+		delete(ls.failures, address)
+	} else {
+		ls.failures[address]++
+		if !errors.Is(err, syscall.ECONNREFUSED) && ls.failures[address] < tokenFailures {
+			ls.mu.Unlock()
+			return false
+		}
+	}
+	ls.mu.Unlock()
+	ls.recordReply(address, err)
+	return err != nil
+}
+
+// tokenCallTimeout returns how long a call of a gate for tokens may take.
+func (ls *limitSharing) tokenCallTimeout(address string) time.Duration {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	if _, away := ls.away[address]; away {
+		return tokenProbeTimeout
+	}
+	return tokenTimeout
+}
+
+func (ls *limitSharing) askGateTokens(parent context.Context, address string, ak quota.TokenAsk) (quota.TokenGrant, error) {
+	own := ls.gate.opts.PeerAddress
+	if address == own {
+		return ls.dispenseTokens(ak, own), nil
+	}
+	ctx, cancel := context.WithTimeout(parent, ls.tokenCallTimeout(address))
+	defer cancel()
+	lm := ak.Limit
+	reply, err := ls.gate.opts.Links.Node(address).Share(ctx, &wire.LimitAsk{
+		ServerId: lm.Name(), Sender: own, ElsewhereMs: ak.Elsewhere.Milliseconds(),
+		Tokens: &wire.TokenAsk{Rate: lm.Rate(), Burst: lm.Burst(), CountsRequests: lm.CountsRequests(), ConfigVersion: lm.Version(),
+			Need: ak.Need, Ahead: ak.Ahead, Held: ak.Held, Used: ak.Used},
+	})
+	if err != nil {
+		return quota.TokenGrant{}, fmt.Errorf("ask gate %s for tokens: %w", address, err)
+	}
+	if reply.GetTokens() == nil {
+		return quota.TokenGrant{}, fmt.Errorf("ask gate %s for tokens: %w", address, errNoTokens)
+	}
+	return quota.TokenGrant{Amount: reply.GetTokens().GetAmount(), Retry: time.Duration(reply.GetTokens().GetRetryUs()) * time.Microsecond,
+		CallerRetry: time.Duration(reply.GetTokens().GetCallerRetryUs()) * time.Microsecond}, nil
+}
+
+// errNoTokens is the reply of a gate whose software knows no limits of workspaces.
+var errNoTokens = errors.New("the gate does not know limits of workspaces")
+
+// dispenseTokens replies to an ask of a gate for tokens.
+func (ls *limitSharing) dispenseTokens(ak quota.TokenAsk, sender string) quota.TokenGrant {
+	now := time.Now()
+	rank, gates := ls.rank(now, ak.Limit.Name())
+	return ls.dispenser.DispenseTokens(now, ak, sender, quota.Place{Rank: rank, Dispensers: gates})
+}
+
+// shareTokens replies to a call of a gate for tokens.
+func (nh *nodeHandler) shareTokens(la *wire.LimitAsk) *wire.LimitGrant {
+	ta := la.GetTokens()
+	gr := nh.gate.limits.dispenseTokens(quota.TokenAsk{
+		Limit: quota.NewLimit(la.GetServerId(), ta.GetRate(), ta.GetBurst(), ta.GetCountsRequests(), ta.GetConfigVersion()),
+		Need:  ta.GetNeed(), Ahead: ta.GetAhead(), Held: ta.GetHeld(), Used: ta.GetUsed(),
+		Elsewhere: time.Duration(la.GetElsewhereMs()) * time.Millisecond,
+	}, la.GetSender())
+	return &wire.LimitGrant{Tokens: &wire.TokenGrant{Amount: gr.Amount, RetryUs: gr.Retry.Microseconds(), CallerRetryUs: gr.CallerRetry.Microseconds()}}
 }
 
 // Share handles the Share RPC of gates.
 func (nh *nodeHandler) Share(_ context.Context, la *wire.LimitAsk) (*wire.LimitGrant, error) {
+	if la.GetTokens() != nil {
+		return nh.shareTokens(la), nil
+	}
 	ak := quota.NewAsk(la.GetServerId(), la.GetStartUnixMilli(), la.GetPerSecond(), time.Duration(la.GetAgeMs())*time.Millisecond, int(la.GetCount())).
 		WithElsewhere(time.Duration(la.GetElsewhereMs()) * time.Millisecond)
 	gr := nh.gate.limits.dispense(ak, la.GetSender())
--- a/io/gate/run.go
+++ b/io/gate/run.go
@@ -75,6 +75,9 @@
 			gt.picker.Release(ch)
 			return last
 		}
+		if rq.possibleRuns > 0 && rq.quotaAmount > 0 {
+			gt.picker.Limits().Charge(now, quotaName(rq.workspace), rq.quotaAmount)
+		}
 		rq.sends++
 		result, er := gt.send(ctx, rq, ch)
 		if result == responded {
--- a/io/gate/watcher.go
+++ b/io/gate/watcher.go
@@ -10,6 +10,7 @@
 
 	"shallotcleat/core/fleet"
 	"shallotcleat/core/pick"
+	"shallotcleat/core/quota"
 	"shallotcleat/core/route"
 	"shallotcleat/io/feed"
 	"shallotcleat/io/wire"
@@ -117,6 +118,7 @@
 	tb := route.Compile(sp)
 	wt.gate.releases.setRoutes(tb)
 	wt.gate.routes.Store(tb)
+	wt.gate.logQuotaProblems(sp)
 	wt.gate.picker.SetCacheStores(cacheStores(sp))
 	wt.gate.log.WithField("event", "epoch_adopted").WithField("version", sp.Version).WithField("routes", len(sp.Routes)).
 		Info("configuration adopted")
@@ -275,6 +277,7 @@
 	every(expireInterval, gt.watcher.expire)
 	every(expireAttemptsInterval, func() { gt.picker.ExpireAttempts(time.Now()) })
 	wg.Go(func() { <-ctx.Done(); gt.hints.calls.Wait() })
+	every(quota.TickInterval, gt.tickQuotas)
 	every(hintInterval, func() { gt.hints.send(ctx) })
 	every(refreshRulesInterval, gt.crashes.refresh)
 	every(checkReleasesInterval, gt.releases.notify)
--- a/io/trace/recorder.go
+++ b/io/trace/recorder.go
@@ -33,6 +33,8 @@
 	clock stamp.Clock
 	ring  []Event
 	next  int
+	// quotaLabels are the workspaces that the metric of limits names; mu guards it.
+	quotaLabels map[string]bool
 }
 
 // Metrics holds the metric instruments of a process.
@@ -46,6 +48,7 @@
 	controlBytes metric.Int64Counter
 	loadOrders   metric.Int64Counter
 	weightLoad   metric.Float64Histogram
+	quota        metric.Int64Counter
 }
 
 // New returns the recorder of a process.
@@ -61,17 +64,18 @@
 		return nil, fmt.Errorf("create metrics: %w", err)
 	}
 	rc := &Recorder{
-		process: process,
-		log:     lg,
-		metrics: ms,
-		handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
-		ring:    make([]Event, 0, 64),
+		process:     process,
+		log:         lg,
+		metrics:     ms,
+		handler:     promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+		ring:        make([]Event, 0, 64),
+		quotaLabels: make(map[string]bool),
 	}
 	return rc, nil
 }
 
 func newMetrics(mt metric.Meter) (*Metrics, error) {
-	var errs [9]error
+	var errs [10]error
 	ms := &Metrics{}
 	ms.requests, errs[0] = mt.Int64Counter("requests", metric.WithDescription("Requests answered, by outcome."))
 	ms.refusals, errs[1] = mt.Int64Counter("refusals", metric.WithDescription("Requests refused, by code."))
@@ -87,6 +91,8 @@
 		metric.WithDescription("Orders to load weights, by the engine's verdict."))
 	ms.weightLoad, errs[8] = mt.Float64Histogram("weight_load", metric.WithUnit("s"),
 		metric.WithDescription("Time for which an engine took no calls since it loaded weights."))
+	ms.quota, errs[9] = mt.Int64Counter("workspace_limit",
+		metric.WithDescription("Amounts that requests count towards the limits of workspaces, by workspace and whether they were admitted."))
 	for _, err := range errs {
 		if err != nil {
 			return nil, fmt.Errorf("create instrument: %w", err)
@@ -186,6 +192,23 @@
 	rc.metrics.refusals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("code", code)))
 }
 
+// maxQuotaLabels bounds the number of workspaces that the metric of limits names; the others are counted as one.
+const maxQuotaLabels = 64
+
+// CountQuota adds what a request counts towards the limit of its workspace.
+func (rc *Recorder) CountQuota(workspace string, amount float64, admitted bool) {
+	rc.mu.Lock()
+	if !rc.quotaLabels[workspace] {
+		if len(rc.quotaLabels) < maxQuotaLabels {
+			rc.quotaLabels[workspace] = true
+		} else {
+			workspace = "other workspaces"
+		}
+	}
+	rc.mu.Unlock()
+	rc.metrics.quota.Add(context.Background(), int64(amount), metric.WithAttributes(attribute.String("workspace", workspace), attribute.Bool("admitted", admitted)))
+}
+
 // CountTokens adds the prompt tokens of a model call and the number of them found in a cache.
 func (rc *Recorder) CountTokens(prompt, cached int64) {
 	rc.metrics.promptTokens.Add(context.Background(), prompt)
