--- a/io/cmds/validator.go
+++ b/io/cmds/validator.go
@@ -54,7 +54,7 @@
 // float parses a number from low to high.
 func (vd *validator) float(flag, value string, low, high float64) float64 {
 	number, err := strconv.ParseFloat(value, 64)
-	if err != nil || number < low || number > high {
+	if err != nil || !(number >= low && number <= high) {
 		vd.addProblem(flag, value, fmt.Sprintf("a number from %g to %g", low, high))
 	}
 	return number
