--- a/core/quota/balance.go
+++ b/core/quota/balance.go
@@ -14,7 +14,10 @@
 	at    time.Time
 	// elsewhereAt is when another dispenser last gave out tokens, as far as is known.
 	elsewhereAt time.Time
-	leases      map[string]*lease
+	// tookOverAt is when the dispenser took over from another one, and gates the number of gates then.
+	tookOverAt time.Time
+	gates      int
+	leases     map[string]*lease
 }
 
 // lease is what a process has got.
@@ -56,7 +59,7 @@
 	bl.settle(now, ak, process)
 	rank := bl.effectiveRank(now, pc)
 	pl := newPlan(bl.limit, dp.bounds, rank, pc.Dispensers)
-	bl.refill(now, ak, pl, dp.began, dp.bounds.Window, rank)
+	bl.refill(now, ak, pl, dp.began, dp.bounds.Window, rank, pc.Dispensers)
 	if ak.releases() {
 		delete(bl.leases, process)
 		return TokenGrant{}
@@ -103,7 +106,7 @@
 
 // refill adds what the time since the last ask brings. A dispenser that has begun lately, or takes over, does not know what others gave out
 // and begins low.
-func (bl *balance) refill(now time.Time, ak TokenAsk, pl plan, began time.Time, window time.Duration, rank int) {
+func (bl *balance) refill(now time.Time, ak TokenAsk, pl plan, began time.Time, window time.Duration, rank, gates int) {
 	most := pl.total - bl.outstanding(now)
 	switch {
 	case bl.rank < 0:
@@ -112,16 +115,25 @@
 		bl.level, bl.at = min(bl.level, pl.start), now
 	}
 	bl.rank = rank
-	bl.level = min(bl.level+pl.rate*max(now.Sub(bl.at).Seconds(), 0), most)
+	bl.level = min(bl.level+bl.currentRate(now, pl)*max(now.Sub(bl.at).Seconds(), 0), most)
 	bl.at = now
 	if ak.Elsewhere > 0 && ak.Elsewhere < window {
 		if now.Sub(bl.elsewhereAt) > window {
-			bl.level = min(bl.level, pl.start)
+			bl.level, bl.tookOverAt, bl.gates = min(bl.level, pl.start), now, gates
 		}
 		bl.elsewhereAt = now
 	}
 }
 
+// currentRate returns what the balance grows by in a second. Just after a dispenser has taken over, gates that do not know it yet may get tokens
+// from the former one, so that it gives out the part of those that ask it: both rates for half a second were 1.03 of the bound in a flood.
+func (bl *balance) currentRate(now time.Time, pl plan) float64 {
+	if bl.tookOverAt.IsZero() || now.Sub(bl.tookOverAt) > takeOverTime || bl.gates == 0 {
+		return pl.rate
+	}
+	return pl.rate * min(float64(len(bl.leases))/float64(bl.gates), 1)
+}
+
 // outstanding returns what processes hold at most.
 func (bl *balance) outstanding(now time.Time) float64 {
 	held := 0.0
--- a/core/quota/limit.go
+++ b/core/quota/limit.go
@@ -128,6 +128,8 @@
 	majorityTTL = 3 * time.Second
 	// isolationTTL is how long a dispenser that most holders no longer ask assumes that it is cut off.
 	isolationTTL = 15 * time.Second
+	// takeOverTime is how long after it took over a dispenser assumes that some gates still ask the former one.
+	takeOverTime = 1500 * time.Millisecond
 	// minHolders is the number of holders from which on their silence shows that.
 	minHolders = 3
 )
--- a/core/quota/limit_test.go
+++ b/core/quota/limit_test.go
@@ -322,6 +322,21 @@
 						return next, Place{Rank: 1, Dispensers: gates}
 					}
 				}},
+				{"a gate that starts becomes the dispenser, known everywhere within 1 s", 0.98, func(sm *tokenSimulation) {
+					first, _ := sm.dispenser(0)
+					next, from := newTestDispenser(sm.now), sm.now
+					sm.dispenser = func(gate int) (*Dispenser, Place) {
+						known := func(gate int) bool { return sm.now.Sub(from) > time.Duration(gate)*time.Second/time.Duration(gates) }
+						if known(gate) {
+							return next, Place{Dispensers: gates}
+						}
+						// The former dispenser is the gate in the middle.
+						if known(gates / 2) {
+							return first, Place{Rank: 1, Dispensers: gates}
+						}
+						return first, Place{Dispensers: gates}
+					}
+				}},
 				{"two groups", 0, func(sm *tokenSimulation) {
 					first, _ := sm.dispenser(0)
 					next := newTestDispenser(sm.began.Add(-time.Minute))
