io/gate: what callers can make a gate hold is bounded by its memory

Cause: each connection could hold a body of max-body-bytes, in slices that grow by copies, a header of max-header-bytes in net/http's map, and a response of 8 MB that its caller does not read; nothing bounded their sum.

--- a/core/answer/answer.go
+++ b/core/answer/answer.go
@@ -45,6 +45,7 @@
 	NotConfigured          Code = "not_configured"
 	NotResumable           Code = "not_resumable"
 	CrashingRequest        Code = "crashing_request"
+	MemoryShort            Code = "memory_short"
 )
 
 // Error is the reason why a request has no result. It is immutable.
--- a/io/client/exchange.go
+++ b/io/client/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -32,7 +33,8 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Body is the body in pieces, which stay unchanged until it was sent.
+	Body [][]byte
 	// AtMostOnce is set if the request must not run more than once; it is then sent only over a new or recently used connection.
 	AtMostOnce bool
 	// Permit is called right before the request is written; if it returns an error, Do fails with a *NotSentError. Nil permits.
@@ -44,6 +46,15 @@
 	Matches func(http.Header) bool
 }
 
+// bodyLen returns the length of the body in bytes.
+func (rq *Request) bodyLen() int {
+	length := 0
+	for _, piece := range rq.Body {
+		length += len(piece)
+	}
+	return length
+}
+
 // ConnUse describes how a connection was used before it carried a request, and by that request.
 type ConnUse struct {
 	idle     time.Duration
@@ -147,7 +158,7 @@
 
 func (pl *Pool) exchange(cn *conn, rq *Request) (*Response, error) {
 	writeResult := make(chan error, 1)
-	if len(rq.Body) > asyncBodyBytes {
+	if rq.bodyLen() > asyncBodyBytes {
 		go func() { writeResult <- rq.write(cn) }()
 	} else if err := rq.write(cn); err != nil {
 		return nil, &ExchangeError{address: cn.address, cause: err}
@@ -187,7 +198,7 @@
 			conn:   cn,
 			body:   resp.Body,
 			// A server that rejects a long request may not have read its body, and may then close the connection.
-			reusable:    !resp.Close && (len(rq.Body) <= asyncBodyBytes || resp.StatusCode < http.StatusMultipleChoices),
+			reusable:    !resp.Close && (rq.bodyLen() <= asyncBodyBytes || resp.StatusCode < http.StatusMultipleChoices),
 			writeResult: writeResult,
 		}, nil
 	}
@@ -224,15 +235,17 @@
 	var head strings.Builder
 	head.Grow(512)
 	head.WriteString(rq.Method + " " + rq.Target + " HTTP/1.1\r\nHost: " + rq.Host + "\r\n")
-	if len(rq.Body) > 0 || (rq.Method != http.MethodGet && rq.Method != http.MethodHead) {
-		head.WriteString("Content-Length: " + strconv.Itoa(len(rq.Body)) + "\r\n")
+	length := rq.bodyLen()
+	if length > 0 || (rq.Method != http.MethodGet && rq.Method != http.MethodHead) {
+		head.WriteString("Content-Length: " + strconv.Itoa(length) + "\r\n")
 	}
 	if err := rq.Header.Write(&head); err != nil {
 		return fmt.Errorf("write header: %w", err)
 	}
 	head.WriteString("\r\n")
-	message := append([]byte(head.String()), rq.Body...)
-	if _, err := cn.net.Write(message); err != nil {
+	// WriteTo sends all parts with one system call, without a copy of them.
+	message := append(net.Buffers{[]byte(head.String())}, rq.Body...)
+	if _, err := message.WriteTo(cn.net); err != nil {
 		return fmt.Errorf("write request: %w", err)
 	}
 	return nil
--- a/io/cmds/gate.go
+++ b/io/cmds/gate.go
@@ -76,6 +76,7 @@
 	}
 	store := platform.NewStore(cm.Store)
 	opts.CacheStores = platform.NewCacheStores()
+	opts.MemoryBytes = deps.memoryBytes
 	opts.Source, opts.Store, opts.SeedPeers, opts.Recorder = store, store, deps.seedGates, deps.recorder
 	var listeners [3]net.Listener
 	for i, address := range []string{cm.Listen, cm.Ready, cm.Peer} {
--- a/io/cmds/gatetender.go
+++ b/io/cmds/gatetender.go
@@ -42,6 +42,7 @@
 	logWriter      *logs.AsyncWriter
 	seedGates      []string
 	metricsAddress string
+	memoryBytes    int64
 }
 
 // dependencies validates the common flags, sets the memory limit and creates the dependencies, or returns a *SettingsError
@@ -52,7 +53,7 @@
 	vd.address("store", gtf.Store)
 	vd.logLevel("log-level", gtf.LogLevel)
 	memory := vd.integer("memory", gtf.Memory, 16, 1<<20)
-	gtd := &gateTenderDeps{metricsAddress: gtf.Metrics}
+	gtd := &gateTenderDeps{metricsAddress: gtf.Metrics, memoryBytes: int64(memory) * bytesPerMegabyte}
 	if gtf.Metrics != "" {
 		vd.address("metrics", gtf.Metrics)
 	}
--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"shallotcleat/core/answer"
+	"shallotcleat/core/memory"
 	"shallotcleat/core/pick"
 	"shallotcleat/io/client"
 )
@@ -155,16 +156,24 @@
 
 // relayBuffered reads a response that is not a stream and relays it once it is complete.
 func (at *attempt) relayBuffered(requestCtx context.Context, resp *client.Response) (attemptResult, *answer.Error) {
-	body, err := at.gate.bodies.readAll(resp)
+	rq := at.rq
+	body, err := at.gate.bodies.readAll(resp, at.gate.memory.Open(time.Now(), memory.Response, rq.response.interruptWrite))
 	if err != nil {
+		freeBody(body)
 		return at.endBroken(requestCtx, err)
 	}
+	kept := false
+	defer func() {
+		if !kept {
+			freeBody(body)
+		}
+	}()
 	at.watchdog.Stop()
-	rq := at.rq
 	if resp.Status >= http.StatusInternalServerError {
 		at.pickAttempt.End(time.Now(), pick.Failed)
 		if !rq.response.started && !rq.route.AtMostOnce() {
 			rq.response.setFallback(resp.Status, resp.Header, body)
+			kept = true
 			return serverError, answer.NewError(answer.ServerFailed, answer.Unknown, 0,
 				"server %s responded with status %d", at.choice.Server().ID(), resp.Status)
 		}
--- a/io/gate/bodies.go
+++ b/io/gate/bodies.go
@@ -3,10 +3,11 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"sync/atomic"
 
+	"shallotcleat/core/memory"
 	"shallotcleat/io/client"
+	"shallotcleat/io/intake"
 )
 
 // Limits of the response bodies that are held in memory until they are complete.
@@ -17,8 +18,6 @@
 	freeBodyBytes = 64 << 10
 	// maxSharedBodyBytes is the maximum size of all bodies together, beyond the free part of each.
 	maxSharedBodyBytes = 16 << 20
-	// bodyChunkBytes is how much of a body is read at once.
-	bodyChunkBytes = 16 << 10
 )
 
 var (
@@ -32,30 +31,39 @@
 	sharedBytes atomic.Int64
 }
 
-// readAll returns the whole body of a response. It fails if the body, or all bodies together, are too long.
-func (bd *bodies) readAll(resp *client.Response) ([]byte, error) {
-	var body []byte
-	taken := 0
-	defer func() { bd.sharedBytes.Add(-int64(taken)) }()
-	chunk := make([]byte, bodyChunkBytes)
-	for {
-		count, err := resp.Read(chunk)
-		body = append(body, chunk[:count]...)
-		if len(body) > maxResponseBytes {
-			return nil, errBodyTooLong
-		}
-		if errors.Is(err, io.EOF) {
-			return body, nil
-		}
-		if err != nil {
-			return nil, fmt.Errorf("read body: %w", err)
-		}
-		if beyond := max(len(body)-freeBodyBytes, 0); beyond > taken {
-			total := bd.sharedBytes.Add(int64(beyond - taken))
-			taken = beyond
-			if total > maxSharedBodyBytes {
-				return nil, errTooManyLongBodies
-			}
+// readAll returns the whole body of a response, which belongs to the claim. It fails if the body, or all bodies together, are too long,
+// or with memory.ErrShort. The caller frees the body in every case.
+func (bd *bodies) readAll(resp *client.Response, cl *memory.Claim) (*intake.Data, error) {
+	counted := &countedBody{bodies: bd, resp: resp}
+	defer counted.release()
+	body := intake.NewData(cl)
+	if err := body.ReadAll(counted, 0, maxResponseBytes); errors.Is(err, intake.ErrTooLong) {
+		return body, errBodyTooLong
+	} else if err != nil {
+		return body, fmt.Errorf("read body: %w", err)
+	}
+	return body, nil
+}
+
+// countedBody is a response body being read, beyond its free part counted in sharedBytes.
+type countedBody struct {
+	bodies      *bodies
+	resp        *client.Response
+	read, taken int
+}
+
+// Read implements io.Reader.
+func (cb *countedBody) Read(buffer []byte) (int, error) {
+	count, err := cb.resp.Read(buffer)
+	cb.read += count
+	if beyond := max(cb.read-freeBodyBytes, 0); err == nil && beyond > cb.taken {
+		total := cb.bodies.sharedBytes.Add(int64(beyond - cb.taken))
+		cb.taken = beyond
+		if total > maxSharedBodyBytes {
+			return count, errTooManyLongBodies
 		}
 	}
+	return count, err
 }
+
+func (cb *countedBody) release() { cb.bodies.sharedBytes.Add(-int64(cb.taken)) }
--- a/io/gate/callers.go
+++ b/io/gate/callers.go
@@ -1,9 +1,11 @@
 package gate
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -12,6 +14,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"shallotcleat/core/memory"
 	"shallotcleat/core/route"
 )
 
@@ -38,6 +41,22 @@
 	maxRejectedBytes = 256 << 10
 )
 
+// Memory that connections count for in the budget.
+const (
+	// connBytes is that of a connection with its buffers and goroutine, and an ordinary header.
+	connBytes = 16 << 10
+	// freeHeaderBytes is the part of a header's memory that connBytes includes. Headers take headerByteFactor bytes for each byte and
+	// headerLineBytes for each line: net/http holds them in a map.
+	freeHeaderBytes  = 4 << 10
+	headerByteFactor = 2
+	headerLineBytes  = 128
+	// maxSocketBytes and minSocketBytes bound the buffers of the kernel for each direction of a connection, between which all connections share
+	// a part of 1/socketPart of the budget.
+	maxSocketBytes = 128 << 10
+	minSocketBytes = 16 << 10
+	socketPart     = 4
+)
+
 // callerLimits returns the limits of callers by a routing table, which may be nil.
 func callerLimits(tb *route.Table) route.Limits {
 	var lm route.Limits
@@ -66,6 +85,7 @@
 	closedIdle           closeReason = "idle"
 	closedHeaderLate     closeReason = "header_timeout"
 	closedHeaderTooLarge closeReason = "header_too_large"
+	closedMemory         closeReason = "memory_short"
 )
 
 // callerConns applies the limits in force to the callers' connections, because net/http reads its own limits without
@@ -73,6 +93,7 @@
 // request's deadline. It is safe for concurrent use.
 type callerConns struct {
 	limits func() route.Limits
+	memory *memory.Budget
 	now    func() time.Time
 	log    *logrus.Entry
 
@@ -86,8 +107,8 @@
 	idleTimeoutSince time.Time
 }
 
-func newCallerConns(limits func() route.Limits, now func() time.Time, lg *logrus.Entry) *callerConns {
-	return &callerConns{limits: limits, now: now, log: lg, open: make(map[*callerConn]struct{}), closed: make(map[closeReason]int)}
+func newCallerConns(limits func() route.Limits, bg *memory.Budget, now func() time.Time, lg *logrus.Entry) *callerConns {
+	return &callerConns{limits: limits, memory: bg, now: now, log: lg, open: make(map[*callerConn]struct{}), closed: make(map[closeReason]int)}
 }
 
 // listener returns a listener whose connections have the limits. Their http.Server must call stateChanged and must have no limits of
@@ -140,11 +161,25 @@
 	}
 }
 
+// add returns an accepted connection with limits, or closes it and returns nil if there is no memory for it.
 func (ccs *callerConns) add(tc *net.TCPConn) *callerConn {
 	cc := &callerConn{TCPConn: tc, conns: ccs, since: ccs.now()}
+	cc.claim = ccs.memory.Open(time.Now(), memory.Connection, cc.evict)
+	if err := cc.claim.Grow(time.Now(), connBytes); err != nil {
+		cc.claim.Close()
+		ccs.countClosed(closedMemory)
+		// The caller sees that the connection has ended; nothing was read of it.
+		_ = tc.Close()
+		return nil
+	}
+	cc.claim.Wait(time.Now())
 	ccs.mu.Lock()
 	defer ccs.mu.Unlock()
 	ccs.open[cc] = struct{}{}
+	size := min(max(int(ccs.memory.Total())/socketPart/len(ccs.open), minSocketBytes), maxSocketBytes)
+	if err := errors.Join(tc.SetReadBuffer(size), tc.SetWriteBuffer(size)); err != nil {
+		ccs.log.WithError(err).Debug("cannot bound the kernel's buffers of a caller's connection")
+	}
 	return cc
 }
 
@@ -168,14 +203,19 @@
 
 // Accept implements net.Listener. Connections other than TCP have no limits.
 func (cl *callerListener) Accept() (net.Conn, error) {
-	conn, err := cl.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	if tc, ok := conn.(*net.TCPConn); ok {
-		return cl.conns.add(tc), nil
+	for {
+		conn, err := cl.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		tc, ok := conn.(*net.TCPConn)
+		if !ok {
+			return conn, nil
+		}
+		if cc := cl.conns.add(tc); cc != nil {
+			return cc, nil
+		}
 	}
-	return conn, nil
 }
 
 // connPhase is what a connection waits for.
@@ -193,6 +233,8 @@
 type callerConn struct {
 	*net.TCPConn
 	conns *callerConns
+	// claim is the memory of the connection and of its header.
+	claim *memory.Claim
 
 	// mu guards the fields below.
 	mu    sync.Mutex
@@ -200,7 +242,10 @@
 	// headerBytes is the number of bytes read since the connection became idle; net/http may have read the first byte of the header
 	// before.
 	headerBytes int
-	phase       connPhase
+	headerLines int
+	// claimedBytes is the part of the claim for the header.
+	claimedBytes int
+	phase        connPhase
 	// expired is set if the connection is over a timeout; its read deadline is then past.
 	expired bool
 	// lateRead is set once a part of a header has been read after the timeout; no more is read of it.
@@ -209,9 +254,47 @@
 
 func (cc *callerConn) setPhase(phase connPhase) {
 	now := cc.conns.now()
+	switch phase {
+	case phaseServing:
+		// An eviction right before shows as a failure of the next read.
+		_ = cc.claim.Use()
+	case phaseIdle:
+		cc.claim.ShrinkTo(connBytes)
+		cc.claim.Wait(time.Now())
+	}
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
 	cc.phase, cc.since, cc.headerBytes, cc.expired, cc.lateRead = phase, now, 0, false, false
+	cc.headerLines = 0
+	if phase == phaseIdle {
+		cc.claimedBytes = 0
+	}
+}
+
+// evict ends the read of a connection that is idle or receives a header, because memory is short.
+func (cc *callerConn) evict() {
+	// A connection that has ended needs no deadline.
+	_ = cc.SetReadDeadline(time.Unix(0, 0))
+}
+
+// claimHeader claims the memory of a part of a header.
+func (cc *callerConn) claimHeader(part []byte) error {
+	cc.mu.Lock()
+	first := cc.headerBytes == 0
+	cc.headerLines += bytes.Count(part, []byte("\n"))
+	needed := headerByteFactor*(cc.headerBytes+len(part)) + headerLineBytes*cc.headerLines - freeHeaderBytes
+	more := max(needed-cc.claimedBytes, 0)
+	cc.claimedBytes += more
+	cc.mu.Unlock()
+	now := time.Now()
+	if first {
+		cc.claim.Arrive(now, 0)
+	}
+	cc.claim.Progress(now, len(part))
+	if more == 0 {
+		return nil
+	}
+	return cc.claim.Grow(now, int64(more))
 }
 
 // expire ends the read of the connection if it has been idle since before idleSince or its header began before headerSince. It does so
@@ -246,11 +329,20 @@
 	buffer = buffer[:min(len(buffer), room)]
 	count, err := cc.TCPConn.Read(buffer)
 	timedOut := errors.Is(err, os.ErrDeadlineExceeded)
-	if timedOut {
+	switch {
+	case timedOut && cc.claim.Evicted() && phase == phaseHeader:
+		return 0, cc.reject(closedMemory, http.StatusServiceUnavailable)
+	case timedOut && cc.claim.Evicted():
+		cc.conns.countClosed(closedMemory)
+		return 0, err
+	case timedOut:
 		if err = cc.SetReadDeadline(time.Now().Add(lastReadTimeout)); err == nil {
 			count, err = cc.TCPConn.Read(buffer)
 		}
 	}
+	if count > 0 && cc.claimHeader(buffer[:count]) != nil {
+		return 0, cc.reject(closedMemory, http.StatusServiceUnavailable)
+	}
 	switch {
 	case count > 0:
 		return count, cc.recordHeaderBytes(count, timedOut)
@@ -288,8 +380,12 @@
 	cc.setPhase(phaseServing)
 	err := cc.SetDeadline(time.Now().Add(rejectTimeout))
 	if err == nil {
+		retryAfter := ""
+		if status == http.StatusServiceUnavailable {
+			retryAfter = fmt.Sprintf("Retry-After: %.2f\r\n", memoryRetryAfter.Seconds()*(1+retryAfterJitter*rand.Float64()))
+		}
 		_, err = fmt.Fprintf(cc.TCPConn, "HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n"+
-			"Connection: close\r\n\r\n%s\n", status, http.StatusText(status), len(reason)+1, reason)
+			"%sConnection: close\r\n\r\n%s\n", status, http.StatusText(status), len(reason)+1, retryAfter, reason)
 	}
 	if err == nil {
 		err = cc.CloseWrite()
@@ -307,5 +403,6 @@
 // Close implements net.Conn.
 func (cc *callerConn) Close() error {
 	cc.conns.remove(cc)
+	cc.claim.Close()
 	return cc.TCPConn.Close()
 }
--- a/io/gate/callers_test.go
+++ b/io/gate/callers_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"shallotcleat/core/memory"
 	"shallotcleat/core/route"
 	"shallotcleat/io/logs"
 )
@@ -28,7 +29,8 @@
 		t.Fatal(err)
 	}
 	ct := &connTest{now: time.Unix(1000, 0), limits: route.Limits{MaxHeaderBytes: 1000, HeaderTimeout: 10 * time.Second, IdleTimeout: 100 * time.Second}}
-	ct.conns = newCallerConns(func() route.Limits { return ct.limits }, func() time.Time { return ct.now }, lg)
+	ct.conns = newCallerConns(func() route.Limits { return ct.limits }, memory.NewBudget(512_000_000),
+		func() time.Time { return ct.now }, lg)
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/io/gate/finish.go
+++ b/io/gate/finish.go
@@ -23,6 +23,8 @@
 	serverRetryAfter = 700 * time.Millisecond
 	// busyRetryAfter is the approximate time in which a full server gets a free slot.
 	busyRetryAfter = 300 * time.Millisecond
+	// memoryRetryAfter is the approximate time after which bodies that stall have made room.
+	memoryRetryAfter = 600 * time.Millisecond
 	// retryAfterJitter is the maximum jitter of Retry-After as a fraction of its value.
 	retryAfterJitter = 0.5
 )
@@ -55,7 +57,7 @@
 		}
 		panic(http.ErrAbortHandler)
 	case rq.response.fallback != nil:
-		rq.response.writeBuffered(rq.response.fallback.status, rq.response.fallback.header, rq.response.fallback.body)
+		rq.response.writeFallback()
 		return
 	}
 	gt.reject(rq, er)
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math"
@@ -16,6 +17,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"shallotcleat/core/clock"
+	"shallotcleat/core/memory"
 	"shallotcleat/core/pick"
 	"shallotcleat/core/route"
 	"shallotcleat/core/share"
@@ -34,6 +36,9 @@
 	probeInterval        = 250 * time.Millisecond
 )
 
+// defaultMemoryBytes is the memory of a process that is not told any.
+const defaultMemoryBytes = 512_000_000
+
 // Options are the settings and dependencies of a gate.
 type Options struct {
 	// Zone is the availability zone of the process.
@@ -43,7 +48,9 @@
 	SeedPeers   []string
 	// Capacity is the processor time of the VM in cores, or zero if unknown. Gates with more of it do more of the work that one gate
 	// does for others.
-	Capacity    float64
+	Capacity float64
+	// MemoryBytes is the memory available to the process, or zero if unknown; what callers can make it hold is bounded by it.
+	MemoryBytes int64
 	Dialect     Dialect
 	Source      feed.Source
 	Store       table.Committer
@@ -86,6 +93,7 @@
 	closeConnections atomic.Bool
 	retryBudgets     *retryBudgets
 	bodies           bodies
+	memory           *memory.Budget
 	hints            *hintExchange
 	crashes          *crashWatch
 	limits           *limitSharing
@@ -117,6 +125,7 @@
 		picker:        pick.New(opts.Zone, opts.OldWeightsGrace, opts.RandomSeed),
 		connPool:      client.NewPool(),
 		meter:         share.NewMeter(),
+		memory:        memory.NewBudget(cmp.Or(opts.MemoryBytes, defaultMemoryBytes)),
 		configTable:   feed.NewVersionedCopy(tables.Config, ContentVersion(opts.Dialect)),
 		serverTable:   feed.NewCopy(tables.Servers),
 		nodeTable:     feed.NewCopy(tables.Nodes),
@@ -169,7 +178,7 @@
 	wg.Go(func() { gt.servePeers(workCtx, peers) })
 	readiness := &http.Server{Handler: http.HandlerFunc(gt.serveReady), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
 	wg.Go(func() { gt.serveHTTP(readiness, ready) })
-	conns := newCallerConns(func() route.Limits { return callerLimits(gt.routes.Load()) }, gt.opts.Timer.Now, gt.log)
+	conns := newCallerConns(func() route.Limits { return callerLimits(gt.routes.Load()) }, gt.memory, gt.opts.Timer.Now, gt.log)
 	// The limits of callers are applied by conns.
 	srv := &http.Server{Handler: http.HandlerFunc(gt.handle), ConnState: conns.stateChanged, MaxHeaderBytes: math.MaxInt32}
 	wg.Go(func() { gt.serveHTTP(srv, conns.listener(callers)) })
--- a/io/gate/handle.go
+++ b/io/gate/handle.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -10,9 +9,11 @@
 	"time"
 
 	"shallotcleat/core/answer"
+	"shallotcleat/core/memory"
 	"shallotcleat/core/pick"
 	"shallotcleat/core/route"
 	"shallotcleat/io/client"
+	"shallotcleat/io/intake"
 )
 
 // defaultTimeout applies to requests whose caller and route set no timeout.
@@ -33,7 +34,9 @@
 	target    string
 	host      string
 	header    http.Header
-	body      []byte
+	// body is the body in pieces, whose memory belongs to bodyClaim.
+	body      [][]byte
+	bodyClaim *memory.Claim
 	arrived   time.Time
 	deadline  time.Time
 	call      pick.Call
@@ -92,6 +95,7 @@
 	if gt.closeConnections.Load() {
 		wr.Header().Set("Connection", "close")
 	}
+	defer rq.release()
 	er := gt.admit(rq, hr)
 	gt.limitBodyTime(rq, wr, hr)
 	if er == nil {
@@ -103,6 +107,14 @@
 	gt.finish(hr.Context(), rq, er)
 }
 
+// release frees the memory that the request holds.
+func (rq *request) release() {
+	if rq.bodyClaim != nil {
+		rq.bodyClaim.Close()
+	}
+	rq.response.release()
+}
+
 // admit sets the route, workspace, service and deadline of a request, or returns the reason for a rejection.
 func (gt *Gate) admit(rq *request, hr *http.Request) *answer.Error {
 	rq.routes = gt.routes.Load()
@@ -162,18 +174,22 @@
 // the request.
 func (gt *Gate) readBody(rq *request, wr http.ResponseWriter, hr *http.Request) *answer.Error {
 	maxBytes := callerLimits(rq.routes).MaxBodyBytes
-	body, err := io.ReadAll(http.MaxBytesReader(wr, hr.Body, maxBytes))
-	var tooLarge *http.MaxBytesError
+	data, err := intake.ReadBody(gt.memory, wr, hr, maxBytes)
+	rq.bodyClaim = data.Claim()
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, intake.ErrTooLong):
 		return answer.NewError(answer.BodyTooLarge, answer.NotRun, 0, "request body larger than %d bytes", maxBytes)
+	case errors.Is(err, memory.ErrShort):
+		// An evicted body was interrupted by a read deadline, like a late one.
+		rq.bodyLate = true
+		return answer.NewError(answer.MemoryShort, answer.NotRun, memoryRetryAfter, "request body: %v", err)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		rq.bodyLate = true
 		return answer.NewError(answer.DeadlineExceeded, answer.NotRun, 0, "request body incomplete at the deadline")
 	case err != nil:
 		return answer.NewError(answer.BadRequest, answer.NotRun, 0, "read request body: %v", err)
 	}
-	rq.body = body
+	rq.body = data.Pieces()
 	rq.key = requestKey(rq)
 	rq.excluded = make(map[string]bool)
 	rq.setService(rq.service)
--- a/io/gate/requestkey.go
+++ b/io/gate/requestkey.go
@@ -15,6 +15,8 @@
 		_, _ = hash.Write(binary.AppendUvarint(nil, uint64(len(text))))
 		_, _ = hash.Write([]byte(text))
 	}
-	_, _ = hash.Write(rq.body)
+	for _, piece := range rq.body {
+		_, _ = hash.Write(piece)
+	}
 	return binary.BigEndian.Uint64(hash.Sum(nil))
 }
--- a/io/gate/requestkey_test.go
+++ b/io/gate/requestkey_test.go
@@ -12,7 +12,7 @@
 		Workspaces: []route.WorkspaceSpec{{Name: "north", Keys: []string{"n"}}, {Name: "south", Keys: []string{"s"}}}})
 	key := func(apiKey, method, host, target, body string) uint64 {
 		workspace := table.Authenticate(table.Match("a.example", "/"), apiKey)
-		return requestKey(&request{workspace: workspace, method: method, host: host, target: target, body: []byte(body)})
+		return requestKey(&request{workspace: workspace, method: method, host: host, target: target, body: [][]byte{[]byte(body)}})
 	}
 	want := key("n", "POST", "a.example", "/x?y", "body")
 	if got := key("n", "POST", "A.example:80", "/x?y", "body"); got != want {
--- a/io/gate/response.go
+++ b/io/gate/response.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"time"
 
 	"shallotcleat/io/client"
+	"shallotcleat/io/intake"
 )
 
 // response is the response to a caller.
@@ -26,13 +28,34 @@
 type bufferedResponse struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *intake.Data
 }
 
-func (rs *response) setFallback(status int, hd http.Header, body []byte) {
+// setFallback keeps an error response in place of an earlier one.
+func (rs *response) setFallback(status int, hd http.Header, body *intake.Data) {
+	rs.release()
 	rs.fallback = &bufferedResponse{status: status, header: hd, body: body}
 }
 
+// release frees the memory of the fallback.
+func (rs *response) release() {
+	if rs.fallback != nil {
+		freeBody(rs.fallback.body)
+		rs.fallback = nil
+	}
+}
+
+// writeFallback sends the fallback.
+func (rs *response) writeFallback() {
+	rs.writeBuffered(rs.fallback.status, rs.fallback.header, rs.fallback.body)
+}
+
+// freeBody frees a response body that is no longer used.
+func freeBody(body *intake.Data) {
+	body.Recycle()
+	body.Claim().Close()
+}
+
 // resumeEventID returns the id of the event after which the next attempt continues; requested is the id that the caller sent.
 func (rs *response) resumeEventID(requested string) string {
 	if rs.hasEventID {
@@ -116,12 +139,19 @@
 	return conn.Close()
 }
 
-// writeBuffered sends a response that is not a stream.
-func (rs *response) writeBuffered(status int, hd http.Header, body []byte) {
+// writeBuffered sends a response that is not a stream. A caller that reads it slowly is disconnected when memory is short.
+func (rs *response) writeBuffered(status int, hd http.Header, body *intake.Data) {
 	rs.started = true
 	rs.copyHeader(hd)
-	rs.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	rs.writer.Header().Set("Content-Length", strconv.Itoa(body.Len()))
 	rs.writer.WriteHeader(status)
+	body.Claim().Wait(time.Now())
 	// The error is ignored: net/http closes the connection of a caller that has disconnected.
-	_, _ = rs.writer.Write(body)
+	_, _ = body.WriteTo(rs.writer)
+}
+
+// interruptWrite ends a pending write to the caller, and the connection with it.
+func (rs *response) interruptWrite() {
+	// A connection that has ended needs no deadline.
+	_ = http.NewResponseController(rs.writer).SetWriteDeadline(time.Unix(1, 0))
 }
