--- a/core/memory/budget.go
+++ b/core/memory/budget.go
@@ -9,6 +9,8 @@
 )
 
 const (
+	// defaultMemoryBytes is the memory of a process that is not told any.
+	defaultMemoryBytes = 512_000_000
 	// budgetFraction is the budget as a fraction of the process's memory. The rest is for the process without requests (21 MB) and for
 	// what the garbage collector has not freed yet.
 	budgetFraction = 0.3
@@ -63,8 +65,9 @@
 	evicted       map[Kind]int
 }
 
-// NewBudget returns the budget of a process with a memory of the given number of bytes.
+// NewBudget returns the budget of a process with a memory of the given number of bytes; zero stands for 512 MB.
 func NewBudget(memoryBytes int64) *Budget {
+	memoryBytes = cmp.Or(memoryBytes, defaultMemoryBytes)
 	total := int64(budgetFraction * float64(memoryBytes))
 	return &Budget{total: total, reserve: int64(reserveFraction * float64(total)), claims: make(map[*Claim]struct{}),
 		heldByKind: make(map[Kind]int64), refused: make(map[Kind]int), evicted: make(map[Kind]int)}
--- a/io/gate/callers.go
+++ b/io/gate/callers.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -16,6 +15,7 @@
 
 	"shallotcleat/core/memory"
 	"shallotcleat/core/route"
+	"shallotcleat/io/intake"
 )
 
 // Limits of callers that the configuration does not set.
@@ -41,22 +41,6 @@
 	maxRejectedBytes = 256 << 10
 )
 
-// Memory that connections count for in the budget.
-const (
-	// connBytes is that of a connection with its buffers and goroutine, and an ordinary header.
-	connBytes = 16 << 10
-	// freeHeaderBytes is the part of a header's memory that connBytes includes. Headers take headerByteFactor bytes for each byte and
-	// headerLineBytes for each line: net/http holds them in a map.
-	freeHeaderBytes  = 4 << 10
-	headerByteFactor = 2
-	headerLineBytes  = 128
-	// maxSocketBytes and minSocketBytes bound the buffers of the kernel for each direction of a connection, between which all connections share
-	// a part of 1/socketPart of the budget.
-	maxSocketBytes = 128 << 10
-	minSocketBytes = 16 << 10
-	socketPart     = 4
-)
-
 // callerLimits returns the limits of callers by a routing table, which may be nil.
 func callerLimits(tb *route.Table) route.Limits {
 	var lm route.Limits
@@ -163,21 +147,21 @@
 
 // add returns an accepted connection with limits, or closes it and returns nil if there is no memory for it.
 func (ccs *callerConns) add(tc *net.TCPConn) *callerConn {
-	cc := &callerConn{TCPConn: tc, conns: ccs, since: ccs.now()}
-	cc.claim = ccs.memory.Open(time.Now(), memory.Connection, cc.evict)
-	if err := cc.claim.Grow(time.Now(), connBytes); err != nil {
-		cc.claim.Close()
+	claim, err := intake.OpenConn(ccs.memory, func() {
+		// Ends a read of a connection that is idle or receives a header. One that has ended needs no deadline.
+		_ = tc.SetReadDeadline(time.Unix(0, 0))
+	})
+	if err != nil {
 		ccs.countClosed(closedMemory)
 		// The caller sees that the connection has ended; nothing was read of it.
 		_ = tc.Close()
 		return nil
 	}
-	cc.claim.Wait(time.Now())
+	cc := &callerConn{TCPConn: tc, conns: ccs, claim: claim, since: ccs.now()}
 	ccs.mu.Lock()
 	defer ccs.mu.Unlock()
 	ccs.open[cc] = struct{}{}
-	size := min(max(int(ccs.memory.Total())/socketPart/len(ccs.open), minSocketBytes), maxSocketBytes)
-	if err := errors.Join(tc.SetReadBuffer(size), tc.SetWriteBuffer(size)); err != nil {
+	if err := intake.BoundSocket(ccs.memory, tc, len(ccs.open)); err != nil {
 		ccs.log.WithError(err).Debug("cannot bound the kernel's buffers of a caller's connection")
 	}
 	return cc
@@ -234,7 +218,7 @@
 	*net.TCPConn
 	conns *callerConns
 	// claim is the memory of the connection and of its header.
-	claim *memory.Claim
+	claim *intake.ConnClaim
 
 	// mu guards the fields below.
 	mu    sync.Mutex
@@ -242,10 +226,7 @@
 	// headerBytes is the number of bytes read since the connection became idle; net/http may have read the first byte of the header
 	// before.
 	headerBytes int
-	headerLines int
-	// claimedBytes is the part of the claim for the header.
-	claimedBytes int
-	phase        connPhase
+	phase       connPhase
 	// expired is set if the connection is over a timeout; its read deadline is then past.
 	expired bool
 	// lateRead is set once a part of a header has been read after the timeout; no more is read of it.
@@ -256,45 +237,13 @@
 	now := cc.conns.now()
 	switch phase {
 	case phaseServing:
-		// An eviction right before shows as a failure of the next read.
-		_ = cc.claim.Use()
+		cc.claim.Serve()
 	case phaseIdle:
-		cc.claim.ShrinkTo(connBytes)
-		cc.claim.Wait(time.Now())
+		cc.claim.Idle()
 	}
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
 	cc.phase, cc.since, cc.headerBytes, cc.expired, cc.lateRead = phase, now, 0, false, false
-	cc.headerLines = 0
-	if phase == phaseIdle {
-		cc.claimedBytes = 0
-	}
-}
-
-// evict ends the read of a connection that is idle or receives a header, because memory is short.
-func (cc *callerConn) evict() {
-	// A connection that has ended needs no deadline.
-	_ = cc.SetReadDeadline(time.Unix(0, 0))
-}
-
-// claimHeader claims the memory of a part of a header.
-func (cc *callerConn) claimHeader(part []byte) error {
-	cc.mu.Lock()
-	first := cc.headerBytes == 0
-	cc.headerLines += bytes.Count(part, []byte("\n"))
-	needed := headerByteFactor*(cc.headerBytes+len(part)) + headerLineBytes*cc.headerLines - freeHeaderBytes
-	more := max(needed-cc.claimedBytes, 0)
-	cc.claimedBytes += more
-	cc.mu.Unlock()
-	now := time.Now()
-	if first {
-		cc.claim.Arrive(now, 0)
-	}
-	cc.claim.Progress(now, len(part))
-	if more == 0 {
-		return nil
-	}
-	return cc.claim.Grow(now, int64(more))
 }
 
 // expire ends the read of the connection if it has been idle since before idleSince or its header began before headerSince. It does so
@@ -340,7 +289,7 @@
 			count, err = cc.TCPConn.Read(buffer)
 		}
 	}
-	if count > 0 && cc.claimHeader(buffer[:count]) != nil {
+	if count > 0 && cc.claim.AddHeader(buffer[:count]) != nil {
 		return 0, cc.reject(closedMemory, http.StatusServiceUnavailable)
 	}
 	switch {
--- a/io/gate/finish.go
+++ b/io/gate/finish.go
@@ -151,7 +151,11 @@
 		fields["code"] = string(er.Code())
 		fields["reason"] = er.Message()
 	}
-	gt.log.WithFields(fields).Info("request finished")
+	level := logrus.InfoLevel
+	if er != nil && er.Code() == answer.MemoryShort && !gt.memoryReporter.MayLog() {
+		level = logrus.DebugLevel
+	}
+	gt.log.WithFields(fields).Log(level, "request finished")
 }
 
 // logFailedAttempt writes the log entry of an attempt that failed.
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"math"
@@ -24,6 +23,7 @@
 	"shallotcleat/core/weight"
 	"shallotcleat/io/client"
 	"shallotcleat/io/feed"
+	"shallotcleat/io/intake"
 	"shallotcleat/io/link"
 	"shallotcleat/io/table"
 	"shallotcleat/io/trace"
@@ -36,9 +36,6 @@
 	probeInterval        = 250 * time.Millisecond
 )
 
-// defaultMemoryBytes is the memory of a process that is not told any.
-const defaultMemoryBytes = 512_000_000
-
 // Options are the settings and dependencies of a gate.
 type Options struct {
 	// Zone is the availability zone of the process.
@@ -94,6 +91,7 @@
 	retryBudgets     *retryBudgets
 	bodies           bodies
 	memory           *memory.Budget
+	memoryReporter   *intake.Reporter
 	hints            *hintExchange
 	crashes          *crashWatch
 	limits           *limitSharing
@@ -125,7 +123,7 @@
 		picker:        pick.New(opts.Zone, opts.OldWeightsGrace, opts.RandomSeed),
 		connPool:      client.NewPool(),
 		meter:         share.NewMeter(),
-		memory:        memory.NewBudget(cmp.Or(opts.MemoryBytes, defaultMemoryBytes)),
+		memory:        memory.NewBudget(opts.MemoryBytes),
 		configTable:   feed.NewVersionedCopy(tables.Config, ContentVersion(opts.Dialect)),
 		serverTable:   feed.NewCopy(tables.Servers),
 		nodeTable:     feed.NewCopy(tables.Nodes),
@@ -133,6 +131,7 @@
 		pullRequests:  make(chan struct{}, 1),
 		done:          make(chan struct{}),
 	}
+	gt.memoryReporter = intake.NewReporter(gt.memory, opts.Recorder)
 	gt.gateList = NewGateList(gt.nodeTable)
 	gt.hints = newHintExchange(gt)
 	gt.crashes = newCrashWatch(gt)
@@ -184,6 +183,8 @@
 	wg.Go(func() { gt.serveHTTP(srv, conns.listener(callers)) })
 	cancelEnforce := gt.opts.Timer.Every(enforceInterval, conns.enforce)
 	defer cancelEnforce()
+	cancelReport := gt.memoryReporter.Start(gt.opts.Timer)
+	defer cancelReport()
 	cancelCloseExpired := gt.opts.Timer.Every(closeExpiredInterval, func() { gt.connPool.CloseExpired(time.Now()) })
 	defer cancelCloseExpired()
 	cancelProbe := gt.opts.Timer.Every(probeInterval, func() { gt.probeUnreachable(workCtx) })
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -5,12 +5,14 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"strconv"
 	"strings"
 	"time"
 
 	"shallotcleat/core/answer"
+	"shallotcleat/core/memory"
 	"shallotcleat/core/pick"
 	"shallotcleat/io/client"
 )
@@ -28,8 +30,13 @@
 	rq := at.rq
 	events := resp.LineReader()
 	var event []byte
+	held := eventMemory{claim: at.gate.memory.Open(time.Now(), memory.Response, rq.response.interruptWrite)}
+	defer held.claim.Close()
 	for {
 		line, err := events.ReadSlice('\n')
+		if err := held.growTo(len(event) + len(line)); err != nil {
+			return at.endBroken(requestCtx, err)
+		}
 		event = append(event, line...)
 		switch {
 		case len(event) > maxEventBytes:
@@ -54,13 +61,58 @@
 			if err := at.checkVersion(requestCtx); err != nil {
 				return at.endBroken(requestCtx, err)
 			}
-			if err := rq.response.writeEvent(resp, event); err != nil {
+			held.beginWrite()
+			if err := errors.Join(rq.response.writeEvent(resp, event), held.endWrite()); err != nil {
 				at.pickAttempt.End(time.Now(), pick.Abandoned)
 				return mayHaveRun, answer.NewError(answer.StreamBroken, answer.Unknown, 0, "write to caller: %v", err)
 			}
 		}
-		event = event[:0]
+		if event = event[:0]; cap(event) > freeEventBytes {
+			event = nil
+			held.free()
+		}
+	}
+}
+
+// freeEventBytes is the size up to which an event does not count as memory held.
+const freeEventBytes = 16 << 10
+
+// eventMemory is the memory of a long event of a stream.
+type eventMemory struct {
+	claim *memory.Claim
+	bytes int
+}
+
+// growTo claims memory for an event of a size; the slice that holds it may have twice the capacity.
+func (em *eventMemory) growTo(size int) error {
+	if size <= freeEventBytes || size <= em.bytes {
+		return nil
 	}
+	if err := em.claim.Grow(time.Now(), int64(2*size-em.bytes)); err != nil {
+		return fmt.Errorf("event of %d bytes: %w", size, err)
+	}
+	em.bytes = 2 * size
+	return nil
+}
+
+// beginWrite begins to wait for the caller, which may be disconnected meanwhile.
+func (em *eventMemory) beginWrite() {
+	if em.bytes > 0 {
+		em.claim.Wait(time.Now())
+	}
+}
+
+// endWrite ends the wait for the caller.
+func (em *eventMemory) endWrite() error {
+	if em.bytes == 0 {
+		return nil
+	}
+	return em.claim.Use()
+}
+
+func (em *eventMemory) free() {
+	em.claim.ShrinkTo(0)
+	em.bytes = 0
 }
 
 // endsWithBlankLine reports whether text that ends with a line end has an empty last line. The piece of a long line that ReadSlice
--- a/io/trace/recorder.go
+++ b/io/trace/recorder.go
@@ -46,6 +46,9 @@
 	controlBytes metric.Int64Counter
 	loadOrders   metric.Int64Counter
 	weightLoad   metric.Float64Histogram
+	// meter creates the gauge of ObserveMemory.
+	memoryRefusals metric.Int64Counter
+	meter          metric.Meter
 }
 
 // New returns the recorder of a process.
@@ -71,8 +74,8 @@
 }
 
 func newMetrics(mt metric.Meter) (*Metrics, error) {
-	var errs [9]error
-	ms := &Metrics{}
+	var errs [10]error
+	ms := &Metrics{meter: mt}
 	ms.requests, errs[0] = mt.Int64Counter("requests", metric.WithDescription("Requests answered, by outcome."))
 	ms.refusals, errs[1] = mt.Int64Counter("refusals", metric.WithDescription("Requests refused, by code."))
 	ms.promptTokens, errs[2] = mt.Int64Counter("prompt_tokens", metric.WithDescription("Prompt tokens of model calls."))
@@ -87,6 +90,8 @@
 		metric.WithDescription("Orders to load weights, by the engine's verdict."))
 	ms.weightLoad, errs[8] = mt.Float64Histogram("weight_load", metric.WithUnit("s"),
 		metric.WithDescription("Time for which an engine took no calls since it loaded weights."))
+	ms.memoryRefusals, errs[9] = mt.Int64Counter("memory_refusals",
+		metric.WithDescription("Connections, bodies and responses refused because memory is short, by reason."))
 	for _, err := range errs {
 		if err != nil {
 			return nil, fmt.Errorf("create instrument: %w", err)
@@ -216,3 +221,27 @@
 func (rc *Recorder) RecordWeightLoad(elapsed time.Duration) {
 	rc.metrics.weightLoad.Record(context.Background(), elapsed.Seconds())
 }
+
+// CountMemoryRefusals adds a number of refusals for lack of memory, by what was refused and why.
+func (rc *Recorder) CountMemoryRefusals(kind, reason string, count int) {
+	if count > 0 {
+		rc.metrics.memoryRefusals.Add(context.Background(), int64(count),
+			metric.WithAttributes(attribute.String("kind", kind), attribute.String("reason", reason)))
+	}
+}
+
+// ObserveMemory makes the bytes that held returns, by what they hold, a metric. It is called once.
+func (rc *Recorder) ObserveMemory(held func() map[string]int64) error {
+	_, err := rc.metrics.meter.Int64ObservableGauge("memory_held", metric.WithUnit("By"),
+		metric.WithDescription("Memory that callers make the process hold."),
+		metric.WithInt64Callback(func(_ context.Context, ob metric.Int64Observer) error {
+			for kind, bytes := range held() {
+				ob.Observe(bytes, metric.WithAttributes(attribute.String("kind", kind)))
+			}
+			return nil
+		}))
+	if err != nil {
+		return fmt.Errorf("create gauge of memory: %w", err)
+	}
+	return nil
+}
