--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -69,6 +69,8 @@
 	SeedVMs  []vmlist.VM
 	Recorder *trace.Recorder
 	Pool     *link.Pool
+	// MemoryBytes is the memory available to the process, or zero if unknown; what callers can make it hold is bounded by it.
+	MemoryBytes int64
 	// Incarnation is a number that is new at each start of the agent.
 	Incarnation uint64
 	// Fencing is set if the engine refuses load orders with outdated fencing numbers.
--- a/io/cmds/agent.go
+++ b/io/cmds/agent.go
@@ -55,6 +55,7 @@
 	if err != nil {
 		return err
 	}
+	opts.MemoryBytes = deps.memoryBytes
 	opts.Store, opts.Objects, opts.VMList, opts.SeedVMs, opts.Recorder = deps.store, deps.objects, deps.vmList, deps.seedVMs, deps.recorder
 	lis, err := net.Listen("tcp", cm.Listen)
 	if err != nil {
--- a/io/cmds/entry.go
+++ b/io/cmds/entry.go
@@ -46,6 +46,7 @@
 	if err != nil {
 		return err
 	}
+	opts.MemoryBytes = deps.memoryBytes
 	opts.Store, opts.Objects, opts.VMList, opts.SeedVMs, opts.Recorder = deps.store, deps.objects, deps.vmList, deps.seedVMs, deps.recorder
 	callers, err := net.Listen("tcp", cm.Listen)
 	if err != nil {
--- a/io/cmds/platform.go
+++ b/io/cmds/platform.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"runtime/debug"
 
 	"github.com/sourcegraph/conc"
 
@@ -36,6 +37,7 @@
 	Zone        string `long:"zone" env:"SHALLOTCLEAT_ZONE" description:"availability zone of this VM"`
 	Admin       string `long:"admin" env:"SHALLOTCLEAT_ADMIN" description:"IP address and port of the admin interface: metrics, status, timeline" default:"127.0.0.1:7900"`
 	LogLevel    string `long:"log-level" env:"SHALLOTCLEAT_LOG_LEVEL" description:"minimum level of log lines; debug adds the events of each request" default:"info"`
+	Memory      string `long:"memory" env:"SHALLOTCLEAT_MEMORY" description:"memory available to this process in MB of 1,000,000 bytes" default:"512"`
 	StopTimeout string `long:"stop-timeout" env:"SHALLOTCLEAT_STOP_TIMEOUT" description:"maximum time that a stop waits for running requests" default:"2m"`
 }
 
@@ -46,9 +48,11 @@
 	vmList   vmlist.Lister
 	seedVMs  []vmlist.VM
 	recorder *trace.Recorder
+	// memoryBytes is the memory available to the process.
+	memoryBytes int64
 }
 
-// dependencies validates the common flags and creates the dependencies, or returns a *SettingsError with all problems found
+// dependencies validates the common flags, sets the memory limit and creates the dependencies, or returns a *SettingsError with all problems found
 // so far; name is the name of the process in logs and events.
 func (eaf *entryAgentFlags) dependencies(vd *validator, name string) (*entryAgentDeps, error) {
 	deps := &entryAgentDeps{}
@@ -59,9 +63,12 @@
 	vd.name("zone", eaf.Zone)
 	vd.address("admin", eaf.Admin)
 	vd.logLevel("log-level", eaf.LogLevel)
+	memory := vd.integer("memory", eaf.Memory, 16, 1<<20)
 	if err := vd.err(); err != nil {
 		return nil, err
 	}
+	deps.memoryBytes = int64(memory) * bytesPerMegabyte
+	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(memory) * bytesPerMegabyte))
 	lg, err := logs.New(os.Stderr, eaf.LogLevel, name)
 	if err != nil {
 		return nil, fmt.Errorf("set up logs: %w", err)
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -17,9 +17,11 @@
 	"shallotcleat/core/board"
 	"shallotcleat/core/clock"
 	"shallotcleat/core/config"
+	"shallotcleat/core/memory"
 	"shallotcleat/core/place"
 	"shallotcleat/core/retry"
 	"shallotcleat/io/bill"
+	"shallotcleat/io/intake"
 	"shallotcleat/io/link"
 	"shallotcleat/io/object"
 	"shallotcleat/io/table"
@@ -51,9 +53,11 @@
 	Zone         string
 	PieceTokens  int
 	MaxBodyBytes int64
-	Store        table.Store
-	Objects      object.Store
-	VMList       vmlist.Lister
+	// MemoryBytes is the memory available to the process, or zero if unknown; what callers can make it hold is bounded by it.
+	MemoryBytes int64
+	Store       table.Store
+	Objects     object.Store
+	VMList      vmlist.Lister
 	// SeedVMs are used until the VM list has been read.
 	SeedVMs  []vmlist.VM
 	Recorder *trace.Recorder
@@ -80,6 +84,8 @@
 	watcher     *watch.Watcher
 	vms         *watch.VMPoller
 	usageWriter *bill.Writer
+	memory      *memory.Budget
+	reporter    *intake.Reporter
 	// nextPoll is the round-robin position of the next agent to poll, with a different start in each entry. It is used at startup
 	// and then by the poll timer only, so it needs no lock.
 	nextPoll uint64
@@ -103,8 +109,10 @@
 		usageWriter: bill.NewWriter(opts.Objects, opts.Recorder, fmt.Sprintf("entry-%x", opts.RandomSeed)),
 		chooser:     place.NewChooser(opts.Zone),
 		budget:      retry.NewBudget(),
+		memory:      memory.NewBudget(opts.MemoryBytes),
 		done:        make(chan struct{}),
 	}
+	en.reporter = intake.NewReporter(en.memory, opts.Recorder)
 	en.vms = watch.NewVMPoller(opts.VMList, opts.SeedVMs, opts.Recorder, en.clock, en.updateMembers)
 	en.watcher = watch.New(watch.Options{
 		Board:      en.board,
@@ -147,6 +155,8 @@
 	loops.Go(func() { en.vms.Run(background) })
 	loops.Go(func() { en.watcher.Run(background) })
 	stopFlush := en.clock.Every(usageFlushPeriod, func() { en.flushUsage(background) })
+	stopReport := en.reporter.Start(en.clock)
+	defer stopReport()
 	stopPoll := en.clock.Every(pollPeriod, func() { en.pollNextBatch(background) })
 	loops.Go(func() {
 		srv := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: link.ManagerOptions()})
@@ -158,9 +168,10 @@
 		ReadTimeout:       bodyTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         intake.StateChanged,
 	}
 	serveErr := make(chan error, 1)
-	loops.Go(func() { serveErr <- server.Serve(callers) })
+	loops.Go(func() { serveErr <- server.Serve(intake.NewListener(callers, en.memory)) })
 
 	var err error
 	select {
--- a/io/entry/lookup.go
+++ b/io/entry/lookup.go
@@ -49,7 +49,9 @@
 	if er != nil {
 		return call.rq.finalError(er)
 	}
-	writeReply(wr, reply)
+	if er := en.writeReply(wr, reply); er != nil {
+		return er
+	}
 	en.recordResponse(call.rq, string(answer.Done))
 	return nil
 }
--- a/io/entry/orders.go
+++ b/io/entry/orders.go
@@ -13,6 +13,7 @@
 
 	"shallotcleat/core/answer"
 	"shallotcleat/core/order"
+	"shallotcleat/io/intake"
 	"shallotcleat/io/rows"
 	"shallotcleat/io/trace"
 	"shallotcleat/io/wire"
@@ -78,7 +79,11 @@
 	wr.Header().Set("X-Outcome", string(answer.Done))
 	wr.Header().Set("X-Order-Request", row.Request())
 	wr.WriteHeader(row.Result().Status())
-	_, _ = wr.Write([]byte(body))
+	cl := en.claimResponse(wr)
+	defer cl.Close()
+	// The result is in the table, and small; without room, only the slow reading of it is not bounded.
+	_ = cl.Grow(time.Now(), int64(len(body)))
+	intake.WriteSlowly(cl, wr, []byte(body))
 	en.recordResponse(call.rq, string(answer.Done), "order_request", row.Request())
 }
 
--- a/io/entry/plaincall.go
+++ b/io/entry/plaincall.go
@@ -12,7 +12,9 @@
 
 	"shallotcleat/core/answer"
 	"shallotcleat/core/config"
+	"shallotcleat/core/memory"
 	"shallotcleat/core/place"
+	"shallotcleat/io/intake"
 	"shallotcleat/io/trace"
 	"shallotcleat/io/wire"
 )
@@ -102,11 +104,25 @@
 	return reply, nil
 }
 
-func writeReply(wr http.ResponseWriter, reply *wire.CallReply) {
+// writeReply writes the reply of a lookup. A caller that reads it slowly is disconnected when memory is short. If there is none for the
+// reply, the lookup has failed; it has run.
+func (en *Entry) writeReply(wr http.ResponseWriter, reply *wire.CallReply) *answer.Error {
+	cl := en.claimResponse(wr)
+	defer cl.Close()
+	if err := cl.Grow(time.Now(), int64(len(reply.GetBody()))); err != nil {
+		return answer.NewError(answer.ServerFailed, answer.Unknown, 0, "reply of %d bytes: %v", len(reply.GetBody()), err)
+	}
 	if reply.GetContentType() != "" {
 		wr.Header().Set("Content-Type", reply.GetContentType())
 	}
 	wr.Header().Set("X-Outcome", string(answer.Done))
 	wr.WriteHeader(int(reply.GetHttpStatus()))
-	_, _ = wr.Write(reply.GetBody())
+	intake.WriteSlowly(cl, wr, reply.GetBody())
+	return nil
+}
+
+// claimResponse returns a claim for a response. When it is evicted, a pending write to the caller ends, and the connection with it.
+func (en *Entry) claimResponse(wr http.ResponseWriter) *memory.Claim {
+	controller := http.NewResponseController(wr)
+	return en.memory.Open(time.Now(), memory.Response, func() { _ = controller.SetWriteDeadline(time.Unix(1, 0)) })
 }
--- a/io/entry/routes.go
+++ b/io/entry/routes.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -15,6 +14,8 @@
 
 	"shallotcleat/core/answer"
 	"shallotcleat/core/config"
+	"shallotcleat/core/memory"
+	"shallotcleat/io/intake"
 	"shallotcleat/io/trace"
 )
 
@@ -26,7 +27,9 @@
 	workspace  config.Workspace
 	receivedAt time.Time
 	deadline   time.Time
-	body       []byte
+	// body is the body, whose memory belongs to bodyClaim.
+	body      []byte
+	bodyClaim *memory.Claim
 	// mayHaveRun is set if the outcome of an attempt is unknown.
 	mayHaveRun bool
 }
@@ -76,6 +79,7 @@
 func (en *Entry) withRequest(next handler) httprouter.Handle {
 	return func(wr http.ResponseWriter, hr *http.Request, pr httprouter.Params) {
 		rq, er := en.newRequest(wr, hr)
+		defer rq.release()
 		if er == nil {
 			ctx, cancel := context.WithDeadline(hr.Context(), rq.deadline)
 			defer cancel()
@@ -107,19 +111,36 @@
 	rq.deadline = now.Add(rq.snapshot.Preset().Timeout())
 	en.rec.RecordEvent(rq.id, trace.RequestReceived, "workspace", rq.workspace.Name(), "path", hr.URL.Path, "method", hr.Method,
 		"epoch", strconv.FormatUint(rq.snapshot.Epoch(), 10), "preset", rq.snapshot.Preset().Name())
-	body, err := io.ReadAll(http.MaxBytesReader(wr, hr.Body, en.opts.MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
+	data, err := intake.ReadBody(en.memory, wr, hr, en.opts.MaxBodyBytes)
+	rq.bodyClaim = data.Claim()
+	if err == nil {
+		rq.body, err = data.Join()
+	}
+	if err == nil {
+		err = rq.bodyClaim.Grow(time.Now(), int64(bodyCopies*len(rq.body)))
+	}
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, intake.ErrTooLong):
 		return rq, answer.NewError(answer.BodyTooLarge, answer.NotRun, 0,
 			"the request body exceeds the limit of %d bytes", en.opts.MaxBodyBytes)
+	case errors.Is(err, memory.ErrShort):
+		return rq, answer.NewError(answer.MemoryShort, answer.NotRun, time.Second, "read request body: %v", err)
 	case err != nil:
 		return rq, answer.NewError(answer.BadRequest, answer.NotRun, 0, "read request body: %v", err)
 	}
-	rq.body = body
 	return rq, nil
 }
 
+// bodyCopies is the number of further copies of a body that count as memory held: its prompt, and the message to the agent.
+const bodyCopies = 1
+
+// release frees the memory that the request holds.
+func (rq *request) release() {
+	if rq.bodyClaim != nil {
+		rq.bodyClaim.Close()
+	}
+}
+
 // errorResponse is the JSON encoding of an error.
 type errorResponse struct {
 	Error errorJSON `json:"error"`
--- a/io/gate/response.go
+++ b/io/gate/response.go
@@ -145,7 +145,6 @@
 	rs.copyHeader(hd)
 	rs.writer.Header().Set("Content-Length", strconv.Itoa(body.Len()))
 	rs.writer.WriteHeader(status)
-	body.Claim().Wait(time.Now())
 	// The error is ignored: net/http closes the connection of a caller that has disconnected.
 	_, _ = body.WriteTo(rs.writer)
 }
--- a/io/intake/data.go
+++ b/io/intake/data.go
@@ -120,8 +120,9 @@
 	dt.pieces = nil
 }
 
-// WriteTo writes the bytes to a caller that may read slowly; a claim that waits is evicted if that takes too long.
+// WriteTo writes the bytes to a caller that may read slowly; the claim may be evicted meanwhile, which must end the write.
 func (dt *Data) WriteTo(wr io.Writer) (int64, error) {
+	dt.claim.Wait(time.Now())
 	written := int64(0)
 	for _, piece := range dt.pieces {
 		count, err := wr.Write(piece)
@@ -133,3 +134,17 @@
 	}
 	return written, nil
 }
+
+// WriteSlowly writes bytes of a claim to a caller that may read slowly; the claim may be evicted meanwhile, which must end the write.
+// Errors are ignored: net/http closes the connection of a caller that has disconnected.
+func WriteSlowly(cl *memory.Claim, wr io.Writer, text []byte) {
+	cl.Wait(time.Now())
+	for len(text) > 0 {
+		count, err := wr.Write(text[:min(len(text), maxPieceBytes)])
+		if err != nil {
+			return
+		}
+		cl.Progress(time.Now(), count)
+		text = text[count:]
+	}
+}
--- a/process_test.go
+++ b/process_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -55,6 +56,8 @@
 	// entryAddresses are the addresses at which the entries serve callers.
 	entryAddresses []string
 	adminAddresses []string
+	// program is the binary to start in place of the test binary, unless it is empty.
+	program string
 }
 
 // newEmptyCluster returns a cluster that has a declaration in force but no processes.
@@ -130,7 +133,7 @@
 	cl.adminAddresses = append(cl.adminAddresses, admin)
 	args = append(args, "--zone", "ruai", "--admin", admin, "--log-level", "warning",
 		"--table", cl.platform.TableURL(), "--objects", cl.platform.ObjectsURL(), "--vm-list", cl.platform.VMListURL())
-	cmd := exec.Command(os.Args[0], args...)
+	cmd := exec.Command(cmp.Or(cl.program, os.Args[0]), args...)
 	cmd.Env = append(os.Environ(), runMainEnv+"=1")
 	cmd.Stderr = os.Stderr
 	cl.launch(cmd)
