io/agent: what entries can make an agent hold is bounded by its memory

Cause: each connection could hold a message of 8 MB without end, and keeps buffers of the size of its longest message. Connections and their messages now have claims in the agent's budget; a connection whose message does not fit is closed, which promises nothing.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -20,9 +20,11 @@
 	"shallotcleat/core/clock"
 	"shallotcleat/core/config"
 	"shallotcleat/core/member"
+	"shallotcleat/core/memory"
 	"shallotcleat/core/order"
 	"shallotcleat/core/weight"
 	"shallotcleat/io/bill"
+	"shallotcleat/io/intake"
 	"shallotcleat/io/link"
 	"shallotcleat/io/object"
 	"shallotcleat/io/server"
@@ -98,6 +100,8 @@
 	streams      *streamRegistry
 	pendingUsage *bill.PendingRecords
 	usageWriter  *bill.Writer
+	memory       *memory.Budget
+	reporter     *intake.Reporter
 
 	// ledgerMu guards the ledger.
 	ledgerMu sync.Mutex
@@ -136,8 +140,10 @@
 		usageWriter:  bill.NewWriter(opts.Objects, opts.Recorder, fmt.Sprintf("agent-%x", opts.Incarnation)),
 		ledger:       order.NewLedger(opts.Address, opts.Incarnation, ticketLifetime, opts.Slots*ticketsPerSlot),
 		loader:       weight.NewLoader(opts.Address, opts.Incarnation, opts.Fencing),
+		memory:       memory.NewBudget(opts.MemoryBytes),
 		done:         make(chan struct{}),
 	}
+	ag.reporter = intake.NewReporter(ag.memory, opts.Recorder)
 	ag.engineState.Store(&server.State{})
 	ag.vms = watch.NewVMPoller(opts.VMList, opts.SeedVMs, opts.Recorder, ag.clock, ag.updateRetired)
 	ag.watcher = watch.New(watch.Options{
@@ -190,10 +196,12 @@
 	cancelState := ag.clock.Every(stateInterval, func() { ag.readEngineState(background) })
 	cancelUsage := ag.clock.Every(usageInterval, func() { ag.writeUsage(background, ag.clock.Now().Add(-confirmTimeout)) })
 	cancelSettle := ag.clock.Every(settleInterval, func() { ag.settleRows(background) })
+	cancelReport := ag.reporter.Start(ag.clock)
+	defer cancelReport()
 	var serveErr error
 	loops.Go(func() {
 		srv := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: link.ManagerOptions()})
-		serveErr = srv.Serve(background, lis)
+		serveErr = intake.ServePeers(background, srv, lis, ag.memory)
 	})
 
 	<-ctx.Done()
--- a/io/agent/handler.go
+++ b/io/agent/handler.go
@@ -8,6 +8,7 @@
 	"shallotcleat/core/admit"
 	"shallotcleat/core/answer"
 	"shallotcleat/core/stamp"
+	"shallotcleat/io/intake"
 	"shallotcleat/io/trace"
 	"shallotcleat/io/wire"
 )
@@ -20,6 +21,7 @@
 // Submit runs a model call and streams its frames.
 func (hd *handler) Submit(rq *wire.SubmitRequest, out wire.DRPCAgent_SubmitStream) error {
 	ag := hd.agent
+	defer intake.UsePeer(out.Context())()
 	ar, refusal := ag.admit(out.Context(), rq, func() {
 		// An error means that the entry has disconnected; the context then ends the wait.
 		_ = out.Send(&wire.Frame{Kind: &wire.Frame_Waiting{Waiting: &wire.Waiting{}}, Status: ag.status()})
@@ -111,6 +113,7 @@
 // Resume sends the frames of a stream after a sequence number.
 func (hd *handler) Resume(rq *wire.ResumeRequest, out wire.DRPCAgent_ResumeStream) error {
 	ag := hd.agent
+	defer intake.UsePeer(out.Context())()
 	ag.rec.Observe(stamp.Stamp(rq.GetContext().GetStamp()))
 	st, ok := ag.streams.get(rq.GetStreamId(), rq.GetContext().GetWorkspace())
 	err := errStreamRemoved
--- a/io/agent/lookup.go
+++ b/io/agent/lookup.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"shallotcleat/core/answer"
+	"shallotcleat/io/intake"
 	"shallotcleat/io/server"
 	"shallotcleat/io/trace"
 	"shallotcleat/io/wire"
@@ -14,6 +15,7 @@
 // retry it.
 func (hd *handler) Call(ctx context.Context, rq *wire.SubmitRequest) (*wire.CallReply, error) {
 	ag := hd.agent
+	defer intake.UsePeer(ctx)()
 	if ag.plainService == nil {
 		er := answer.NewError(answer.NoBackendServer, answer.NotRun, minRetryAfter,
 			"a model engine accepts no calls of a plain service")
--- a/io/agent/orders.go
+++ b/io/agent/orders.go
@@ -11,6 +11,7 @@
 	"shallotcleat/core/answer"
 	"shallotcleat/core/order"
 	"shallotcleat/core/stamp"
+	"shallotcleat/io/intake"
 	"shallotcleat/io/rows"
 	"shallotcleat/io/server"
 	"shallotcleat/io/trace"
@@ -43,6 +44,7 @@
 // Probe then returns the report.
 func (hd *handler) Redeem(ctx context.Context, rq *wire.RedeemRequest) (*wire.Report, error) {
 	ag := hd.agent
+	defer intake.UsePeer(ctx)()
 	ag.rec.Observe(stamp.Stamp(rq.GetContext().GetStamp()))
 	tk := rq.GetTicket().ToTicket()
 	intent, err := rows.Decode(rq.GetRow(), rq.GetRowVersion())
--- a/process_flood_test.go
+++ b/process_flood_test.go
@@ -16,6 +16,8 @@
 	"testing"
 	"time"
 
+	"storj.io/drpc/drpcwire"
+
 	"shallotcleat/io/local"
 )
 
@@ -66,8 +68,8 @@
 	return fc
 }
 
-// flood opens connections to the entry that each call write at the same time.
-func (fc *floodedCluster) flood(write func(conn net.Conn, number int)) {
+// flood opens connections to an address that each call write at the same time.
+func (fc *floodedCluster) flood(address string, write func(conn net.Conn, number int)) {
 	var wg sync.WaitGroup
 	for number := range floodCrowd {
 		wg.Go(func() {
@@ -75,7 +77,7 @@
 				// A small receive buffer keeps the kernel from taking whole responses.
 				return rc.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
 			}}
-			conn, err := dl.Dial("tcp", fc.entryAddresses[0])
+			conn, err := dl.Dial("tcp", address)
 			if err != nil {
 				return
 			}
@@ -168,7 +170,7 @@
 func TestEntryFloodOfBodies(t *testing.T) {
 	fc := newFloodedCluster(t)
 	piece := bytes.Repeat([]byte("b"), 64<<10)
-	fc.flood(func(conn net.Conn, number int) {
+	fc.flood(fc.entryAddresses[0], func(conn net.Conn, number int) {
 		_, _ = conn.Write(entryHead(http.MethodPost, "/v1/completions"))
 		if number%2 == 0 {
 			_, _ = fmt.Fprintf(conn, "Content-Length: %d\r\n\r\n", floodBodyBytes)
@@ -188,7 +190,7 @@
 func TestEntryFloodOfCompleteBodies(t *testing.T) {
 	fc := newFloodedCluster(t)
 	body := bytes.Repeat([]byte("b"), floodBodyBytes-1000)
-	fc.flood(func(conn net.Conn, _ int) {
+	fc.flood(fc.entryAddresses[0], func(conn net.Conn, _ int) {
 		_, _ = conn.Write(entryHead(http.MethodPut, "/services/stock/items/sand"))
 		_, _ = fmt.Fprintf(conn, "Content-Length: %d\r\n\r\n", len(body))
 		_, _ = conn.Write(body)
@@ -199,9 +201,20 @@
 // Callers that do not read their long responses do not use up the memory of an entry.
 func TestEntryFloodOfSlowReaders(t *testing.T) {
 	fc := newFloodedCluster(t)
-	fc.flood(func(conn net.Conn, number int) {
+	fc.flood(fc.entryAddresses[0], func(conn net.Conn, number int) {
 		time.Sleep(time.Duration(number) * 40 * time.Millisecond)
 		_, _ = conn.Write(append(entryHead(http.MethodGet, "/services/stock/long"), "\r\n"...))
 	})
 	fc.check(t)
 }
+
+// Messages of legal size that stop short of their end do not use up the memory of an agent.
+func TestAgentFloodOfMessages(t *testing.T) {
+	fc := newFloodedCluster(t)
+	message := drpcwire.AppendFrame(nil, drpcwire.Frame{Data: bytes.Repeat([]byte("b"), floodBodyBytes),
+		ID: drpcwire.ID{Stream: 1, Message: 1}, Kind: drpcwire.KindInvoke, Done: true})
+	fc.flood(fc.plainAgents[0].Args[3], func(conn net.Conn, _ int) {
+		_, _ = conn.Write(message[:len(message)-1])
+	})
+	fc.check(t)
+}
