--- a/core/answer/answer.go
+++ b/core/answer/answer.go
@@ -46,6 +46,7 @@
 	NotResumable           Code = "not_resumable"
 	CrashingRequest        Code = "crashing_request"
 	LimitExceeded          Code = "limit_exceeded"
+	MemoryShort            Code = "memory_short"
 )
 
 // Error is the reason why a request has no result. It is immutable.
--- a/io/gate/callers.go
+++ b/io/gate/callers.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -12,7 +13,9 @@
 
 	"github.com/sirupsen/logrus"
 
+	"shallotcleat/core/memory"
 	"shallotcleat/core/route"
+	"shallotcleat/io/intake"
 )
 
 // Limits of callers that the configuration does not set.
@@ -66,6 +69,7 @@
 	closedIdle           closeReason = "idle"
 	closedHeaderLate     closeReason = "header_timeout"
 	closedHeaderTooLarge closeReason = "header_too_large"
+	closedMemory         closeReason = "memory_short"
 )
 
 // callerConns applies the limits in force to the callers' connections, because net/http reads its own limits without
@@ -73,6 +77,7 @@
 // request's deadline. It is safe for concurrent use.
 type callerConns struct {
 	limits func() route.Limits
+	memory *memory.Budget
 	now    func() time.Time
 	log    *logrus.Entry
 
@@ -86,8 +91,8 @@
 	idleTimeoutSince time.Time
 }
 
-func newCallerConns(limits func() route.Limits, now func() time.Time, lg *logrus.Entry) *callerConns {
-	return &callerConns{limits: limits, now: now, log: lg, open: make(map[*callerConn]struct{}), closed: make(map[closeReason]int)}
+func newCallerConns(limits func() route.Limits, bg *memory.Budget, now func() time.Time, lg *logrus.Entry) *callerConns {
+	return &callerConns{limits: limits, memory: bg, now: now, log: lg, open: make(map[*callerConn]struct{}), closed: make(map[closeReason]int)}
 }
 
 // listener returns a listener whose connections have the limits. Their http.Server must call stateChanged and must have no limits of
@@ -140,11 +145,25 @@
 	}
 }
 
+// add returns an accepted connection with limits, or closes it and returns nil if there is no memory for it.
 func (ccs *callerConns) add(tc *net.TCPConn) *callerConn {
-	cc := &callerConn{TCPConn: tc, conns: ccs, since: ccs.now()}
+	claim, err := intake.OpenConn(ccs.memory, func() {
+		// Ends a read of a connection that is idle or receives a header. One that has ended needs no deadline.
+		_ = tc.SetReadDeadline(time.Unix(0, 0))
+	})
+	if err != nil {
+		ccs.countClosed(closedMemory)
+		// The caller sees that the connection has ended; nothing was read of it.
+		_ = tc.Close()
+		return nil
+	}
+	cc := &callerConn{TCPConn: tc, conns: ccs, claim: claim, since: ccs.now()}
 	ccs.mu.Lock()
 	defer ccs.mu.Unlock()
 	ccs.open[cc] = struct{}{}
+	if err := intake.BoundSocket(ccs.memory, tc, len(ccs.open)); err != nil {
+		ccs.log.WithError(err).Debug("cannot bound the kernel's buffers of a caller's connection")
+	}
 	return cc
 }
 
@@ -168,14 +187,19 @@
 
 // Accept implements net.Listener. Connections other than TCP have no limits.
 func (cl *callerListener) Accept() (net.Conn, error) {
-	conn, err := cl.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	if tc, ok := conn.(*net.TCPConn); ok {
-		return cl.conns.add(tc), nil
+	for {
+		conn, err := cl.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		tc, ok := conn.(*net.TCPConn)
+		if !ok {
+			return conn, nil
+		}
+		if cc := cl.conns.add(tc); cc != nil {
+			return cc, nil
+		}
 	}
-	return conn, nil
 }
 
 // connPhase is what a connection waits for.
@@ -193,6 +217,8 @@
 type callerConn struct {
 	*net.TCPConn
 	conns *callerConns
+	// claim is the memory of the connection and of its header.
+	claim *intake.ConnClaim
 
 	// mu guards the fields below.
 	mu    sync.Mutex
@@ -209,6 +235,12 @@
 
 func (cc *callerConn) setPhase(phase connPhase) {
 	now := cc.conns.now()
+	switch phase {
+	case phaseServing:
+		cc.claim.Serve()
+	case phaseIdle:
+		cc.claim.Idle()
+	}
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
 	cc.phase, cc.since, cc.headerBytes, cc.expired, cc.lateRead = phase, now, 0, false, false
@@ -246,11 +278,20 @@
 	buffer = buffer[:min(len(buffer), room)]
 	count, err := cc.TCPConn.Read(buffer)
 	timedOut := errors.Is(err, os.ErrDeadlineExceeded)
-	if timedOut {
+	switch {
+	case timedOut && cc.claim.Evicted() && phase == phaseHeader:
+		return 0, cc.reject(closedMemory, http.StatusServiceUnavailable)
+	case timedOut && cc.claim.Evicted():
+		cc.conns.countClosed(closedMemory)
+		return 0, err
+	case timedOut:
 		if err = cc.SetReadDeadline(time.Now().Add(lastReadTimeout)); err == nil {
 			count, err = cc.TCPConn.Read(buffer)
 		}
 	}
+	if count > 0 && cc.claim.AddHeader(buffer[:count]) != nil {
+		return 0, cc.reject(closedMemory, http.StatusServiceUnavailable)
+	}
 	switch {
 	case count > 0:
 		return count, cc.recordHeaderBytes(count, timedOut)
@@ -288,8 +329,12 @@
 	cc.setPhase(phaseServing)
 	err := cc.SetDeadline(time.Now().Add(rejectTimeout))
 	if err == nil {
+		retryAfter := ""
+		if status == http.StatusServiceUnavailable {
+			retryAfter = fmt.Sprintf("Retry-After: %.2f\r\n", memoryRetryAfter.Seconds()*(1+retryAfterJitter*rand.Float64()))
+		}
 		_, err = fmt.Fprintf(cc.TCPConn, "HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n"+
-			"Connection: close\r\n\r\n%s\n", status, http.StatusText(status), len(reason)+1, reason)
+			"%sConnection: close\r\n\r\n%s\n", status, http.StatusText(status), len(reason)+1, retryAfter, reason)
 	}
 	if err == nil {
 		err = cc.CloseWrite()
@@ -307,5 +352,6 @@
 // Close implements net.Conn.
 func (cc *callerConn) Close() error {
 	cc.conns.remove(cc)
+	cc.claim.Close()
 	return cc.TCPConn.Close()
 }
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -16,6 +16,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"shallotcleat/core/clock"
+	"shallotcleat/core/memory"
 	"shallotcleat/core/pick"
 	"shallotcleat/core/quota"
 	"shallotcleat/core/route"
@@ -23,6 +24,7 @@
 	"shallotcleat/core/weight"
 	"shallotcleat/io/client"
 	"shallotcleat/io/feed"
+	"shallotcleat/io/intake"
 	"shallotcleat/io/link"
 	"shallotcleat/io/table"
 	"shallotcleat/io/trace"
@@ -44,7 +46,9 @@
 	SeedPeers   []string
 	// Capacity is the processor time of the VM in cores, or zero if unknown. Gates with more of it do more of the work that one gate
 	// does for others.
-	Capacity    float64
+	Capacity float64
+	// MemoryBytes is the memory available to the process, or zero if unknown; what callers can make it hold is bounded by it.
+	MemoryBytes int64
 	Dialect     Dialect
 	Source      feed.Source
 	Store       table.Committer
@@ -89,6 +93,8 @@
 	closeConnections atomic.Bool
 	retryBudgets     *retryBudgets
 	bodies           bodies
+	memory           *memory.Budget
+	memoryReporter   *intake.Reporter
 	hints            *hintExchange
 	crashes          *crashWatch
 	limits           *limitSharing
@@ -120,6 +126,7 @@
 		picker:        pick.New(opts.Zone, opts.OldWeightsGrace, opts.RandomSeed),
 		connPool:      client.NewPool(),
 		meter:         share.NewMeter(),
+		memory:        memory.NewBudget(opts.MemoryBytes),
 		configTable:   feed.NewVersionedCopy(tables.Config, ContentVersion(opts.Dialect)),
 		serverTable:   feed.NewCopy(tables.Servers),
 		nodeTable:     feed.NewCopy(tables.Nodes),
@@ -127,6 +134,7 @@
 		pullRequests:  make(chan struct{}, 1),
 		done:          make(chan struct{}),
 	}
+	gt.memoryReporter = intake.NewReporter(gt.memory, opts.Recorder)
 	gt.gateList = NewGateList(gt.nodeTable)
 	gt.hints = newHintExchange(gt)
 	gt.crashes = newCrashWatch(gt)
@@ -172,12 +180,14 @@
 	wg.Go(func() { gt.servePeers(workCtx, peers) })
 	readiness := &http.Server{Handler: http.HandlerFunc(gt.serveReady), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
 	wg.Go(func() { gt.serveHTTP(readiness, ready) })
-	conns := newCallerConns(func() route.Limits { return callerLimits(gt.routes.Load()) }, gt.opts.Timer.Now, gt.log)
+	conns := newCallerConns(func() route.Limits { return callerLimits(gt.routes.Load()) }, gt.memory, gt.opts.Timer.Now, gt.log)
 	// The limits of callers are applied by conns.
 	srv := &http.Server{Handler: http.HandlerFunc(gt.handle), ConnState: conns.stateChanged, MaxHeaderBytes: math.MaxInt32}
 	wg.Go(func() { gt.serveHTTP(srv, conns.listener(callers)) })
 	cancelEnforce := gt.opts.Timer.Every(enforceInterval, conns.enforce)
 	defer cancelEnforce()
+	cancelReport := gt.memoryReporter.Start(gt.opts.Timer)
+	defer cancelReport()
 	cancelCloseExpired := gt.opts.Timer.Every(closeExpiredInterval, func() { gt.connPool.CloseExpired(time.Now()) })
 	defer cancelCloseExpired()
 	cancelProbe := gt.opts.Timer.Every(probeInterval, func() { gt.probeUnreachable(workCtx) })
