Gates know each engine's prefill speed from its tender

Cause: one constant of 120,000 prompt tokens per second and a learned ratio per server; a gate or engine that starts begins at a ratio of 1 whereas engines are at 1.2 to 3. The tender sends its estimate with EngineNews, gates use it instead of the constant, else the median of the service, else the constant. The learned ratio refers to that rate, also between gates (CacheHints.prefill_rates).

--- a/core/pick/attempt.go
+++ b/core/pick/attempt.go
@@ -61,7 +61,7 @@
 		st.recordUse(pf, us)
 	}
 	att := &Attempt{picker: pk, id: ch.server.ID(), keys: cl.keys, model: cl.model, version: ch.version, tokens: tokens,
-		priority: cl.priority, sentAt: now, saveStore: ch.saveStore, expectedTime: pk.expectedTime(now, st, tokens, cl.tokens)}
+		priority: cl.priority, sentAt: now, saveStore: ch.saveStore, expectedTime: pk.expectedTime(now, st, pk.prefillRate(now, ch.server, st), tokens, cl.tokens)}
 	st.recordSent(tokens, cl.tokens)
 	if tokens > 0 {
 		st.pending = append(st.pending, att)
--- a/core/pick/cost.go
+++ b/core/pick/cost.go
@@ -11,9 +11,11 @@
 	if !cd.isHome {
 		missing = cl.tokensAfter(cd.depth)
 	}
-	timeToFirstEvent = time.Duration(st.slowdown * float64(pk.expectedTime(now, st, cl.tokens-cl.tokensAfter(0)+missing, cl.tokens)))
+	rate := pk.prefillRate(now, cd.server, st)
+	expected := pk.expectedTime(now, st, rate, cl.tokens-cl.tokensAfter(0)+missing, cl.tokens)
+	timeToFirstEvent = time.Duration(st.slowdown * float64(expected))
 	timeToFirstEvent = max(timeToFirstEvent, st.oldestWait(now, cl.priority))
-	cost = timeToFirstEvent + cd.stalePenalty + cacheMissCost(cl, missing, cd.stalePenalty > 0)
+	cost = timeToFirstEvent + cd.stalePenalty + cacheMissCost(cl, missing, cd.stalePenalty > 0, rate)
 	if now.Before(st.rejectedUntil) {
 		cost += rejectedCost
 	}
@@ -37,29 +39,30 @@
 
 // cacheMissCost returns the cost of prefilling missing tokens of a call's shared parts at a server: they evict other
 // prompts from its cache. A server with stale weights counts as if it had cached none, since loading new weights drops
-// its cache.
-func cacheMissCost(cl Call, missing int, stale bool) time.Duration {
+// its cache. rate is the server's prefill rate.
+func cacheMissCost(cl Call, missing int, stale bool, rate float64) time.Duration {
 	if stale {
 		missing = cl.tokensAfter(0)
 	}
 	if missing <= 0 {
 		return 0
 	}
-	return cacheMissBaseCost + cacheMissPrefillFactor*prefillTime(missing)
+	return cacheMissBaseCost + cacheMissPrefillFactor*prefillTime(missing, rate)
 }
 
 // expectedTime returns the expected time to the first event, before the server's slowdown is applied, for a call of
-// promptTokens of which the server has not cached uncachedTokens. The caller holds mu.
-func (pk *Picker) expectedTime(now time.Time, st *state, uncachedTokens, promptTokens int) time.Duration {
+// promptTokens of which the server has not cached uncachedTokens. rate is the server's prefill rate. The caller holds mu.
+func (pk *Picker) expectedTime(now time.Time, st *state, rate float64, uncachedTokens, promptTokens int) time.Duration {
 	running := st.running * pk.senderCount
 	expected := baseLatency
 	if now.Sub(st.utilization.observedAt) < utilizationTTL {
 		running = max(st.running, st.utilization.running)
 		expected += st.memoryWait(promptTokens, pk.senderCount)
 	}
-	return expected + prefillTime(st.tokensAhead(now, pk.senderCount)+uncachedTokens) + time.Duration(running)*runningCallCost
+	return expected + prefillTime(st.tokensAhead(now, pk.senderCount)+uncachedTokens, rate) + time.Duration(running)*runningCallCost
 }
 
-func prefillTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / prefillTokensPerSecond * float64(time.Second))
+// prefillTime returns the time in which an engine prefills tokens at a rate of tokens per second.
+func prefillTime(tokens int, rate float64) time.Duration {
+	return time.Duration(float64(tokens) / rate * float64(time.Second))
 }
--- a/core/pick/load_test.go
+++ b/core/pick/load_test.go
@@ -9,6 +9,7 @@
 
 	"shallotcleat/core/fleet"
 	"shallotcleat/core/share"
+	"shallotcleat/core/speed"
 )
 
 // The load tests simulate many gates and engines in virtual time. An engine prefills one prompt after another; a
@@ -65,6 +66,10 @@
 	// target.
 	callsByWorkspace  map[string]int
 	inTimeByWorkspace map[string]int
+	// reportsSpeed makes tenders report the engines' speeds.
+	reportsSpeed bool
+	// tokensByEngine is the number of prompt tokens sent to each engine.
+	tokensByEngine map[string]int
 	// longestQueue is the length of the longest queue of any engine.
 	longestQueue int
 }
@@ -83,6 +88,7 @@
 		sm.gates = append(sm.gates, pk)
 		sm.meters = append(sm.meters, share.NewMeter())
 	}
+	sm.tokensByEngine = make(map[string]int)
 	sm.callsByWorkspace, sm.inTimeByWorkspace = make(map[string]int), make(map[string]int)
 	return sm
 }
@@ -111,6 +117,9 @@
 	for _, en := range sm.engines {
 		for _, pk := range sm.gates {
 			pk.SetWeights(sm.now, en.id, testModel, 1, en.loading)
+			if sm.reportsSpeed {
+				pk.SetSpeed(sm.now, en.id, "chat", speed.NewEstimate(en.speed*simTokensPerSecond, 4*time.Millisecond))
+			}
 			if en.down {
 				pk.MarkDown(sm.now, en.id)
 			} else {
@@ -143,6 +152,7 @@
 		call := &simCall{workspace: workspace, gate: gate, attempt: sm.gates[gate].StartAttempt(sm.now, cl, ch),
 			tokens: simPromptTokens, sentAt: sm.now, engine: index}
 		sm.engines[index].queue = append(sm.engines[index].queue, call)
+		sm.tokensByEngine[ch.Server().ID()] += simPromptTokens
 		sm.longestQueue = max(sm.longestQueue, len(sm.engines[index].queue))
 	}
 }
--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -7,13 +7,14 @@
 
 	"shallotcleat/core/fleet"
 	"shallotcleat/core/quota"
+	"shallotcleat/core/speed"
 )
 
 // Rates, costs and lifetimes used in a choice.
 const (
-	// prefillTokensPerSecond is the prefill rate of an engine with slowdown 1; the users' engines prefill 92,100 and
-	// 140,000 tokens per second.
-	prefillTokensPerSecond = 120_000
+	// defaultPrefillRate is the prefill rate, in tokens per second, that is assumed of an engine while no estimate of it or of another
+	// engine of its service is known; the users' engines prefill 92,100 and 140,000 tokens per second.
+	defaultPrefillRate = 120_000
 	// baseLatency is the time to the first event of a call without a prompt.
 	baseLatency = 50 * time.Millisecond
 	// utilizationTTL is how long a tender's report of an engine's utilization is used for the expected time.
@@ -72,6 +73,8 @@
 	hints []Hint
 	// slowdowns holds, by server id, the observed ratios that have not been sent to the peers yet.
 	slowdowns map[string]slowdownSum
+	// speeds holds the engines' speeds that their tenders estimate.
+	speeds *speed.Fleet
 	// restrictions holds, by server id, what servers have said about new calls.
 	restrictions map[string]restriction
 	// stores holds the cache stores by the hash of their ids, and seen the last use of each prefix under any weights.
@@ -92,6 +95,7 @@
 		view:            fleet.NewRegistry().View(),
 		states:          make(map[string]*state),
 		slowdowns:       make(map[string]slowdownSum),
+		speeds:          speed.NewFleet(),
 		restrictions:    make(map[string]restriction),
 		stores:          make(map[uint64]*storeState),
 		seen:            make(map[uint64]time.Time),
@@ -221,7 +225,8 @@
 	}
 	st := pk.state(best.server.ID())
 	ownTokens := cl.tokens - cl.tokensAfter(0) + cl.tokensAfter(best.cachedParts)
-	best.queueTime = max(best.timeToFirstEvent-time.Duration(st.slowdown*float64(baseLatency+prefillTime(ownTokens))), 0)
+	ownTime := baseLatency + prefillTime(ownTokens, pk.prefillRate(now, best.server, st))
+	best.queueTime = max(best.timeToFirstEvent-time.Duration(st.slowdown*float64(ownTime)), 0)
 	best.cacheSource = pk.cacheSource(now, cl, servers, best)
 	best.saveStore = pk.saveStore(now, cl, best)
 	return best, true
--- a/core/pick/slowdown.go
+++ b/core/pick/slowdown.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"shallotcleat/core/speed"
 )
 
 // Limits of a server's slowdown.
@@ -21,14 +23,28 @@
 	server uint64
 	ratio  float64
 	calls  int
+	// prefillRate is the rate with which the expected times were computed.
+	prefillRate float64
 }
 
 // NewSlowdown returns a slowdown: the hash of the server's id, the mean ratio of the observed to the expected time to
-// the first event, and the number of calls that were observed.
+// the first event, and the number of calls that were observed. The expected times are those of the default prefill rate.
 func NewSlowdown(server uint64, ratio float64, calls int) Slowdown {
-	return Slowdown{server: server, ratio: ratio, calls: calls}
+	return Slowdown{server: server, ratio: ratio, calls: calls, prefillRate: defaultPrefillRate}
 }
 
+// WithPrefillRate returns the slowdown with the prefill rate, in tokens per second, with which the expected times were computed. An
+// implausible one stands for the default: processes of earlier versions send none.
+func (sd Slowdown) WithPrefillRate(rate float64) Slowdown {
+	if rate > 0 && speed.NewEstimate(rate, 0).IsPlausible() {
+		sd.prefillRate = rate
+	}
+	return sd
+}
+
+// PrefillRate returns the prefill rate, in tokens per second, with which the expected times were computed.
+func (sd Slowdown) PrefillRate() float64 { return sd.prefillRate }
+
 // Server returns the hash of the server's id.
 func (sd Slowdown) Server() uint64 { return sd.server }
 
@@ -70,7 +86,8 @@
 	var slowdowns []Slowdown
 	for id, sum := range pk.slowdowns {
 		if sv := pk.view.Server(id); sv != nil {
-			slowdowns = append(slowdowns, NewSlowdown(sv.Hash(), sum.sum/float64(sum.calls), sum.calls))
+			slowdowns = append(slowdowns,
+				NewSlowdown(sv.Hash(), sum.sum/float64(sum.calls), sum.calls).WithPrefillRate(pk.state(id).prefillRate))
 		}
 	}
 	clear(pk.slowdowns)
@@ -86,6 +103,8 @@
 		if sv == nil || sd.calls <= 0 || !(sd.ratio >= minSlowdown && sd.ratio <= maxSlowdown) {
 			continue
 		}
-		pk.state(sv.ID()).updateSlowdown(now, sd.ratio, sd.calls)
+		st := pk.state(sv.ID())
+		ratio := sd.ratio * pk.prefillRate(now, sv, st) / sd.prefillRate
+		st.updateSlowdown(now, min(max(ratio, minSlowdown), maxSlowdown), sd.calls)
 	}
 }
--- a/core/pick/state.go
+++ b/core/pick/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"shallotcleat/core/fleet"
+	"shallotcleat/core/speed"
 )
 
 // Limits of the backoff of an unreachable server.
@@ -53,6 +54,10 @@
 	meanUncachedTokens float64
 	// slowdown is the moving mean of the ratio of the observed to the expected time to the first event.
 	slowdown float64
+	// prefillRate is the rate, in tokens per second, that the expected times to which slowdown refers are computed with, and rateSource
+	// what it was taken from.
+	prefillRate float64
+	rateSource  speed.Source
 	// slowdownAt is when slowdown was last updated.
 	slowdownAt time.Time
 	// rejectedUntil is when the server is no longer considered full after a rejection.
@@ -89,7 +94,7 @@
 
 // newState returns the initial state of a server, which may be nil.
 func newState(sv *fleet.Server) *state {
-	st := &state{weights: make(map[string]weightsState), prefixes: make(map[prefixKey]prefixUse), slowdown: 1,
+	st := &state{weights: make(map[string]weightsState), prefixes: make(map[prefixKey]prefixUse), slowdown: 1, prefillRate: defaultPrefillRate,
 		meanUncachedTokens: initialUncachedTokens, meanPromptTokens: initialUncachedTokens, meanRunTime: initialRunTime}
 	if sv != nil {
 		st.startUnixMilli = sv.StartUnixMilli()
--- a/core/speed/estimator_test.go
+++ b/core/speed/estimator_test.go
@@ -189,3 +189,17 @@
 		t.Errorf("estimated %.0f tokens per second, want 50000 or none", es.PrefillRate())
 	}
 }
+
+func BenchmarkObserve(b *testing.B) {
+	et := NewEstimator()
+	at := time.Unix(1000, 0)
+	runs := make([]Run, 64)
+	for i := range b.N {
+		at = at.Add(20 * time.Millisecond)
+		for j := range runs {
+			runs[j] = NewRun(fmt.Sprint("r", j), 100*i, j%2)
+		}
+		et.Observe(NewReport(at, runs))
+		et.Estimate()
+	}
+}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -94,6 +94,8 @@
 	originLog        *originLog
 	// meter measures how much work each workspace sends to engines.
 	meter *share.Meter
+	// badSpeedLoggedAt is when an implausible speed was last logged, in Unix nanoseconds.
+	badSpeedLoggedAt atomic.Int64
 
 	configTable   *feed.Copy
 	serverTable   *feed.Copy
--- a/io/gate/hint.go
+++ b/io/gate/hint.go
@@ -98,6 +98,7 @@
 		message.Paced = append(message.Paced, sd.Server())
 		message.Ratios = append(message.Ratios, float32(sd.Ratio()))
 		message.Calls = append(message.Calls, uint32(sd.Calls()))
+		message.PrefillRates = append(message.PrefillRates, float32(sd.PrefillRate()))
 	}
 	for _, cs := range hb.stores {
 		message.Stores = append(message.Stores, &wire.CacheStoreState{Store: cs.Store(), Run: cs.Run(), Down: cs.Down()})
@@ -116,7 +117,11 @@
 		hb.hints = append(hb.hints, pick.NewHint(ch.GetServers()[i], ch.GetKeys()[i], ch.GetVersions()[i]))
 	}
 	for i := range min(len(ch.GetPaced()), len(ch.GetRatios()), len(ch.GetCalls())) {
-		hb.slowdowns = append(hb.slowdowns, pick.NewSlowdown(ch.GetPaced()[i], float64(ch.GetRatios()[i]), int(ch.GetCalls()[i])))
+		sd := pick.NewSlowdown(ch.GetPaced()[i], float64(ch.GetRatios()[i]), int(ch.GetCalls()[i]))
+		if i < len(ch.GetPrefillRates()) {
+			sd = sd.WithPrefillRate(float64(ch.GetPrefillRates()[i]))
+		}
+		hb.slowdowns = append(hb.slowdowns, sd)
 	}
 	for _, cs := range ch.GetStores() {
 		hb.stores = append(hb.stores, pick.NewCacheStoreState(cs.GetStore(), cs.GetRun(), cs.GetDown()))
--- a/io/gate/node.go
+++ b/io/gate/node.go
@@ -5,7 +5,10 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"shallotcleat/core/pick"
+	"shallotcleat/core/speed"
 	"shallotcleat/core/weight"
 	"shallotcleat/io/wire"
 )
@@ -53,6 +56,27 @@
 	gt.picker.ApplyCacheChanges(now, ns.GetServerId(), ns.GetVersion(), ns.GetCached(), ns.GetEvicted())
 	gt.picker.SetUtilization(ns.GetServerId(),
 		pick.NewUtilization(int(ns.GetRunning()), int(ns.GetWaiting()), int(ns.GetFree()), int(ns.GetMemory()), now))
+	gt.applySpeed(now, ns)
+}
+
+// badSpeedLogPeriod is the least time between two log lines about implausible speeds, of any engine.
+const badSpeedLogPeriod = 10 * time.Second
+
+// applySpeed applies the speeds of an engine that its tender estimates.
+func (gt *Gate) applySpeed(now time.Time, ns *wire.EngineNews) {
+	es := speed.NewEstimate(float64(ns.GetPrefillRate()), time.Duration(ns.GetStepUs())*time.Microsecond)
+	used := gt.picker.SetSpeed(now, ns.GetServerId(), ns.GetService(), es)
+	gt.opts.Recorder.CountSpeedReport(used, es != speed.Estimate{})
+	if used {
+		return
+	}
+	last := gt.badSpeedLoggedAt.Load()
+	if now.UnixNano()-last < int64(badSpeedLogPeriod) || !gt.badSpeedLoggedAt.CompareAndSwap(last, now.UnixNano()) {
+		return
+	}
+	gt.log.WithFields(logrus.Fields{"event": "speed_ignored", "server": ns.GetServerId(), "service": ns.GetService(),
+		"prefill_rate": es.PrefillRate(), "step": es.Step().String()}).
+		Warn("ignoring an implausible speed of an engine; its service's median is used")
 }
 
 func loadRequest(ns *wire.EngineNews) weight.LoadRequest {
--- a/io/tend/engine.go
+++ b/io/tend/engine.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"shallotcleat/core/speed"
 	"shallotcleat/core/weight"
 )
 
@@ -24,6 +25,9 @@
 	// FreeTokens is the number of tokens that fit into the engine's free memory, MemoryTokens the number that fit into all of it.
 	FreeTokens   int
 	MemoryTokens int
+	// Runs are the calls that the engine runs. RunsKnown is not set if the engine did not report them, or not in the expected form.
+	Runs      []speed.Run
+	RunsKnown bool
 }
 
 // LoadOrder is an order to an engine to load weights.
--- a/io/tend/notify.go
+++ b/io/tend/notify.go
@@ -160,6 +160,7 @@
 
 // engineNews returns the message to the gates; loadRequest is set if it requests a load.
 func (wt *watcher) engineNews(outOfService, loadRequest bool) *wire.EngineNews {
+	es := wt.speedometer.estimate()
 	return &wire.EngineNews{
 		ServerId: wt.id,
 		Model:    wt.state.Model,
@@ -174,5 +175,8 @@
 		Ask:      loadRequest,
 		Short:    wt.grant == weight.ShortOnly,
 		Address:  wt.tender.opts.Address,
+
+		PrefillRate: float32(es.PrefillRate()),
+		StepUs:      uint32(es.Step().Microseconds()),
 	}
 }
--- a/io/tend/tender.go
+++ b/io/tend/tender.go
@@ -26,8 +26,8 @@
 
 // Periods and timeouts of a tender.
 const (
-	// behindPollPeriod is the delay between observations of the engine while its weights are behind the target version,
-	// idlePollPeriod otherwise.
+	// behindPollPeriod is the delay between observations of the engine while its weights are behind the target version or its speed
+	// is being measured, idlePollPeriod otherwise.
 	behindPollPeriod = 20 * time.Millisecond
 	idlePollPeriod   = 100 * time.Millisecond
 	// utilizationNotifyPeriod is the minimum time between two notifications of the engine's utilization, and minCallsChange the
--- a/io/tend/watcher.go
+++ b/io/tend/watcher.go
@@ -54,7 +54,8 @@
 func (td *Tender) runWatcher(ctx context.Context) {
 	wt := newWatcher(td)
 	for ctx.Err() == nil {
-		if wt.poll(ctx) {
+		behind := wt.poll(ctx)
+		if behind || wt.speedometer.wantsReports(time.Now()) {
 			timer.Sleep(ctx, behindPollPeriod)
 		} else {
 			timer.Sleep(ctx, idlePollPeriod)
@@ -95,10 +96,12 @@
 	grant weight.Grant
 	// nextRequest is when the next load request is due.
 	nextRequest time.Time
+	speedometer *speedometer
 }
 
 func newWatcher(td *Tender) *watcher {
-	return &watcher{tender: td, unreached: make(map[string]time.Time), relayFailedAt: make(map[string]time.Time)}
+	return &watcher{tender: td, unreached: make(map[string]time.Time), relayFailedAt: make(map[string]time.Time),
+		speedometer: newSpeedometer(td.opts.Recorder)}
 }
 
 // poll observes the engine, acts on its state and reports whether its weights are behind the target version.
@@ -169,7 +172,9 @@
 	td := wt.tender
 	ctx, cancel := context.WithTimeout(parent, stateTimeout)
 	defer cancel()
+	askedAt := time.Now()
 	state, err := td.opts.Engine.State(ctx)
+	wt.speedometer.observe(askedAt, time.Now(), state, err)
 	if err != nil {
 		if !wt.unreachable && parent.Err() == nil {
 			td.log.WithError(err).Warn("dependency lost: the engine does not answer")
--- a/io/trace/recorder.go
+++ b/io/trace/recorder.go
@@ -46,6 +46,9 @@
 	controlBytes metric.Int64Counter
 	loadOrders   metric.Int64Counter
 	weightLoad   metric.Float64Histogram
+	speedReports metric.Int64Counter
+	prefillRate  metric.Float64Gauge
+	decodeStep   metric.Float64Gauge
 }
 
 // New returns the recorder of a process.
@@ -71,7 +74,7 @@
 }
 
 func newMetrics(mt metric.Meter) (*Metrics, error) {
-	var errs [9]error
+	var errs [12]error
 	ms := &Metrics{}
 	ms.requests, errs[0] = mt.Int64Counter("requests", metric.WithDescription("Requests answered, by outcome."))
 	ms.refusals, errs[1] = mt.Int64Counter("refusals", metric.WithDescription("Requests refused, by code."))
@@ -87,6 +90,12 @@
 		metric.WithDescription("Orders to load weights, by the engine's verdict."))
 	ms.weightLoad, errs[8] = mt.Float64Histogram("weight_load", metric.WithUnit("s"),
 		metric.WithDescription("Time for which an engine took no calls since it loaded weights."))
+	ms.speedReports, errs[9] = mt.Int64Counter("speed_reports",
+		metric.WithDescription("Messages of tenders, by what became of the speeds in them: used, unknown or implausible."))
+	ms.prefillRate, errs[10] = mt.Float64Gauge("prefill_rate",
+		metric.WithDescription("Estimated prompt tokens that the tender's engine prefills per second; zero if unknown."))
+	ms.decodeStep, errs[11] = mt.Float64Gauge("decode_step", metric.WithUnit("s"),
+		metric.WithDescription("Estimated time of a decode step of the tender's engine; zero if unknown."))
 	for _, err := range errs {
 		if err != nil {
 			return nil, fmt.Errorf("create instrument: %w", err)
@@ -216,3 +225,21 @@
 func (rc *Recorder) RecordWeightLoad(elapsed time.Duration) {
 	rc.metrics.weightLoad.Record(context.Background(), elapsed.Seconds())
 }
+
+// CountSpeedReport counts a message of a tender; used is not set if its speeds are implausible, known if there are any.
+func (rc *Recorder) CountSpeedReport(used, known bool) {
+	result := "used"
+	switch {
+	case !used:
+		result = "implausible"
+	case !known:
+		result = "unknown"
+	}
+	rc.metrics.speedReports.Add(context.Background(), 1, metric.WithAttributes(attribute.String("result", result)))
+}
+
+// RecordSpeed records the estimated speeds of the tender's engine: prompt tokens prefilled per second, and the time of a decode step.
+func (rc *Recorder) RecordSpeed(prefillRate float64, step time.Duration) {
+	rc.metrics.prefillRate.Record(context.Background(), prefillRate)
+	rc.metrics.decodeStep.Record(context.Background(), step.Seconds())
+}
