Requests are admitted by their workspace's share of the whole service, and by rank

Cause: share.Meter saw only its own gate's callers, and only engines. Full plain servers rejected whoever came last, and all refused callers were told about the same time to return.

Meters keep the work of each service, workspace and rank; gates tell each other theirs with the hints (GateWork). A workspace's share is the equal one or its usual work. Engines refuse lower ranks earlier, by the workspace's priority where it has one. Retry-After of refused callers is one after another at the rate that the service serves this gate, within a third of their time.

--- a/core/pick/load_test.go
+++ b/core/pick/load_test.go
@@ -143,12 +143,12 @@
 			sm.shedCount++
 			continue
 		}
-		if _, shed := ch.Shed(sm.target, false, sm.shareRatio(gate, workspace)); shed {
+		if _, shed := ch.Shed(sm.target, 1, sm.shareRatio(gate, workspace)); shed {
 			sm.shedCount++
 			continue
 		}
 		index := slices.IndexFunc(sm.engines, func(en *simEngine) bool { return en.id == ch.Server().ID() })
-		sm.meters[gate].Add(sm.now, workspace, simPromptTokens)
+		sm.meters[gate].Add(sm.now, "chat", workspace, 1, simPromptTokens)
 		call := &simCall{workspace: workspace, gate: gate, attempt: sm.gates[gate].StartAttempt(sm.now, cl, ch),
 			tokens: simPromptTokens, sentAt: sm.now, engine: index}
 		sm.engines[index].queue = append(sm.engines[index].queue, call)
@@ -192,7 +192,7 @@
 }
 
 func (sm *sim) shareRatio(gate int, workspace string) float64 {
-	return sm.meters[gate].FairShareRatio(sm.now, workspace)
+	return sm.meters[gate].FairShareRatio(sm.now, "chat", workspace)
 }
 
 // fractionWithin returns the fraction of all calls whose first event came within limit of being sent.
@@ -298,14 +298,14 @@
 	pk.SetView(viewOf("a", "a"))
 	long := NewCall("chat", testModel, "", []Part{NewPart("system", 500), NewPart("own", 80_000)}, 80_500, true)
 	ch, _ := pk.Choose(now, long, nil)
-	if _, shed := ch.Shed(300*time.Millisecond, false, 0); shed {
+	if _, shed := ch.Shed(300*time.Millisecond, 1, 0); shed {
 		t.Errorf("a long prompt was rejected by idle engines: expected time to first event %s", ch.TimeToFirstEvent())
 	}
 	for _, id := range []string{"server-0", "server-1"} {
 		pk.SetUtilization(id, NewUtilization(40, 40, 1<<20, 1<<20, now))
 	}
 	ch, _ = pk.Choose(now, long, nil)
-	if _, shed := ch.Shed(300*time.Millisecond, false, 0); !shed {
+	if _, shed := ch.Shed(300*time.Millisecond, 1, 0); !shed {
 		t.Error("a long prompt was admitted to engines with 40 waiting calls")
 	}
 }
--- a/core/pick/restrict.go
+++ b/core/pick/restrict.go
@@ -123,6 +123,19 @@
 	return earliest.Sub(now), !earliest.IsZero()
 }
 
+// Slots returns the slots of the servers of a service that take calls now, in use or not.
+func (pk *Picker) Slots(now time.Time, service string) int {
+	pk.mu.Lock()
+	defer pk.mu.Unlock()
+	slots := 0
+	for _, sv := range pk.view.Servers(service) {
+		if st := pk.state(sv.ID()); !sv.Draining() && !st.replaced && !st.inBackoff(now) && !pk.restrictions[sv.ID()].leaving {
+			slots += sv.Slots()
+		}
+	}
+	return slots
+}
+
 // dropEndedRestrictions drops the restrictions of servers that have started again. The caller holds mu.
 func (pk *Picker) dropEndedRestrictions() {
 	for id, rs := range pk.restrictions {
--- a/core/pick/shed.go
+++ b/core/pick/shed.go
@@ -7,8 +7,10 @@
 const (
 	// targetFraction is the fraction of the target time within which the first event must be expected.
 	targetFraction = 0.75
-	// urgentTargetFraction is the same for the most urgent calls, so that less urgent ones are rejected first.
+	// urgentTargetFraction is the same for the most urgent calls, so that less urgent ones are rejected first. From rank 1 on the fraction
+	// falls by rankFraction for each rank, for the same reason, down to minQueueFraction.
 	urgentTargetFraction = 1.1
+	rankFraction         = 0.05
 	// minQueueFraction is the fraction of the target time that any call may queue, except those of workspaces above
 	// toleratedShareRatio. Without it a long prompt, whose prefill alone exceeds the target, would never be admitted.
 	minQueueFraction = 0.3
@@ -21,11 +23,11 @@
 )
 
 // Shed reports whether to reject a call because calls queued before it would delay its first event beyond the limit for
-// the target time, and the retry delay of its caller. No call is rejected if target is zero. shareRatio is the
-// recent use of the call's workspace divided by its fair share.
-func (ch Choice) Shed(target time.Duration, urgent bool, shareRatio float64) (retryAfter time.Duration, shed bool) {
-	fraction := targetFraction
-	if urgent {
+// the target time, and the retry delay of its caller. No call is rejected if target is zero. rank is 0 for the most urgent calls.
+// shareRatio is the recent use of the call's workspace divided by its fair share.
+func (ch Choice) Shed(target time.Duration, rank int, shareRatio float64) (retryAfter time.Duration, shed bool) {
+	fraction := max(targetFraction-rankFraction*float64(rank-1), minQueueFraction)
+	if rank <= 0 {
 		fraction = urgentTargetFraction
 	}
 	ownTime := ch.timeToFirstEvent - ch.queueTime
--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -143,6 +143,9 @@
 		at.gate.log.WithError(err).Debug("reading the body of a rejection failed")
 	}
 	at.pickAttempt.End(time.Now(), pick.Rejected)
+	if resp.Status == http.StatusServiceUnavailable && !info.Leaving {
+		at.gate.flow.Full(time.Now(), at.rq.service.Name())
+	}
 	switch id := at.choice.Server().ID(); {
 	case info.ServerID != "" && info.ServerID != id:
 		at.gate.picker.MarkReplaced(id)
@@ -170,6 +173,7 @@
 		}
 	} else {
 		at.pickAttempt.End(time.Now(), pick.Served)
+		at.gate.flow.Served(time.Now(), rq.service.Name(), time.Since(at.sentAt))
 	}
 	if resp.Status < http.StatusMultipleChoices {
 		at.recordAnswered(requestCtx, resp)
--- a/io/gate/finish.go
+++ b/io/gate/finish.go
@@ -77,8 +77,7 @@
 	}
 	hd := rq.response.writer.Header()
 	if er.RetryAfter() > 0 && status == http.StatusServiceUnavailable {
-		retryAfter := er.RetryAfter().Seconds() * (1 + retryAfterJitter*rand.Float64())
-		hd.Set("Retry-After", strconv.FormatFloat(retryAfter, 'f', 2, 64))
+		hd.Set("Retry-After", strconv.FormatFloat(gt.retryAfter(rq, er).Seconds(), 'f', 2, 64))
 	}
 	hd.Set("Content-Type", "text/plain; charset=utf-8")
 	body := string(er.Code()) + "\n"
@@ -88,6 +87,18 @@
 	_, _ = rq.response.writer.Write([]byte(body))
 }
 
+// callerRetryFraction is the part of their remaining time up to which callers honour Retry-After.
+const callerRetryFraction = 1.0 / 3
+
+// retryAfter returns the value of Retry-After: callers that servers are too full for return one after another.
+func (gt *Gate) retryAfter(rq *request, er *answer.Error) time.Duration {
+	if er.Code() != answer.Overloaded || rq.service == nil {
+		return time.Duration(float64(er.RetryAfter()) * (1 + retryAfterJitter*rand.Float64()))
+	}
+	latest := time.Duration(callerRetryFraction * float64(time.Until(rq.deadline)))
+	return gt.flow.Next(time.Now(), rq.service.Name(), er.RetryAfter(), latest)
+}
+
 // recordResponse records the attempt whose response has begun, for the log entry of the request.
 func (rl *requestLog) recordResponse(at *attempt, elapsed time.Duration) {
 	if rl.timeToFirstEvent == 0 {
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -92,8 +92,11 @@
 	origins          *origins
 	releases         *releases
 	originLog        *originLog
-	// meter measures how much work each workspace sends to engines.
+	// meter measures how much work each workspace causes at each service, flow what the services serve.
 	meter *share.Meter
+	flow  *share.Flow
+	// contentionLoggedAt is when a service was last logged as full, in Unix nanoseconds.
+	contentionLoggedAt atomic.Int64
 	// badSpeedLoggedAt is when an implausible speed was last logged, in Unix nanoseconds.
 	badSpeedLoggedAt atomic.Int64
 
@@ -119,6 +122,7 @@
 		picker:        pick.New(opts.Zone, opts.OldWeightsGrace, opts.RandomSeed),
 		connPool:      client.NewPool(),
 		meter:         share.NewMeter(),
+		flow:          share.NewFlow(opts.RandomSeed),
 		configTable:   feed.NewVersionedCopy(tables.Config, ContentVersion(opts.Dialect)),
 		serverTable:   feed.NewCopy(tables.Servers),
 		nodeTable:     feed.NewCopy(tables.Nodes),
--- a/io/gate/handle.go
+++ b/io/gate/handle.go
@@ -51,7 +51,9 @@
 	// possibleRuns is the number of servers on which the request may have run; sends is the number of attempts.
 	possibleRuns int
 	sends        int
-	response     response
+	// beyondShare is set if the request is beyond the fair share of its workspace while servers are full.
+	beyondShare bool
+	response    response
 	// log collects fields of the log entry of the request.
 	log requestLog
 }
--- a/io/gate/hint.go
+++ b/io/gate/hint.go
@@ -47,6 +47,8 @@
 	remoteSentAt time.Time
 	// announcedAt is when peers were last told of announced weight versions and rules.
 	announcedAt time.Time
+	// workToldAt is when peers were last told of the work of workspaces.
+	workToldAt time.Time
 	// peers holds the state of the calls to each other gate.
 	peers map[string]peerCalls
 }
@@ -58,6 +60,7 @@
 	stores        []pick.CacheStoreState
 	announcements []pick.Announcement
 	crashes       crashNews
+	works         []*wire.GateWork
 }
 
 // peerCalls is the state of the calls to one gate; at most one is in progress.
@@ -77,17 +80,18 @@
 		hb.stores = append(hb.stores, other.stores...)
 		hb.hints = append(hb.hints, other.hints...)
 		hb.slowdowns = append(hb.slowdowns, other.slowdowns...)
+		hb.works = append(hb.works, other.works...)
 	}
 }
 
 // size returns the number of items in the batch.
 func (hb *hintBatch) size() int {
-	return len(hb.hints) + len(hb.slowdowns) + len(hb.stores) + len(hb.announcements) + hb.crashes.size()
+	return len(hb.hints) + len(hb.slowdowns) + len(hb.stores) + len(hb.announcements) + len(hb.works) + hb.crashes.size()
 }
 
 // message returns the batch as a message that is sent now.
 func (hb *hintBatch) message(now time.Time) *wire.CacheHints {
-	message := &wire.CacheHints{}
+	message := &wire.CacheHints{Works: hb.works}
 	hb.crashes.encode(now, message)
 	for _, hn := range hb.hints {
 		message.Servers = append(message.Servers, hn.Server())
@@ -112,7 +116,7 @@
 
 // decodeHints returns the batch in a message that has just come.
 func decodeHints(now time.Time, ch *wire.CacheHints) hintBatch {
-	hb := hintBatch{crashes: decodeCrashNews(now, ch)}
+	hb := hintBatch{crashes: decodeCrashNews(now, ch), works: ch.GetWorks()}
 	for i := range min(len(ch.GetServers()), len(ch.GetKeys()), len(ch.GetVersions())) {
 		hb.hints = append(hb.hints, pick.NewHint(ch.GetServers()[i], ch.GetKeys()[i], ch.GetVersions()[i]))
 	}
@@ -193,6 +197,9 @@
 	if now.Sub(hx.announcedAt) >= announcementInterval {
 		announcements, rules, hx.announcedAt = gt.picker.Announcements(now), gt.crashes.rulesToTell(now), now
 	}
+	if now.Sub(hx.workToldAt) >= gt.workInterval() {
+		own.works, hx.workToldAt = gt.ownWork(now), now
+	}
 	local, news := own, hx.news
 	local.add(hx.relayed)
 	hx.relayed, hx.news = hintBatch{}, make(map[string]*wire.EngineNews)
@@ -297,6 +304,7 @@
 		gt.requestPull()
 	}
 	gt.crashes.apply(now, hb.crashes)
+	gt.applyWorks(now, hb.works)
 	for _, ns := range ch.GetNews() {
 		gt.applyNews(now, ns)
 	}
--- a/io/gate/run.go
+++ b/io/gate/run.go
@@ -53,6 +53,9 @@
 	if er := gt.pinResumed(ctx, rq); er != nil {
 		return er
 	}
+	if !rq.service.IsEngine() {
+		gt.meter.Add(time.Now(), rq.service.Name(), rq.workspace.Name(), rq.workspace.Priority(rq.route), 1)
+	}
 	last := answer.NewError(answer.NoBackendServer, answer.NotRun, serverRetryAfter,
 		"no available backend server for service %q", rq.service.Name())
 	for {
@@ -70,7 +73,9 @@
 		}
 		if rq.sends == 0 {
 			gt.retryBudgets.RecordFirst(now, rq.service.Name())
-			gt.meter.Add(now, rq.workspace.Name(), rq.info.PromptTokens)
+			if rq.service.IsEngine() {
+				gt.meter.Add(now, rq.service.Name(), rq.workspace.Name(), rq.workspace.Priority(rq.route), float64(rq.info.PromptTokens))
+			}
 		} else if !gt.retryBudgets.Take(now, rq.service.Name()) {
 			gt.picker.Release(ch)
 			return last
@@ -82,6 +87,9 @@
 		}
 		gt.logFailedAttempt(rq, ch, result, er)
 		last = worseError(last, er)
+		if rq.beyondShare && result == notRun && er.Code() == answer.Overloaded {
+			return last
+		}
 		if !gt.canRetry(ctx, rq, result) {
 			return last
 		}
--- a/io/trace/recorder.go
+++ b/io/trace/recorder.go
@@ -47,6 +47,7 @@
 	loadOrders   metric.Int64Counter
 	weightLoad   metric.Float64Histogram
 	speedReports metric.Int64Counter
+	beyondShare  metric.Int64Counter
 	prefillRate  metric.Float64Gauge
 	decodeStep   metric.Float64Gauge
 }
@@ -74,7 +75,7 @@
 }
 
 func newMetrics(mt metric.Meter) (*Metrics, error) {
-	var errs [12]error
+	var errs [13]error
 	ms := &Metrics{}
 	ms.requests, errs[0] = mt.Int64Counter("requests", metric.WithDescription("Requests answered, by outcome."))
 	ms.refusals, errs[1] = mt.Int64Counter("refusals", metric.WithDescription("Requests refused, by code."))
@@ -96,6 +97,8 @@
 		metric.WithDescription("Estimated prompt tokens that the tender's engine prefills per second; zero if unknown."))
 	ms.decodeStep, errs[11] = mt.Float64Gauge("decode_step", metric.WithUnit("s"),
 		metric.WithDescription("Estimated time of a decode step of the tender's engine; zero if unknown."))
+	ms.beyondShare, errs[12] = mt.Int64Counter("beyond_share",
+		metric.WithDescription("Requests to full plain services that were not within the share and rank that the capacity suffices for, by result."))
 	for _, err := range errs {
 		if err != nil {
 			return nil, fmt.Errorf("create instrument: %w", err)
@@ -243,3 +246,12 @@
 	rc.metrics.prefillRate.Record(context.Background(), prefillRate)
 	rc.metrics.decodeStep.Record(context.Background(), step.Seconds())
 }
+
+// CountBeyondShare counts a request to a full plain service beyond what the capacity suffices for, which was refused or sent once.
+func (rc *Recorder) CountBeyondShare(refused bool) {
+	result := "sent"
+	if refused {
+		result = "refused"
+	}
+	rc.metrics.beyondShare.Add(context.Background(), 1, metric.WithAttributes(attribute.String("result", result)))
+}
