--- a/core/pick/load_test.go
+++ b/core/pick/load_test.go
@@ -19,10 +19,12 @@
 	simReportInterval  = 100 * time.Millisecond
 	simTokensPerSecond = 100_000
 	simPromptTokens    = 2400
+	simWorkInterval    = 500 * time.Millisecond
 )
 
 type simCall struct {
 	workspace string
+	rank      int
 	gate      int
 	attempt   *Attempt
 	tokens    int
@@ -66,6 +68,13 @@
 	// target.
 	callsByWorkspace  map[string]int
 	inTimeByWorkspace map[string]int
+	// next returns the gate, workspace and rank of the next call; without it they are random, and the rank is 1.
+	next func() (gate int, workspace string, rank int)
+	// tellsWork makes gates tell each other of the work of workspaces.
+	tellsWork bool
+	// callsByRank and inTimeByRank are like callsByWorkspace and inTimeByWorkspace, without workspace w0.
+	callsByRank  map[int]int
+	inTimeByRank map[int]int
 	// reportsSpeed makes tenders report the engines' speeds.
 	reportsSpeed bool
 	// tokensByEngine is the number of prompt tokens sent to each engine.
@@ -88,6 +97,7 @@
 		sm.gates = append(sm.gates, pk)
 		sm.meters = append(sm.meters, share.NewMeter())
 	}
+	sm.callsByRank, sm.inTimeByRank = make(map[int]int), make(map[int]int)
 	sm.tokensByEngine = make(map[string]int)
 	sm.callsByWorkspace, sm.inTimeByWorkspace = make(map[string]int), make(map[string]int)
 	return sm
@@ -106,6 +116,9 @@
 		if sm.now.UnixNano()%int64(simReportInterval) == 0 {
 			sm.report()
 		}
+		if sm.tellsWork && sm.now.UnixNano()%int64(simWorkInterval) == 0 {
+			sm.tellWork()
+		}
 		sm.sendCalls()
 		for i, en := range sm.engines {
 			sm.serve(i, en)
@@ -134,22 +147,21 @@
 	for sm.accruedTokens >= simPromptTokens {
 		sm.accruedTokens -= simPromptTokens
 		sm.callCount++
-		gate := sm.random.IntN(len(sm.gates))
+		gate, workspace, rank := sm.nextCall()
 		subject := fmt.Sprint("subject-", sm.random.IntN(400))
-		workspace := sm.nextWorkspace()
-		cl := NewCall("chat", testModel, "", []Part{NewPart(subject, 400), NewPart("own", simPromptTokens-400)}, simPromptTokens, true)
+		cl := NewCall("chat", testModel, "", []Part{NewPart(subject, 400), NewPart("own", simPromptTokens-400)}, simPromptTokens, true).WithPriority(rank)
 		ch, ok := sm.gates[gate].Choose(sm.now, cl, nil)
 		if !ok {
 			sm.shedCount++
 			continue
 		}
-		if _, shed := ch.Shed(sm.target, 1, sm.shareRatio(gate, workspace)); shed {
+		if _, shed := ch.Shed(sm.target, rank, sm.shareRatio(gate, workspace)); shed {
 			sm.shedCount++
 			continue
 		}
 		index := slices.IndexFunc(sm.engines, func(en *simEngine) bool { return en.id == ch.Server().ID() })
-		sm.meters[gate].Add(sm.now, "chat", workspace, 1, simPromptTokens)
-		call := &simCall{workspace: workspace, gate: gate, attempt: sm.gates[gate].StartAttempt(sm.now, cl, ch),
+		sm.meters[gate].Add(sm.now, "chat", workspace, rank, simPromptTokens)
+		call := &simCall{workspace: workspace, rank: rank, gate: gate, attempt: sm.gates[gate].StartAttempt(sm.now, cl, ch),
 			tokens: simPromptTokens, sentAt: sm.now, engine: index}
 		sm.engines[index].queue = append(sm.engines[index].queue, call)
 		sm.tokensByEngine[ch.Server().ID()] += simPromptTokens
@@ -171,6 +183,9 @@
 		sm.waits = append(sm.waits, sm.now.Sub(call.sentAt))
 		if sm.now.Sub(call.sentAt) <= sm.target {
 			sm.inTimeByWorkspace[call.workspace]++
+			if call.workspace != "w0" {
+				sm.inTimeByRank[call.rank]++
+			}
 		}
 	}
 	if len(en.queue) == 0 {
@@ -181,6 +196,31 @@
 // simWorkspaces is the number of workspaces if flood is not zero.
 const simWorkspaces = 8
 
+// nextCall returns the gate, workspace and rank of a new call, and counts the call.
+func (sm *sim) nextCall() (gate int, workspace string, rank int) {
+	if sm.next == nil {
+		return sm.random.IntN(len(sm.gates)), sm.nextWorkspace(), 1
+	}
+	gate, workspace, rank = sm.next()
+	sm.callsByWorkspace[workspace]++
+	if workspace != "w0" {
+		sm.callsByRank[rank]++
+	}
+	return gate, workspace, rank
+}
+
+// tellWork lets each gate tell the others of the work of workspaces.
+func (sm *sim) tellWork() {
+	for i, sender := range sm.meters {
+		works := sender.Works(sm.now, 32)
+		for j, receiver := range sm.meters {
+			if i != j {
+				receiver.Apply(sm.now, uint64(i), works)
+			}
+		}
+	}
+}
+
 // nextWorkspace returns the random workspace of a new call, and counts the call.
 func (sm *sim) nextWorkspace() string {
 	name := "w0"
