--- a/core/share/meter.go
+++ b/core/share/meter.go
@@ -82,8 +82,8 @@
 	// usual holds the moving mean of the work of each workspace since since.
 	usual map[uint64]float64
 	since time.Time
-	// active is the number of active workspaces.
-	active int
+	// share is the equal share of shareOf, or zero if it is to be computed again.
+	share, shareOf float64
 	// admitted holds the part of each entry that a capacity suffices for; it is computed again after each decay.
 	admitted         map[key]admittedPart
 	admittedCapacity float64
@@ -128,7 +128,7 @@
 	}
 	gp.byWorkspace[ky.workspace] = max(gp.byWorkspace[ky.workspace]+amount, 0)
 	gp.total = max(gp.total+amount, 0)
-	gp.active = 0
+	gp.share = 0
 }
 
 // rest stands for the workspaces of a gate that do not have entries of their own in its report. Their work counts as within their shares.
@@ -216,7 +216,7 @@
 	if workspace == rest {
 		return math.Inf(1)
 	}
-	return max(total/float64(gp.activeCount()), gp.usualWork(now, workspace))
+	return max(gp.equalShare(total), gp.usualWork(now, workspace))
 }
 
 // usualWork returns the usual work of a workspace, or zero if it is not known yet: a workspace that floods the system as the gate starts has
@@ -244,16 +244,19 @@
 	}
 }
 
-func (gp *group) activeCount() int {
-	if gp.active == 0 {
+// equalShare returns what each active workspace gets of an amount of work if all get the same. Which are active depends on that amount: next
+// to the work that a flood asks for, all others would be inactive. The caller holds the meter's lock.
+func (gp *group) equalShare(total float64) float64 {
+	if gp.shareOf != total || gp.share == 0 {
+		active := 0
 		for _, work := range gp.byWorkspace {
-			if work >= activeFraction*gp.total/float64(len(gp.byWorkspace)) {
-				gp.active++
+			if work >= activeFraction*total/float64(len(gp.byWorkspace)) {
+				active++
 			}
 		}
-		gp.active = max(gp.active, 1)
+		gp.share, gp.shareOf = total/float64(max(active, 1)), total
 	}
-	return gp.active
+	return gp.share
 }
 
 func decayFactor(elapsed, half time.Duration) float64 {
@@ -284,7 +287,7 @@
 	}
 	usualFactor := decayFactor(elapsed, usualHalfLife)
 	for _, gp := range mt.groups {
-		gp.total, gp.active, gp.admitted = 0, 0, nil
+		gp.total, gp.share, gp.admitted = 0, 0, nil
 		clear(gp.byWorkspace)
 		for workspace := range gp.usual {
 			if gp.usual[workspace] *= usualFactor; gp.usual[workspace] < minWork {
