--- a/io/trace/recorder.go
+++ b/io/trace/recorder.go
@@ -52,6 +52,10 @@
 	// meter creates the gauge of ObserveMemory.
 	memoryRefusals metric.Int64Counter
 	meter          metric.Meter
+	speedReports metric.Int64Counter
+	beyondShare  metric.Int64Counter
+	prefillRate  metric.Float64Gauge
+	decodeStep   metric.Float64Gauge
 }
 
 // New returns the recorder of a process.
@@ -78,7 +82,7 @@
 }
 
 func newMetrics(mt metric.Meter) (*Metrics, error) {
-	var errs [16]error
+	var errs [15]error
 	ms := &Metrics{meter: mt}
 	ms.requests, errs[0] = mt.Int64Counter("requests", metric.WithDescription("Requests answered, by outcome."))
 	ms.refusals, errs[1] = mt.Int64Counter("refusals", metric.WithDescription("Requests refused, by code."))
@@ -98,6 +102,14 @@
 		metric.WithDescription("Amounts that requests count towards the limits of workspaces, by workspace and whether they were admitted."))
 	ms.memoryRefusals, errs[10] = mt.Int64Counter("memory_refusals",
 		metric.WithDescription("Connections, bodies and responses refused because memory is short, by reason."))
+	ms.speedReports, errs[11] = mt.Int64Counter("speed_reports",
+		metric.WithDescription("Messages of tenders, by what became of the speeds in them: used, unknown or implausible."))
+	ms.prefillRate, errs[12] = mt.Float64Gauge("prefill_rate",
+		metric.WithDescription("Estimated prompt tokens that the tender's engine prefills per second; zero if unknown."))
+	ms.decodeStep, errs[13] = mt.Float64Gauge("decode_step", metric.WithUnit("s"),
+		metric.WithDescription("Estimated time of a decode step of the tender's engine; zero if unknown."))
+	ms.beyondShare, errs[14] = mt.Int64Counter("beyond_share",
+		metric.WithDescription("Requests to full plain services that were not within the share and rank that the capacity suffices for, by result."))
 	for _, err := range errs {
 		if err != nil {
 			return nil, fmt.Errorf("create instrument: %w", err)
@@ -268,3 +280,30 @@
 	}
 	return nil
 }
+
+// CountSpeedReport counts a message of a tender; used is not set if its speeds are implausible, known if there are any.
+func (rc *Recorder) CountSpeedReport(used, known bool) {
+	result := "used"
+	switch {
+	case !used:
+		result = "implausible"
+	case !known:
+		result = "unknown"
+	}
+	rc.metrics.speedReports.Add(context.Background(), 1, metric.WithAttributes(attribute.String("result", result)))
+}
+
+// RecordSpeed records the estimated speeds of the tender's engine: prompt tokens prefilled per second, and the time of a decode step.
+func (rc *Recorder) RecordSpeed(prefillRate float64, step time.Duration) {
+	rc.metrics.prefillRate.Record(context.Background(), prefillRate)
+	rc.metrics.decodeStep.Record(context.Background(), step.Seconds())
+}
+
+// CountBeyondShare counts a request to a full plain service beyond what the capacity suffices for, which was refused or sent once.
+func (rc *Recorder) CountBeyondShare(refused bool) {
+	result := "sent"
+	if refused {
+		result = "refused"
+	}
+	rc.metrics.beyondShare.Add(context.Background(), 1, metric.WithAttributes(attribute.String("result", result)))
+}
