core/zone: share of calls that leaves the availability zone

A decider for each service turns the reports of servers into the share of calls that leaves and its destinations; core/pick applies it in place of the constant cost of a hop, which remains as the minimum.

--- a/core/pick/call.go
+++ b/core/pick/call.go
@@ -31,6 +31,9 @@
 	pinned          bool
 	// outputTokens is the expected length of the response, or zero if unknown.
 	outputTokens int
+	// requestHash is a hash of the request's id, or zero if unknown, and requestBytes the size of its body.
+	requestHash  uint64
+	requestBytes int
 	// keys are those of the parts that other calls may share; partTokens are the lengths of these parts. The last part of a prompt
 	// belongs to the call or its conversation alone and has no key.
 	keys       []uint64
@@ -115,6 +118,8 @@
 	// limited is set if the server has a limit; slot is then the slot that was taken.
 	limited bool
 	slot    time.Time
+	// exitReason is why the call leaves the zone, or "".
+	exitReason ExitReason
 }
 
 // isBetterThan reports whether a choice costs less than another one, which may be the zero Choice.
--- a/core/pick/cost.go
+++ b/core/pick/cost.go
@@ -5,7 +5,7 @@
 // cost returns the cost of sending a call to a candidate, and the expected time to the first event alone. The cost adds
 // penalties for stale weights, cache misses, a recent rejection, a restriction to short calls, the zone and failures.
 // The caller holds mu.
-func (pk *Picker) cost(now time.Time, cl Call, cd candidate) (cost, timeToFirstEvent time.Duration) {
+func (pk *Picker) cost(now time.Time, cl Call, pl plan, cd candidate) (cost, timeToFirstEvent time.Duration) {
 	st := pk.state(cd.server.ID())
 	missing := 0
 	if !cd.isHome {
@@ -20,9 +20,7 @@
 	if cl.isLong() && now.Before(st.shortOnlyUntil) {
 		cost += shortOnlyCost
 	}
-	if cd.server.Zone() != pk.zone {
-		cost += crossZoneCost
-	}
+	cost += pk.zoneCost(pl, cd.server)
 	cost += time.Duration(st.failureRate * float64(failureCost))
 	switch {
 	case st.inBackoff(now):
--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -7,6 +7,7 @@
 
 	"shallotcleat/core/fleet"
 	"shallotcleat/core/quota"
+	"shallotcleat/core/zone"
 )
 
 // Rates, costs and lifetimes used in a choice.
@@ -23,8 +24,6 @@
 	rejectedPeriod = 250 * time.Millisecond
 	// runningCallCost is what each running call adds to the time to the first event of the next one.
 	runningCallCost = time.Millisecond
-	// crossZoneCost is the cost of a hop to another availability zone; traffic between zones is billed.
-	crossZoneCost = 12 * time.Millisecond
 	// staleWeightsCost is the cost of a response from old weights after staleCostDelay.
 	staleWeightsCost = 150 * time.Millisecond
 	// failureCost is the cost of a server that fails all its calls.
@@ -77,16 +76,23 @@
 	// stores holds the cache stores by the hash of their ids, and seen the last use of each prefix under any weights.
 	stores map[uint64]*storeState
 	seen   map[uint64]time.Time
+	// zones holds, by service, what decides on leaving the zone; price is the cost of doing so, and tokenBytes the size of the cached
+	// prefix of one token.
+	zones map[string]*serviceZones
+	// sharesOff makes all calls choose by cost alone.
+	sharesOff  bool
+	price      zone.Price
+	tokenBytes map[string]int
 }
 
 // New returns a picker for a process in an availability zone. No call starts on old weights later than oldWeightsGrace
 // after newer ones were announced. The seed makes the random samples reproducible.
-func New(zone string, oldWeightsGrace time.Duration, seed uint64) *Picker {
+func New(zoneName string, oldWeightsGrace time.Duration, seed uint64) *Picker {
 	return &Picker{
 		processCount:    1,
 		random:          rand.New(rand.NewPCG(seed, seed)),
 		senderCount:     1,
-		zone:            zone,
+		zone:            zoneName,
 		oldWeightsGrace: oldWeightsGrace,
 		limits:          quota.NewStock(),
 		view:            fleet.NewRegistry().View(),
@@ -95,6 +101,7 @@
 		restrictions:    make(map[string]restriction),
 		stores:          make(map[uint64]*storeState),
 		seen:            make(map[uint64]time.Time),
+		zones:           make(map[string]*serviceZones),
 		targets:         make(map[string][]announcedVersion),
 		notBegun:        make(map[*Attempt]func()),
 	}
@@ -106,6 +113,11 @@
 	defer pk.mu.Unlock()
 	pk.view = vw
 	pk.dropEndedRestrictions()
+	for service := range pk.zones {
+		if len(vw.Servers(service)) == 0 {
+			delete(pk.zones, service)
+		}
+	}
 	for id, st := range pk.states {
 		sv := vw.Server(id)
 		switch {
@@ -183,17 +195,21 @@
 	defer pk.mu.Unlock()
 	servers := pk.view.Servers(cl.service)
 	candidates := pk.candidates(now, cl, servers, excluded)
+	pl := pk.plan(now, cl, servers, candidates)
+	if pl.leaves {
+		setHome(candidates, pk.homeServer(now, cl, servers, pl.destination))
+	}
 	pk.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	limit := pk.sampleSize(len(servers))
 	seen := make(map[sampleGroup]int)
 	// preferred is the best choice without regard to limits.
 	var best, preferred Choice
 	for _, cd := range candidates {
-		cost, timeToFirstEvent := pk.cost(now, cl, cd)
+		cost, timeToFirstEvent := pk.cost(now, cl, pl, cd)
 		if !cd.startDeadline.IsZero() && now.Add(startSafetyFactor*timeToFirstEvent).After(cd.startDeadline) {
 			continue
 		}
-		sg := pk.sampleGroup(now, cl, cd)
+		sg := pk.sampleGroup(now, cl, pl, cd)
 		if seen[sg] >= limit && !cd.isHome {
 			continue
 		}
@@ -222,6 +238,7 @@
 	st := pk.state(best.server.ID())
 	ownTokens := cl.tokens - cl.tokensAfter(0) + cl.tokensAfter(best.cachedParts)
 	best.queueTime = max(best.timeToFirstEvent-time.Duration(st.slowdown*float64(baseLatency+prefillTime(ownTokens))), 0)
+	best.exitReason = pk.exitReason(pl, best.server)
 	best.cacheSource = pk.cacheSource(now, cl, servers, best)
 	best.saveStore = pk.saveStore(now, cl, best)
 	return best, true
@@ -248,20 +265,30 @@
 	return candidates
 }
 
+// setHome makes a server the home server of the candidates' call.
+func setHome(candidates []candidate, home *fleet.Server) {
+	for i := range candidates {
+		candidates[i].isHome = candidates[i].server == home
+	}
+}
+
 // sampleGroup is a group of candidates that is sampled separately, so that some of each group are considered.
 type sampleGroup struct {
 	// currentWeights is set while the server's weight version costs nothing.
 	currentWeights bool
 	sameZone       bool
+	// isDestination is set if the call is to leave to the server's zone.
+	isDestination bool
 	// fullyCached is set if the server is assumed to have cached all shared parts of the prompt.
 	fullyCached bool
 	inBackoff   bool
 }
 
-func (pk *Picker) sampleGroup(now time.Time, cl Call, cd candidate) sampleGroup {
+func (pk *Picker) sampleGroup(now time.Time, cl Call, pl plan, cd candidate) sampleGroup {
 	return sampleGroup{
 		currentWeights: cd.stalePenalty == 0,
 		sameZone:       cd.server.Zone() == pk.zone,
+		isDestination:  pl.leaves && cd.server.Zone() == pl.destination,
 		fullyCached:    len(cl.keys) > 0 && cd.depth == len(cl.keys),
 		inBackoff:      pk.state(cd.server.ID()).inBackoff(now),
 	}
--- a/core/pick/source.go
+++ b/core/pick/source.go
@@ -37,6 +37,7 @@
 	var best *fleet.Server
 	var bestPrefilledAt time.Time
 	bestDepth := pk.state(ch.server.ID()).depthSentWithin(now, cl, ch.version, freshTTL)
+	cached := bestDepth
 	for _, sv := range servers {
 		st := pk.state(sv.ID())
 		if sv == ch.server || st.consecutiveFailures > 0 || st.replaced {
@@ -47,7 +48,9 @@
 		}
 		depth, prefilledAt := st.prefilledDepth(now, cl, ch.version)
 		if depth > bestDepth || best != nil && depth == bestDepth && prefilledAt.After(bestPrefilledAt) {
-			best, bestDepth, bestPrefilledAt = sv, depth, prefilledAt
+			if pk.copyPays(cl, ch, sv, cached, depth) {
+				best, bestDepth, bestPrefilledAt = sv, depth, prefilledAt
+			}
 		}
 	}
 	st := pk.cacheStore(now, cl)
@@ -55,7 +58,8 @@
 		return best
 	}
 	saved := st.savedDepth(now, cl, ch.version)
-	if saved > bestDepth || best != nil && saved == bestDepth && now.Sub(bestPrefilledAt) > recentTTL {
+	if (saved > bestDepth || best != nil && saved == bestDepth && now.Sub(bestPrefilledAt) > recentTTL) &&
+		pk.copyPays(cl, ch, st.store.server, cached, saved) {
 		for _, key := range cl.keys[:saved] {
 			st.recordSaved(now, prefixKey{key: key, version: ch.version})
 		}
@@ -63,3 +67,13 @@
 	}
 	return best
 }
+
+// copyPays reports whether copying the shared parts up to depth from another server costs less than prefilling those after the cached ones.
+// Within a zone and where bytes have no price it always does.
+func (pk *Picker) copyPays(cl Call, ch Choice, from *fleet.Server, cached, depth int) bool {
+	if from.Zone() == ch.server.Zone() || !pk.price.ChargesBytes() {
+		return true
+	}
+	tokens := cl.tokensAfter(cached) - cl.tokensAfter(max(depth, cached))
+	return pk.price.Bytes(float64(tokens)*float64(pk.tokenBytes[cl.service])) <= cacheMissCost(cl, tokens, false)+prefillTime(tokens)
+}
