--- a/core/pick/leave.go
+++ b/core/pick/leave.go
@@ -60,12 +60,13 @@
 // Share returns the share.
 func (ss ServiceShare) Share() zone.Share { return ss.share }
 
-// ZoneShares returns the shares of the services for which calls were chosen.
-func (pk *Picker) ZoneShares() []ServiceShare {
+// ZoneShares returns the present shares of the services for which calls were chosen.
+func (pk *Picker) ZoneShares(now time.Time) []ServiceShare {
 	pk.mu.Lock()
 	defer pk.mu.Unlock()
 	shares := make([]ServiceShare, 0, len(pk.zones))
 	for service, sz := range pk.zones {
+		pk.updateShare(now, sz, pk.view.Servers(service))
 		shares = append(shares, ServiceShare{service: service, share: sz.decider.Share()})
 	}
 	return shares
@@ -204,11 +205,16 @@
 			uncached: initialUncachedTokens, prompt: initialUncachedTokens}
 		pk.zones[cl.service] = sz
 	}
+	pk.updateShare(now, sz, servers)
+	return sz
+}
+
+// updateShare makes the steps of a service's share that are due. The caller holds mu.
+func (pk *Picker) updateShare(now time.Time, sz *serviceZones, servers []*fleet.Server) {
 	if sz.decider.IsDue(now) {
 		pk.measureLoads(now, sz, servers)
 		sz.decider.Update(now, sz.loads, sz.hop)
 	}
-	return sz
 }
 
 // measureLoads sets the loads of the zones from the reports of a service's servers. It uses nothing that this process alone knows of its own
--- a/core/pick/zone_test.go
+++ b/core/pick/zone_test.go
@@ -150,6 +150,11 @@
 		if ms%100 == 0 {
 			sm.sampleShares()
 		}
+		if ms%500 == 0 {
+			for _, pk := range sm.allGates() {
+				pk.ZoneShares(sm.now)
+			}
+		}
 		for z := range 3 {
 			sm.sendCalls(z)
 		}
@@ -190,8 +195,8 @@
 	for z := range 3 {
 		low, high, sum := 1.0, 0.0, 0.0
 		for _, pk := range sm.gates[z] {
-			for _, ss := range pk.ZoneShares() {
-				f := ss.Share().Fraction()
+			for _, sz := range pk.zones {
+				f := sz.decider.Share().Fraction()
 				low, high, sum = min(low, f), max(high, f), sum+f
 			}
 		}
--- a/core/zone/share.go
+++ b/core/zone/share.go
@@ -74,6 +74,15 @@
 // Reason returns why calls leave or stay.
 func (sh Share) Reason() Reason { return sh.reason }
 
+// Zones returns the zones to which calls go.
+func (sh Share) Zones() []string {
+	names := make([]string, 0, len(sh.zones))
+	for _, wz := range sh.zones {
+		names = append(names, wz.zone)
+	}
+	return names
+}
+
 // StayCost returns what a hop costs in addition for a call that is not part of the share. The share stands for an excess of the own zone's
 // wait; calls that stay leave all the same where their wait exceeds that too.
 func (sh Share) StayCost() time.Duration {
--- a/core/zone/zone_test.go
+++ b/core/zone/zone_test.go
@@ -197,3 +197,29 @@
 		t.Errorf("hop of 500 KB at 100 ms per MB: got %s, want %s", got, want)
 	}
 }
+
+// A share that moves all the time must not flood the log, and the loss of a zone must not wait for the next line.
+func TestReportsOfChangesAreBounded(t *testing.T) {
+	now, cs := time.Unix(1000, 0), NewChanges()
+	if cs.Notable(now, "chat", Share{reason: Enough}) {
+		t.Error("a share of zero was reported at the start")
+	}
+	reports := 0
+	for i := range 100 {
+		if cs.Notable(now.Add(time.Duration(i)*100*time.Millisecond), "chat", Share{fraction: float64(1+i%9) / 10, reason: Wait}) {
+			reports++
+		}
+	}
+	if reports < 2 || reports > 5 {
+		t.Errorf("%d reports within 10 s, want at most one in 2 s", reports)
+	}
+	now = now.Add(10 * time.Second)
+	cs.Notable(now, "chat", Share{fraction: 0.2, reason: Wait})
+	if !cs.Notable(now.Add(time.Millisecond), "chat", Share{fraction: 1, reason: NoServer}) {
+		t.Error("the loss of the zone's servers was not reported at once")
+	}
+	cs.Retain(nil)
+	if len(cs.reported) != 0 {
+		t.Error("a service that is gone was kept")
+	}
+}
--- a/io/cmds/gate.go
+++ b/io/cmds/gate.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"shallotcleat/core/zone"
 	"shallotcleat/io/gate"
 	"shallotcleat/io/link"
 	"shallotcleat/io/timer"
@@ -34,6 +35,9 @@
 	Settle         string `long:"settle" env:"SHALLOTCLEAT_SETTLE" description:"time after a connection was cut or stalled from which the deadlines for changes hold again" default:"3s"`
 	ConfigDeadline string `long:"config-deadline" env:"SHALLOTCLEAT_CONFIG_DEADLINE" description:"time within which a change of the configuration must be in force" default:"2s"`
 	DrainDeadline  string `long:"drain-deadline" env:"SHALLOTCLEAT_DRAIN_DEADLINE" description:"time after which a leaving server must get no requests" default:"2s"`
+	ZoneLatency    string `long:"zone-latency" env:"SHALLOTCLEAT_ZONE_LATENCY" description:"one-way latency between availability zones" default:"0s"`
+	ZoneMegabyte   string `long:"zone-megabyte-cost" env:"SHALLOTCLEAT_ZONE_MEGABYTE_COST" description:"time that a request must save for each megabyte of 1,000,000 bytes that it sends to another availability zone; a hop costs 12ms at least" default:"0s"`
+	ZoneChoice     string `long:"zone-choice" env:"SHALLOTCLEAT_ZONE_CHOICE" description:"how requests leave the availability zone: share (the gates of a zone agree on a share) or cost (each gate adds the cost of a hop)" default:"share"`
 	OldWeights     string `long:"old-weights" env:"SHALLOTCLEAT_OLD_WEIGHTS" description:"how long after newer weights are announced a request may start on older ones" default:"6s"`
 }
 
@@ -64,9 +68,12 @@
 			Drain:  vd.duration("drain-deadline", cm.DrainDeadline, 100*time.Millisecond, time.Minute),
 		},
 		OldWeightsGrace: vd.duration("old-weights", cm.OldWeights, time.Second, time.Hour),
-		StopTimeout:     vd.duration("stop-timeout", cm.StopTimeout, 2*time.Second, time.Hour) - stopMargin,
-		BalancerLag:     balancerLag,
-		RandomSeed:      randomNonZero(),
+		ZonePrice: zone.NewPrice(vd.duration("zone-latency", cm.ZoneLatency, 0, time.Second),
+			vd.duration("zone-megabyte-cost", cm.ZoneMegabyte, 0, time.Minute)),
+		FixedZoneCost: vd.oneOf("zone-choice", cm.ZoneChoice, "share", "cost") == "cost",
+		StopTimeout:   vd.duration("stop-timeout", cm.StopTimeout, 2*time.Second, time.Hour) - stopMargin,
+		BalancerLag:   balancerLag,
+		RandomSeed:    randomNonZero(),
 	}
 	vd.address("listen", cm.Listen)
 	vd.address("ready", cm.Ready)
--- a/io/cmds/validator.go
+++ b/io/cmds/validator.go
@@ -6,6 +6,7 @@
 	"net/url"
 	"os"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -69,6 +70,14 @@
 	return parsed
 }
 
+// oneOf returns a value that must be one of those allowed.
+func (vd *validator) oneOf(flag, value string, allowed ...string) string {
+	if !slices.Contains(allowed, value) {
+		vd.addProblem(flag, value, "one of "+strings.Join(allowed, ", "))
+	}
+	return value
+}
+
 // address validates an IP address with a port and returns it unchanged.
 func (vd *validator) address(flag, value string) string {
 	if !isIPPort(value) {
--- a/io/gate/finish.go
+++ b/io/gate/finish.go
@@ -137,6 +137,9 @@
 			fields["copied_from"] = rq.log.cacheSourceID
 		}
 	}
+	if rq.log.zoneExit != "" {
+		fields["zone_exit"] = rq.log.zoneExit
+	}
 	rq.addSendFields(fields)
 	if rq.isResumed() {
 		fields["resumes"] = rq.info.Resumes
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -20,6 +20,7 @@
 	"shallotcleat/core/route"
 	"shallotcleat/core/share"
 	"shallotcleat/core/weight"
+	"shallotcleat/core/zone"
 	"shallotcleat/io/client"
 	"shallotcleat/io/feed"
 	"shallotcleat/io/link"
@@ -55,6 +56,10 @@
 	RetryBudget RetryBudgetOptions
 	// OldWeightsGrace is how long after newer weights were announced a request may begin on older ones.
 	OldWeightsGrace time.Duration
+	// ZonePrice is the cost of paths between zones; the zero value is the default.
+	ZonePrice zone.Price
+	// FixedZoneCost makes requests leave the zone by the cost of a hop alone, without a share that all gates of the zone apply.
+	FixedZoneCost bool
 	// RandomSeed seeds the random selection among backend servers.
 	RandomSeed uint64
 	// Deadlines state within which time the gate must follow the store.
@@ -88,6 +93,7 @@
 	bodies           bodies
 	hints            *hintExchange
 	crashes          *crashWatch
+	zoneLog          *zoneLog
 	limits           *limitSharing
 	origins          *origins
 	releases         *releases
@@ -126,7 +132,12 @@
 	}
 	gt.gateList = NewGateList(gt.nodeTable)
 	gt.hints = newHintExchange(gt)
+	gt.zoneLog = newZoneLog(gt)
 	gt.crashes = newCrashWatch(gt)
+	gt.picker.SetZonePrice(opts.ZonePrice)
+	if opts.FixedZoneCost {
+		gt.picker.DisableZoneShares()
+	}
 	gt.limits = newLimitSharing(gt)
 	gt.origins = newOrigins(gt)
 	gt.releases = newReleases(gt)
--- a/io/gate/handle.go
+++ b/io/gate/handle.go
@@ -66,6 +66,8 @@
 	weightVersion   uint64
 	cachedParts     int
 	cacheSourceID   string
+	// zoneExit is why the last attempt went to another zone, or "".
+	zoneExit string
 	// timeToFirstEvent is the time from the arrival of the request to the first event of any attempt, or to a complete response
 	// that is not a stream.
 	timeToFirstEvent time.Duration
@@ -188,7 +190,8 @@
 		model = rq.info.Model
 	}
 	rq.call = pick.NewCall(sv.Name(), model, cacheScope(rq.workspace), rq.info.PromptParts, rq.info.PromptTokens,
-		rq.route.AtMostOnce()).WithPriority(rq.workspace.Priority(rq.route)).WithOutput(rq.info.ExpectedTokens)
+		rq.route.AtMostOnce()).WithPriority(rq.workspace.Priority(rq.route)).WithOutput(rq.info.ExpectedTokens).
+		WithRequest(rq.info.RequestID, len(rq.body))
 	rq.suspectKeys = suspectKeys(rq.key, model, rq.info.PromptParts)
 }
 
--- a/io/gate/run.go
+++ b/io/gate/run.go
@@ -126,6 +126,7 @@
 	defer cancel()
 	now := time.Now()
 	pickAttempt := gt.picker.StartAttempt(now, rq.call, ch)
+	gt.countZoneExit(rq, ch)
 	at := &attempt{gate: gt, rq: rq, choice: ch, pickAttempt: pickAttempt, sentAt: now}
 	pickAttempt.OnExpiry(at.expiryFunc(cancel))
 	timeout := gt.responseTimeout(rq)
--- a/io/gate/watcher.go
+++ b/io/gate/watcher.go
@@ -118,6 +118,7 @@
 	wt.gate.releases.setRoutes(tb)
 	wt.gate.routes.Store(tb)
 	wt.gate.picker.SetCacheStores(cacheStores(sp))
+	wt.gate.picker.SetTokenBytes(tokenBytes(sp))
 	wt.gate.log.WithField("event", "epoch_adopted").WithField("version", sp.Version).WithField("routes", len(sp.Routes)).
 		Info("configuration adopted")
 }
@@ -276,6 +277,7 @@
 	every(expireAttemptsInterval, func() { gt.picker.ExpireAttempts(time.Now()) })
 	wg.Go(func() { <-ctx.Done(); gt.hints.calls.Wait() })
 	every(hintInterval, func() { gt.hints.send(ctx) })
+	every(logSharesInterval, gt.zoneLog.check)
 	every(refreshRulesInterval, gt.crashes.refresh)
 	every(checkReleasesInterval, gt.releases.notify)
 	every(saveRulesInterval, func() { gt.crashes.saveRules(ctx) })
--- a/io/trace/recorder.go
+++ b/io/trace/recorder.go
@@ -46,6 +46,9 @@
 	controlBytes metric.Int64Counter
 	loadOrders   metric.Int64Counter
 	weightLoad   metric.Float64Histogram
+	zoneExits    metric.Int64Counter
+	zoneBytes    metric.Int64Counter
+	zoneShare    metric.Float64Gauge
 }
 
 // New returns the recorder of a process.
@@ -71,7 +74,7 @@
 }
 
 func newMetrics(mt metric.Meter) (*Metrics, error) {
-	var errs [9]error
+	var errs [12]error
 	ms := &Metrics{}
 	ms.requests, errs[0] = mt.Int64Counter("requests", metric.WithDescription("Requests answered, by outcome."))
 	ms.refusals, errs[1] = mt.Int64Counter("refusals", metric.WithDescription("Requests refused, by code."))
@@ -87,6 +90,12 @@
 		metric.WithDescription("Orders to load weights, by the engine's verdict."))
 	ms.weightLoad, errs[8] = mt.Float64Histogram("weight_load", metric.WithUnit("s"),
 		metric.WithDescription("Time for which an engine took no calls since it loaded weights."))
+	ms.zoneExits, errs[9] = mt.Int64Counter("zone_exits",
+		metric.WithDescription("Attempts at servers of other availability zones, by service and reason."))
+	ms.zoneBytes, errs[10] = mt.Int64Counter("zone_exit", metric.WithUnit("By"),
+		metric.WithDescription("Bytes of request bodies sent to other availability zones, by service."))
+	ms.zoneShare, errs[11] = mt.Float64Gauge("zone_share",
+		metric.WithDescription("Share of a service's requests that is to leave the availability zone."))
 	for _, err := range errs {
 		if err != nil {
 			return nil, fmt.Errorf("create instrument: %w", err)
@@ -212,6 +221,18 @@
 	rc.metrics.loadOrders.Add(context.Background(), 1, metric.WithAttributes(attribute.String("verdict", verdict)))
 }
 
+// CountZoneExit counts an attempt of a service's request at a server of another availability zone, by reason, and the bytes of its body.
+func (rc *Recorder) CountZoneExit(service, reason string, bodyBytes int) {
+	name := attribute.String("service", service)
+	rc.metrics.zoneExits.Add(context.Background(), 1, metric.WithAttributes(name, attribute.String("reason", reason)))
+	rc.metrics.zoneBytes.Add(context.Background(), int64(bodyBytes), metric.WithAttributes(name))
+}
+
+// RecordZoneShare records the share of a service's requests that is to leave the availability zone.
+func (rc *Recorder) RecordZoneShare(service string, fraction float64) {
+	rc.metrics.zoneShare.Record(context.Background(), fraction, metric.WithAttributes(attribute.String("service", service)))
+}
+
 // RecordWeightLoad records how long an engine accepted no calls because it loaded weights.
 func (rc *Recorder) RecordWeightLoad(elapsed time.Duration) {
 	rc.metrics.weightLoad.Record(context.Background(), elapsed.Seconds())
