core/zone: the share follows reports as tenders send them

With real reports no share began at a load of 0.9: choice by cost kept the excess just below the cost of a hop, and waits of 70 to 130 ms elsewhere counted as nothing free. The share now begins at three quarters of the cost of a hop, on average over 1 s, and follows a smoothed excess. Copies of prefixes come from the zone of the chosen engine if it prefilled them within 4 s.

--- a/core/pick/source.go
+++ b/core/pick/source.go
@@ -7,6 +7,10 @@
 	"shallotcleat/core/prefix"
 )
 
+// nearTTL is how long after a prefill an engine in the zone of the chosen one is a better source than a later one elsewhere. In simulations of
+// deployment B at a load of 0.9, a longer time loses more copies to evictions than it keeps in the zone.
+const nearTTL = 4 * time.Second
+
 // homeServer returns the server of a zone that calls with the same shared parts prefer, by rendezvous hashing, or nil if
 // the call has no shared parts or the zone has no usable server. The caller holds mu.
 func (pk *Picker) homeServer(now time.Time, cl Call, servers []*fleet.Server, zone string) *fleet.Server {
@@ -36,6 +40,9 @@
 	}
 	var best *fleet.Server
 	var bestPrefilledAt time.Time
+	// bestNear is set if best is in the zone of the chosen server and likely to have kept the prefix: a copy from another zone takes twice
+	// as long and is billed.
+	var bestNear bool
 	bestDepth := pk.state(ch.server.ID()).depthSentWithin(now, cl, ch.version, freshTTL)
 	cached := bestDepth
 	for _, sv := range servers {
@@ -47,9 +54,10 @@
 			continue
 		}
 		depth, prefilledAt := st.prefilledDepth(now, cl, ch.version)
-		if depth > bestDepth || best != nil && depth == bestDepth && prefilledAt.After(bestPrefilledAt) {
+		near := !pk.sharesOff && sv.Zone() == ch.server.Zone() && now.Sub(prefilledAt) < nearTTL
+		if depth > bestDepth || best != nil && depth == bestDepth && (near && !bestNear || near == bestNear && prefilledAt.After(bestPrefilledAt)) {
 			if pk.copyPays(cl, ch, sv, cached, depth) {
-				best, bestDepth, bestPrefilledAt = sv, depth, prefilledAt
+				best, bestDepth, bestPrefilledAt, bestNear = sv, depth, prefilledAt, near
 			}
 		}
 	}
--- a/core/zone/decider.go
+++ b/core/zone/decider.go
@@ -12,6 +12,10 @@
 	// step is the number of the latest step, counted from the Unix epoch so that all gates step at the same times.
 	step  int64
 	share Share
+	// meanExcess is the moving mean of the excess of the own zone's wait over the others'.
+	meanExcess time.Duration
+	// excess is the same over a shorter time.
+	excess time.Duration
 }
 
 // NewDecider returns a decider for the calls of a zone; at first none leaves.
@@ -47,13 +51,19 @@
 	}
 	to := dc.destinations(loads)
 	target, fall, reason := 0.0, maxFall, Enough
-	switch excess := own.Wait() - to.wait - hop; {
+	excess := own.Wait() - to.wait
+	for range steps {
+		dc.excess += (excess - dc.excess) / smoothSteps
+		dc.meanExcess += (excess - dc.meanExcess) / startSteps
+	}
+	begins := dc.meanExcess >= time.Duration(startFraction*float64(hop))
+	switch {
 	case !own.isKnown():
 		reason = Unknown
 	case to.room <= 0:
 		fall, reason = maxYield, NothingFree
-	case excess > 0:
-		target, reason = min(float64(excess)/float64(fullExcess), 1)*min(to.room/(scarceRoom*to.capacity), 1), Wait
+	case dc.excess > hop/2 && (dc.share.fraction > 0 || begins):
+		target, reason = min(float64(dc.excess-hop/2)/float64(fullExcess), 1)*min(to.room/(scarceRoom*to.capacity), 1), Wait
 	}
 	fraction := dc.share.fraction
 	for range steps {
@@ -70,12 +80,12 @@
 // next returns the share after one step towards target.
 func next(fraction, target, maxRise, maxFall float64) float64 {
 	switch {
-	case fraction == 0 && target < minShare:
-		return 0
 	case target > fraction+riseMargin:
-		return min(fraction+maxRise, target)
-	case target < fraction-fallMargin, target == 0:
-		return max(fraction-maxFall, target)
+		return fraction + min(maxRise, riseFactor*(target-fraction))
+	case target == 0:
+		return max(fraction-maxFall, 0)
+	case target < fraction-fallMargin:
+		return fraction - min(maxFall, fallFactor*(fraction-target))
 	}
 	return fraction
 }
--- a/core/zone/share.go
+++ b/core/zone/share.go
@@ -13,7 +13,7 @@
 	interval = 100 * time.Millisecond
 	// maxSteps bounds the steps that are made up for after a time without calls.
 	maxSteps = 30
-	// fullExcess is the excess of the own zone's wait over the others' and the hop at which all calls leave. The share is proportional to
+	// fullExcess is the excess of the own zone's wait over the others' and half the hop at which all calls leave. The share is proportional to
 	// the excess; with reports 100 to 200 ms old, queues oscillate if it is less than about 150 ms.
 	fullExcess = 250 * time.Millisecond
 	// maxRise and maxFall bound a step. A peak builds up within 2 to 3 s, and the share may reach 1 in that time. It falls a third as fast,
@@ -21,14 +21,25 @@
 	maxRise = 0.06
 	maxFall = 0.02
 	// maxYield bounds the fall while nothing is free elsewhere, so that calls of other zones are not delayed for long.
-	maxYield = 0.1
+	maxYield = 0.05
+	// riseFactor and fallFactor are the part of the distance to its target that the share moves at most in one step, so that it does not
+	// follow every change of the reports.
+	riseFactor = 0.4
+	fallFactor = 0.1
 	// riseMargin and fallMargin are the hysteresis: smaller changes are ignored.
 	riseMargin = 0.01
-	fallMargin = 0.04
-	// minShare is the least target at which a share begins. Zones with enough capacity differ by less, by chance.
-	minShare = 0.05
-	// maxGuestWait is the wait in another zone at which nothing is free there; the free capacity counts in proportion below it.
-	maxGuestWait = 80 * time.Millisecond
+	fallMargin = 0.06
+	// startFraction is the fraction of the cost of a hop by which the own zone's wait exceeds the others' on average, over startSteps, when a
+	// share begins. At the full cost, gates that choose by cost alone keep the excess just below it, and no share ever began. Zones with
+	// enough capacity differ by less on average.
+	startFraction = 0.75
+	// smoothSteps is the averaging time of the excess that the share follows, in steps.
+	smoothSteps = 3
+	startSteps  = 10
+	// maxGuestWait is the wait in another zone at which nothing is free there; the free capacity counts in proportion below it. It is a third
+	// of the time that callers of short streams allow for the first event. Engines with a load of 0.9 have reported waits of 70 to 130 ms,
+	// so that a lower limit ended shares while the zones were still unequal.
+	maxGuestWait = 150 * time.Millisecond
 	// roomFraction is the fraction of the free capacity elsewhere that the calls added in one step may take: other zones see the same
 	// capacity and may send there as well.
 	roomFraction = 0.25
