--- a/core/pick/leave.go
+++ b/core/pick/leave.go
@@ -132,12 +132,16 @@
 	// usable holds the zones with a candidate, and cached those with one that has cached all shared parts.
 	var usable, cached []string
 	for _, cd := range candidates {
-		if cd.server.Zone() == pk.zone || pk.state(cd.server.ID()).inBackoff(now) {
+		name := cd.server.Zone()
+		isCached := len(cl.keys) > 0 && cd.depth == len(cl.keys) && !slices.Contains(cached, name)
+		if name == pk.zone || !isCached && slices.Contains(usable, name) || pk.state(cd.server.ID()).inBackoff(now) {
 			continue
 		}
-		usable = append(usable, cd.server.Zone())
-		if len(cl.keys) > 0 && cd.depth == len(cl.keys) {
-			cached = append(cached, cd.server.Zone())
+		if !slices.Contains(usable, name) {
+			usable = append(usable, name)
+		}
+		if isCached {
+			cached = append(cached, name)
 		}
 	}
 	portable := len(cl.keys) == 0 || len(cached) > 0
--- a/core/pick/zone_test.go
+++ b/core/pick/zone_test.go
@@ -614,3 +614,40 @@
 		t.Errorf("the source is not the server that prefilled the prefix last: %v", ch.CacheSource())
 	}
 }
+
+// A gate's zone is cut off from the others while its own zone is short: nothing may leave to servers that it cannot reach, although their reports
+// were good, and once the servers are reached again calls leave again.
+func TestCutOffZoneKeepsItsCalls(t *testing.T) {
+	now := time.Unix(1000, 0)
+	pk := New("a", time.Minute, 1)
+	pk.SetView(viewOf("a", "a", "b", "c"))
+	left := func(span time.Duration, reachable bool) int {
+		left := 0
+		for end := now.Add(span); now.Before(end); now = now.Add(20 * time.Millisecond) {
+			for i, id := range []string{"server-0", "server-1", "server-2", "server-3"} {
+				switch {
+				case i < 2:
+					pk.SetUtilization(id, NewUtilization(30, 20, 1<<20, 1<<20, now))
+				case reachable:
+					pk.SetUtilization(id, NewUtilization(0, 0, 1<<20, 1<<20, now))
+				default:
+					pk.MarkUnreachable(now, id)
+				}
+			}
+			cl := NewCall("chat", testModel, "", nil, 100, false).WithRequest(now.String(), 0)
+			if ch, ok := pk.Choose(now, cl, nil); !ok || ch.Server().Zone() != "a" {
+				left++
+			}
+		}
+		return left
+	}
+	if got := left(2*time.Second, true); got < 50 {
+		t.Errorf("%d of 100 calls left a short zone", got)
+	}
+	if got := left(2*time.Second, false); got > 0 {
+		t.Errorf("%d of 100 calls left for servers that cannot be reached", got)
+	}
+	if got := left(2*time.Second, true); got < 50 {
+		t.Errorf("%d of 100 calls left after the zone was connected again", got)
+	}
+}
