--- a/io/cmds/gate.go
+++ b/io/cmds/gate.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"shallotcleat/core/quota"
+	"shallotcleat/core/zone"
 	"shallotcleat/io/gate"
 	"shallotcleat/io/link"
 	"shallotcleat/io/timer"
@@ -38,6 +39,9 @@
 	QuotaWindow    string `long:"quota-window" env:"SHALLOTCLEAT_QUOTA_WINDOW" description:"period over which the limits of workspaces hold; without it they are not enforced"`
 	QuotaOverage   string `long:"quota-overage" env:"SHALLOTCLEAT_QUOTA_OVERAGE" description:"part by which all gates together may exceed the limit of a workspace"`
 	QuotaSlack     string `long:"quota-slack" env:"SHALLOTCLEAT_QUOTA_SLACK" description:"tokens by which all gates together may exceed the limit of a workspace in addition"`
+	ZoneLatency    string `long:"zone-latency" env:"SHALLOTCLEAT_ZONE_LATENCY" description:"one-way latency between availability zones" default:"0s"`
+	ZoneMegabyte   string `long:"zone-megabyte-cost" env:"SHALLOTCLEAT_ZONE_MEGABYTE_COST" description:"time that a request must save for each megabyte of 1,000,000 bytes that it sends to another availability zone; a hop costs 12ms at least" default:"0s"`
+	ZoneChoice     string `long:"zone-choice" env:"SHALLOTCLEAT_ZONE_CHOICE" description:"how requests leave the availability zone: share (the gates of a zone agree on a share) or cost (each gate adds the cost of a hop)" default:"share"`
 	OldWeights     string `long:"old-weights" env:"SHALLOTCLEAT_OLD_WEIGHTS" description:"how long after newer weights are announced a request may start on older ones" default:"6s"`
 }
 
@@ -83,10 +87,13 @@
 			Drain:  vd.duration("drain-deadline", cm.DrainDeadline, 100*time.Millisecond, time.Minute),
 		},
 		OldWeightsGrace: vd.duration("old-weights", cm.OldWeights, time.Second, time.Hour),
-		StopTimeout:     vd.duration("stop-timeout", cm.StopTimeout, 2*time.Second, time.Hour) - stopMargin,
-		BalancerLag:     balancerLag,
-		RandomSeed:      randomNonZero(),
 		Quota:           cm.quotaBounds(&vd),
+		ZonePrice: zone.NewPrice(vd.duration("zone-latency", cm.ZoneLatency, 0, time.Second),
+			vd.duration("zone-megabyte-cost", cm.ZoneMegabyte, 0, time.Minute)),
+		FixedZoneCost: vd.oneOf("zone-choice", cm.ZoneChoice, "share", "cost") == "cost",
+		StopTimeout:   vd.duration("stop-timeout", cm.StopTimeout, 2*time.Second, time.Hour) - stopMargin,
+		BalancerLag:   balancerLag,
+		RandomSeed:    randomNonZero(),
 	}
 	vd.address("listen", cm.Listen)
 	vd.address("ready", cm.Ready)
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -22,6 +22,7 @@
 	"shallotcleat/core/route"
 	"shallotcleat/core/share"
 	"shallotcleat/core/weight"
+	"shallotcleat/core/zone"
 	"shallotcleat/io/client"
 	"shallotcleat/io/feed"
 	"shallotcleat/io/intake"
@@ -62,6 +63,10 @@
 	Quota quota.Bounds
 	// OldWeightsGrace is how long after newer weights were announced a request may begin on older ones.
 	OldWeightsGrace time.Duration
+	// ZonePrice is the cost of paths between zones; the zero value is the default.
+	ZonePrice zone.Price
+	// FixedZoneCost makes requests leave the zone by the cost of a hop alone, without a share that all gates of the zone apply.
+	FixedZoneCost bool
 	// RandomSeed seeds the random selection among backend servers.
 	RandomSeed uint64
 	// Deadlines state within which time the gate must follow the store.
@@ -97,6 +102,7 @@
 	memoryReporter   *intake.Reporter
 	hints            *hintExchange
 	crashes          *crashWatch
+	zoneLog          *zoneLog
 	limits           *limitSharing
 	origins          *origins
 	releases         *releases
@@ -143,7 +149,12 @@
 	gt.memoryReporter = intake.NewReporter(gt.memory, opts.Recorder)
 	gt.gateList = NewGateList(gt.nodeTable)
 	gt.hints = newHintExchange(gt)
+	gt.zoneLog = newZoneLog(gt)
 	gt.crashes = newCrashWatch(gt)
+	gt.picker.SetZonePrice(opts.ZonePrice)
+	if opts.FixedZoneCost {
+		gt.picker.DisableZoneShares()
+	}
 	gt.limits = newLimitSharing(gt)
 	gt.origins = newOrigins(gt)
 	gt.releases = newReleases(gt)
@@ -256,7 +267,7 @@
 	for id, address := range gt.picker.ProbeTargets(time.Now().Add(probeInterval)) {
 		wg.Go(func() {
 			if !client.Probe(ctx, address) && ctx.Err() == nil {
-				gt.picker.MarkUnreachable(time.Now(), id)
+				gt.picker.MarkProbeFailed(time.Now(), id)
 			}
 		})
 	}
--- a/io/gate/watcher.go
+++ b/io/gate/watcher.go
@@ -120,6 +120,7 @@
 	wt.gate.routes.Store(tb)
 	wt.gate.logQuotaProblems(sp)
 	wt.gate.picker.SetCacheStores(cacheStores(sp))
+	wt.gate.picker.SetTokenBytes(tokenBytes(sp))
 	wt.gate.log.WithField("event", "epoch_adopted").WithField("version", sp.Version).WithField("routes", len(sp.Routes)).
 		Info("configuration adopted")
 }
@@ -290,6 +291,7 @@
 	wg.Go(func() { <-ctx.Done(); gt.hints.calls.Wait() })
 	every(quota.TickInterval, gt.tickQuotas)
 	every(hintInterval, func() { gt.hints.send(ctx) })
+	every(logSharesInterval, gt.zoneLog.check)
 	every(refreshRulesInterval, gt.crashes.refresh)
 	every(checkReleasesInterval, gt.releases.notify)
 	every(saveRulesInterval, func() { gt.crashes.saveRules(ctx) })
