--- a/core/route/spec.go
+++ b/core/route/spec.go
@@ -28,6 +28,8 @@
 	// Timeout is the maximum duration of a call, TargetLatency the latency goal of a response.
 	Timeout       time.Duration
 	TargetLatency time.Duration
+	// TargetGap is the longest pause between events with which a stream is still on time, or zero if the route names none.
+	TargetGap time.Duration
 	// MaxAttempts is the maximum number of servers on which a call may run. Attempts that did not run are not counted.
 	MaxAttempts int
 	// Priority is the priority of the calls; 0 is the highest.
@@ -51,6 +53,14 @@
 	Engine bool
 	// CacheTokenBytes is the size of the cached prefix of one token at the service's engines, or zero.
 	CacheTokenBytes int
+	// Moves is set if an engine can copy a running call to another one, over a link of LinkBytesPerSecond.
+	Moves              bool
+	LinkBytesPerSecond float64
+	// CopyLifetime is how long an engine keeps a copy of a call that nobody uses, or zero if unknown.
+	CopyLifetime time.Duration
+	// Slots is the number of calls that an engine runs at once, and CacheTokens the capacity of its KV cache; zero means unknown.
+	Slots       int
+	CacheTokens int
 }
 
 // CacheStoreSpec describes a store of cached prompt prefixes.
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -32,6 +32,9 @@
 // TargetLatency returns the latency goal of a response.
 func (rt *Route) TargetLatency() time.Duration { return rt.spec.TargetLatency }
 
+// TargetGap returns the longest pause between events with which a stream is still on time, or zero if the route names none.
+func (rt *Route) TargetGap() time.Duration { return rt.spec.TargetGap }
+
 // MaxAttempts returns the maximum number of servers on which a call may run; it is at least one.
 func (rt *Route) MaxAttempts() int { return max(rt.spec.MaxAttempts, 1) }
 
@@ -122,6 +125,15 @@
 // IsEngine reports whether the servers are model engines.
 func (sv *Service) IsEngine() bool { return sv.spec.Engine }
 
+// Moves reports whether the service's engines can copy a running call to another engine.
+func (sv *Service) Moves() bool { return sv.spec.Engine && sv.spec.Moves }
+
+// CacheTokenBytes returns the size of the KV cache of one token, or zero if unknown.
+func (sv *Service) CacheTokenBytes() int { return sv.spec.CacheTokenBytes }
+
+// LinkBytesPerSecond returns the rate of an engine's link, or zero if unknown.
+func (sv *Service) LinkBytesPerSecond() float64 { return sv.spec.LinkBytesPerSecond }
+
 // Workspace is a compiled workspace; it is immutable.
 type Workspace struct{ spec WorkspaceSpec }
 
--- a/io/gate/finish.go
+++ b/io/gate/finish.go
@@ -44,6 +44,9 @@
 		gt.opts.Recorder.CountRefusal(string(er.Code()))
 	}
 	gt.opts.Recorder.CountAnswer(string(outcome))
+	if !rq.response.progressAt.IsZero() {
+		gt.opts.Recorder.RecordStreamPause(rq.response.longestPause)
+	}
 	callerLeft := errors.Is(ctx.Err(), context.Canceled) && !rq.bodyLate
 	gt.logRequest(rq, er, outcome, callerLeft)
 	switch {
@@ -137,6 +140,9 @@
 			fields["copied_from"] = rq.log.cacheSourceID
 		}
 	}
+	if !rq.response.progressAt.IsZero() {
+		fields["longest_pause_ms"] = rq.response.longestPause.Milliseconds()
+	}
 	rq.addSendFields(fields)
 	if rq.isResumed() {
 		fields["resumes"] = rq.info.Resumes
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -47,14 +47,15 @@
 			return at.endBroken(requestCtx, errForeignHead)
 		}
 		if len(bytes.TrimSpace(event)) > 0 {
-			if hasField(event) {
+			progress := hasField(event)
+			if progress {
 				at.recordFirstEvent()
 			}
 			at.recordPromptServed()
 			if err := at.checkVersion(requestCtx); err != nil {
 				return at.endBroken(requestCtx, err)
 			}
-			if err := rq.response.writeEvent(resp, event); err != nil {
+			if err := rq.response.writeEvent(resp, event, progress); err != nil {
 				at.pickAttempt.End(time.Now(), pick.Abandoned)
 				return mayHaveRun, answer.NewError(answer.StreamBroken, answer.Unknown, 0, "write to caller: %v", err)
 			}
--- a/io/gate/response.go
+++ b/io/gate/response.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"time"
 
 	"shallotcleat/io/client"
 )
@@ -19,6 +20,9 @@
 	// lastEventID is the numeric id of the last event that was sent; it is valid if hasEventID is set.
 	lastEventID int64
 	hasEventID  bool
+	// progressAt is when the last event with a field came that the caller did not have, and longestPause the longest time between two of them.
+	progressAt   time.Time
+	longestPause time.Duration
 	// fallback is the error response of a server, sent to the caller if no other server responds.
 	fallback *bufferedResponse
 }
@@ -80,12 +84,15 @@
 	}
 }
 
-// writeEvent relays one event. It skips events that the caller already has.
-func (rs *response) writeEvent(resp *client.Response, event []byte) error {
+// writeEvent relays one event. It skips events that the caller already has. An event without progress has comments only.
+func (rs *response) writeEvent(resp *client.Response, event []byte, progress bool) error {
 	id, ok := eventID(event)
 	if ok && rs.hasEventID && id <= rs.lastEventID {
 		return nil
 	}
+	if progress {
+		rs.recordProgress(time.Now())
+	}
 	rs.writeHeader(resp.Status, resp.Header)
 	if ok {
 		rs.lastEventID, rs.hasEventID = id, true
@@ -99,6 +106,14 @@
 	return nil
 }
 
+// recordProgress records that an event was relayed to the caller.
+func (rs *response) recordProgress(now time.Time) {
+	if !rs.progressAt.IsZero() {
+		rs.longestPause = max(rs.longestPause, now.Sub(rs.progressAt))
+	}
+	rs.progressAt = now
+}
+
 // reset resets the caller's connection if a broken stream would look complete at its end.
 func (rs *response) reset() error {
 	if !rs.unframed || !rs.started {
--- a/io/trace/recorder.go
+++ b/io/trace/recorder.go
@@ -43,11 +43,15 @@
 	cachedTokens metric.Int64Counter
 	firstToken   metric.Float64Histogram
 	queueWait    metric.Float64Histogram
+	streamPause  metric.Float64Histogram
 	controlBytes metric.Int64Counter
 	loadOrders   metric.Int64Counter
 	weightLoad   metric.Float64Histogram
 }
 
+// pauseBoundaries are the buckets of the longest pauses of streams in seconds; routes ask for pauses of at most 0.4 or 0.5 s.
+var pauseBoundaries = []float64{0.05, 0.1, 0.15, 0.2, 0.25, 0.3, 0.35, 0.4, 0.5, 0.7, 1, 2, 5}
+
 // New returns the recorder of a process.
 func New(process string, lg *logrus.Entry) (*Recorder, error) {
 	registry := prom.NewRegistry()
@@ -71,7 +75,7 @@
 }
 
 func newMetrics(mt metric.Meter) (*Metrics, error) {
-	var errs [9]error
+	var errs [10]error
 	ms := &Metrics{}
 	ms.requests, errs[0] = mt.Int64Counter("requests", metric.WithDescription("Requests answered, by outcome."))
 	ms.refusals, errs[1] = mt.Int64Counter("refusals", metric.WithDescription("Requests refused, by code."))
@@ -87,6 +91,9 @@
 		metric.WithDescription("Orders to load weights, by the engine's verdict."))
 	ms.weightLoad, errs[8] = mt.Float64Histogram("weight_load", metric.WithUnit("s"),
 		metric.WithDescription("Time for which an engine took no calls since it loaded weights."))
+	ms.streamPause, errs[9] = mt.Float64Histogram("stream_pause", metric.WithUnit("s"),
+		metric.WithDescription("Longest pause between two events of a stream, one value for each stream."),
+		metric.WithExplicitBucketBoundaries(pauseBoundaries...))
 	for _, err := range errs {
 		if err != nil {
 			return nil, fmt.Errorf("create instrument: %w", err)
@@ -202,6 +209,11 @@
 	rc.metrics.queueWait.Record(context.Background(), elapsed.Seconds())
 }
 
+// RecordStreamPause records the longest pause between two events of a stream.
+func (rc *Recorder) RecordStreamPause(longest time.Duration) {
+	rc.metrics.streamPause.Record(context.Background(), longest.Seconds())
+}
+
 // CountControlBytes adds the size in bytes of a message that carries no request.
 func (rc *Recorder) CountControlBytes(size int) {
 	rc.metrics.controlBytes.Add(context.Background(), int64(size))
