core/stage, core/pick: engines that read long prompts and engines that run streams

There are no roles below 6 engines in a zone, while few calls wait, or for services without moves or without a route with a target gap. core/pick takes the roles into account as a cost, when it samples candidates, and in the home of a shared prefix; it never forbids an engine.

--- a/core/pick/attempt.go
+++ b/core/pick/attempt.go
@@ -48,6 +48,13 @@
 	defer pk.mu.Unlock()
 	st := pk.state(ch.server.ID())
 	tokens := max(cl.tokens-cl.tokensAfter(0)+cl.tokensAfter(st.cachedDepth(now, cl, ch.version)), 0)
+	if cl.copied {
+		st.running++
+		return &Attempt{picker: pk, id: ch.server.ID(), model: cl.model, version: ch.version, priority: cl.priority, sentAt: now}
+	}
+	if sg := pk.stagings[cl.service]; sg != nil {
+		sg.planner.Observe(now, tokens)
+	}
 	if len(cl.keys) > 0 {
 		pk.recordSeen(now, cl.affinityKey())
 	}
--- a/core/pick/call.go
+++ b/core/pick/call.go
@@ -31,6 +31,8 @@
 	pinned          bool
 	// outputTokens is the expected length of the response, or zero if unknown.
 	outputTokens int
+	// copied is set if the server has a copy of the running call.
+	copied bool
 	// keys are those of the parts that other calls may share; partTokens are the lengths of these parts. The last part of a prompt
 	// belongs to the call or its conversation alone and has no key.
 	keys       []uint64
@@ -75,6 +77,15 @@
 	return cl
 }
 
+// Copied returns the call as one of which its server has a copy: it prefills nothing.
+func (cl Call) Copied() Call {
+	cl.copied, cl.keys, cl.partTokens = true, nil, nil
+	return cl
+}
+
+// PrefillTokens returns the number of prompt tokens that any server must prefill for the call: those that no other call shares.
+func (cl Call) PrefillTokens() int { return max(cl.tokens-cl.tokensAfter(0), 0) }
+
 // isLong reports whether the call is expected to run for long after its first event.
 func (cl Call) isLong() bool { return cl.outputTokens > longOutputTokens }
 
@@ -122,6 +133,12 @@
 
 func (ch Choice) Server() *fleet.Server { return ch.server }
 
+// WithoutCopies returns the choice without copies of cached parts.
+func (ch Choice) WithoutCopies() Choice {
+	ch.cacheSource, ch.saveStore = nil, nil
+	return ch
+}
+
 // Version returns the weight version that the server is assumed to have, or zero if unknown.
 func (ch Choice) Version() uint64 { return ch.version }
 
--- a/core/pick/cost.go
+++ b/core/pick/cost.go
@@ -23,6 +23,7 @@
 	if cd.server.Zone() != pk.zone {
 		cost += crossZoneCost
 	}
+	cost += pk.roleCost(cl, cd.server)
 	cost += time.Duration(st.failureRate * float64(failureCost))
 	switch {
 	case st.inBackoff(now):
--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -77,6 +77,8 @@
 	// stores holds the cache stores by the hash of their ids, and seen the last use of each prefix under any weights.
 	stores map[uint64]*storeState
 	seen   map[uint64]time.Time
+	// stagings holds, by service, the roles of the engines of services whose running calls can be handed over.
+	stagings map[string]*staging
 }
 
 // New returns a picker for a process in an availability zone. No call starts on old weights later than oldWeightsGrace
@@ -95,6 +97,7 @@
 		restrictions:    make(map[string]restriction),
 		stores:          make(map[uint64]*storeState),
 		seen:            make(map[uint64]time.Time),
+		stagings:        make(map[string]*staging),
 		targets:         make(map[string][]announcedVersion),
 		notBegun:        make(map[*Attempt]func()),
 	}
@@ -182,6 +185,7 @@
 	pk.mu.Lock()
 	defer pk.mu.Unlock()
 	servers := pk.view.Servers(cl.service)
+	pk.updateRoles(now, cl.service)
 	candidates := pk.candidates(now, cl, servers, excluded)
 	pk.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	limit := pk.sampleSize(len(servers))
@@ -256,6 +260,8 @@
 	// fullyCached is set if the server is assumed to have cached all shared parts of the prompt.
 	fullyCached bool
 	inBackoff   bool
+	// otherRole is set if the server's role is to take other calls.
+	otherRole bool
 }
 
 func (pk *Picker) sampleGroup(now time.Time, cl Call, cd candidate) sampleGroup {
@@ -264,6 +270,7 @@
 		sameZone:       cd.server.Zone() == pk.zone,
 		fullyCached:    len(cl.keys) > 0 && cd.depth == len(cl.keys),
 		inBackoff:      pk.state(cd.server.ID()).inBackoff(now),
+		otherRole:      pk.roleCost(cl, cd.server) > 0,
 	}
 }
 
--- a/core/pick/source.go
+++ b/core/pick/source.go
@@ -15,13 +15,15 @@
 	}
 	var best *fleet.Server
 	var bestScore uint64
+	bestInRole := false
 	for _, sv := range servers {
 		st := pk.state(sv.ID())
 		if sv.Zone() != zone || sv.Draining() || st.replaced || st.inBackoff(now) || pk.restrictions[sv.ID()].forbidsCalls(now) {
 			continue
 		}
-		if score := prefix.Mix(prefix.Key(cl.affinityKey()), sv.Hash()); best == nil || score > bestScore {
-			best, bestScore = sv, score
+		score, inRole := prefix.Mix(prefix.Key(cl.affinityKey()), sv.Hash()), pk.roleCost(cl, sv) == 0
+		if best == nil || inRole && !bestInRole || inRole == bestInRole && score > bestScore {
+			best, bestScore, bestInRole = sv, score, inRole
 		}
 	}
 	return best
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -116,6 +116,26 @@
 	return slices.Compact(names)
 }
 
+// StagedServices returns the names of the services whose engines can hand running streams over, and to which routes with a target for
+// the pauses of streams send calls.
+func (tb *Table) StagedServices() []string {
+	var names []string
+	for _, routes := range tb.routesByHost {
+		for _, rt := range routes {
+			if !rt.Stream() || rt.TargetGap() <= 0 {
+				continue
+			}
+			for _, name := range rt.Services() {
+				if sv := tb.services[name]; sv != nil && sv.Moves() && sv.CacheTokenBytes() > 0 && sv.LinkBytesPerSecond() > 0 {
+					names = append(names, name)
+				}
+			}
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // Service is a compiled service; it is immutable.
 type Service struct{ spec ServiceSpec }
 
