gate: running streams are handed over to engines that prefill less

After an event of a stream with a long prompt, or when the next event is late, the gate asks the engine to copy the run to another one, with last, and sends the request there with Kv-From and Last-Event-Id. The stream of the source is relayed until it closes. A run that was stopped but not taken continues at the source; if nobody answers, a resumable stream continues as after a failure. Neither a hand-over nor its way back counts as another run, a retry or a failure of the engine. Copies are freed in all cases.

--- a/io/cmds/gate.go
+++ b/io/cmds/gate.go
@@ -75,7 +75,7 @@
 		return err
 	}
 	store := platform.NewStore(cm.Store)
-	opts.CacheStores = platform.NewCacheStores()
+	opts.CacheStores, opts.Moves = platform.NewCacheStores(), platform.NewMoves()
 	opts.Source, opts.Store, opts.SeedPeers, opts.Recorder = store, store, deps.seedGates, deps.recorder
 	var listeners [3]net.Listener
 	for i, address := range []string{cm.Listen, cm.Ready, cm.Peer} {
--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -32,6 +32,8 @@
 	// cancels the attempt, or marks the server unreachable if the request must not run more than once.
 	watchdog *time.Timer
 	timedOut atomic.Bool
+	// handOver is the hand-over of the run to another engine, or nil if there can be none.
+	handOver *handOver
 	// weightsExpired is set if the attempt was canceled because the server's weights expired before it began the request.
 	weightsExpired atomic.Bool
 }
--- a/io/gate/dialect.go
+++ b/io/gate/dialect.go
@@ -49,6 +49,9 @@
 	CacheSaveAddress string
 	// LastEventID is the id of the event after which a stream continues, or empty.
 	LastEventID string
+	// RunHandle names the copy of a stopped run that the server continues, and RunSourceAddress is where it was stopped; both may be empty.
+	RunHandle        string
+	RunSourceAddress string
 }
 
 // ResponseInfo is the decoded header of a server's response.
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -48,9 +48,11 @@
 	Source      feed.Source
 	Store       table.Committer
 	CacheStores CacheStoreClient
-	Links       *link.Pool
-	Recorder    *trace.Recorder
-	Timer       clock.Clock
+	// Moves moves running requests between engines; without it, none are moved.
+	Moves    MoveClient
+	Links    *link.Pool
+	Recorder *trace.Recorder
+	Timer    clock.Clock
 	// RetryBudget limits the retries for each service.
 	RetryBudget RetryBudgetOptions
 	// OldWeightsGrace is how long after newer weights were announced a request may begin on older ones.
@@ -88,6 +90,7 @@
 	bodies           bodies
 	hints            *hintExchange
 	crashes          *crashWatch
+	moveFailures     logLimit
 	limits           *limitSharing
 	origins          *origins
 	releases         *releases
--- a/io/gate/handle.go
+++ b/io/gate/handle.go
@@ -52,6 +52,8 @@
 	possibleRuns int
 	sends        int
 	response     response
+	// moved is the run of the request that was handed over, or was to be, and nil before.
+	moved *movedRun
 	// log collects fields of the log entry of the request.
 	log requestLog
 }
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -27,10 +27,20 @@
 func (at *attempt) relayEvents(requestCtx context.Context, resp *client.Response) (attemptResult, *answer.Error) {
 	rq := at.rq
 	events := resp.LineReader()
+	defer at.handOver.close(requestCtx)
 	var event []byte
 	for {
 		line, err := events.ReadSlice('\n')
 		event = append(event, line...)
+		if err != nil && !errors.Is(err, bufio.ErrBufferFull) && at.handOver != nil {
+			cause := err
+			if errors.Is(err, io.EOF) && len(bytes.TrimSpace(event)) == 0 {
+				cause = nil
+			}
+			if result, er, ended := at.relayedAll(requestCtx, resp, cause); ended {
+				return result, er
+			}
+		}
 		switch {
 		case len(event) > maxEventBytes:
 			return at.endBroken(requestCtx, errors.New("event exceeds the maximum size"))
@@ -59,6 +69,9 @@
 				at.pickAttempt.End(time.Now(), pick.Abandoned)
 				return mayHaveRun, answer.NewError(answer.StreamBroken, answer.Unknown, 0, "write to caller: %v", err)
 			}
+			if progress && at.handOver != nil {
+				at.handOver.eventRelayed(requestCtx)
+			}
 		}
 		event = event[:0]
 	}
--- a/io/gate/response.go
+++ b/io/gate/response.go
@@ -23,6 +23,8 @@
 	// progressAt is when the last event with a field came that the caller did not have, and longestPause the longest time between two of them.
 	progressAt   time.Time
 	longestPause time.Duration
+	// events is the number of these events.
+	events int
 	// fallback is the error response of a server, sent to the caller if no other server responds.
 	fallback *bufferedResponse
 }
@@ -112,6 +114,7 @@
 		rs.longestPause = max(rs.longestPause, now.Sub(rs.progressAt))
 	}
 	rs.progressAt = now
+	rs.events++
 }
 
 // reset resets the caller's connection if a broken stream would look complete at its end.
--- a/io/gate/run.go
+++ b/io/gate/run.go
@@ -42,6 +42,8 @@
 	notRun
 	// mayHaveRun means that the request may have run, or that its response is incomplete.
 	mayHaveRun
+	// stopped means that the run was stopped so that another server continues it.
+	stopped
 	// serverError means that the server responded with an error, which is kept as the fallback response.
 	serverError
 )
@@ -77,6 +79,9 @@
 		}
 		rq.sends++
 		result, er := gt.send(ctx, rq, ch)
+		if result == stopped {
+			ch, result, er = gt.continueMoved(ctx, rq)
+		}
 		if result == responded {
 			return nil
 		}
@@ -128,6 +133,7 @@
 	pickAttempt := gt.picker.StartAttempt(now, rq.call, ch)
 	at := &attempt{gate: gt, rq: rq, choice: ch, pickAttempt: pickAttempt, sentAt: now}
 	pickAttempt.OnExpiry(at.expiryFunc(cancel))
+	at.handOver = at.newHandOver(cancel)
 	timeout := gt.responseTimeout(rq)
 	onTimeout := func() { gt.markUnreachable(ch.Server().ID()) }
 	if !rq.route.AtMostOnce() {
@@ -178,6 +184,7 @@
 			info.CacheSourceAddress = sv.Address()
 		}
 	}
+	info.RunSourceAddress, info.RunHandle = rq.copySource()
 	return &client.Request{
 		ID:         rq.info.RequestID,
 		Method:     rq.method,
@@ -211,6 +218,9 @@
 		return fmt.Errorf("request ended: %w", ctx.Err())
 	case !now.Before(rq.deadline):
 		return context.DeadlineExceeded
+	case rq.continuesAt(ch):
+		// The run began when its server took calls, and may be completed there.
+		return nil
 	case !gt.picker.AcceptsCalls(now, ch.Server().ID()):
 		return errServerRestricted
 	case rq.call.Model() != "" && gt.picker.WeightsExpired(now, rq.call.Model(), ch.Version()):
--- a/io/gate/watcher.go
+++ b/io/gate/watcher.go
@@ -118,6 +118,7 @@
 	wt.gate.releases.setRoutes(tb)
 	wt.gate.routes.Store(tb)
 	wt.gate.picker.SetCacheStores(cacheStores(sp))
+	wt.gate.picker.SetStagedServices(tb.StagedServices())
 	wt.gate.log.WithField("event", "epoch_adopted").WithField("version", sp.Version).WithField("routes", len(sp.Routes)).
 		Info("configuration adopted")
 }
--- a/io/trace/recorder.go
+++ b/io/trace/recorder.go
@@ -44,6 +44,7 @@
 	firstToken   metric.Float64Histogram
 	queueWait    metric.Float64Histogram
 	streamPause  metric.Float64Histogram
+	handOvers    metric.Int64Counter
 	controlBytes metric.Int64Counter
 	loadOrders   metric.Int64Counter
 	weightLoad   metric.Float64Histogram
@@ -75,7 +76,7 @@
 }
 
 func newMetrics(mt metric.Meter) (*Metrics, error) {
-	var errs [10]error
+	var errs [11]error
 	ms := &Metrics{}
 	ms.requests, errs[0] = mt.Int64Counter("requests", metric.WithDescription("Requests answered, by outcome."))
 	ms.refusals, errs[1] = mt.Int64Counter("refusals", metric.WithDescription("Requests refused, by code."))
@@ -94,6 +95,7 @@
 	ms.streamPause, errs[9] = mt.Float64Histogram("stream_pause", metric.WithUnit("s"),
 		metric.WithDescription("Longest pause between two events of a stream, one value for each stream."),
 		metric.WithExplicitBucketBoundaries(pauseBoundaries...))
+	ms.handOvers, errs[10] = mt.Int64Counter("hand_overs", metric.WithDescription("Hand-overs of running streams to other engines, by result."))
 	for _, err := range errs {
 		if err != nil {
 			return nil, fmt.Errorf("create instrument: %w", err)
@@ -214,6 +216,11 @@
 	rc.metrics.streamPause.Record(context.Background(), longest.Seconds())
 }
 
+// CountHandOver counts a hand-over of a running stream by its result.
+func (rc *Recorder) CountHandOver(result string) {
+	rc.metrics.handOvers.Add(context.Background(), 1, metric.WithAttributes(attribute.String("result", result)))
+}
+
 // CountControlBytes adds the size in bytes of a message that carries no request.
 func (rc *Recorder) CountControlBytes(size int) {
 	rc.metrics.controlBytes.Add(context.Background(), int64(size))
