core/stage: few engines run streams only, all others read prompts

Cause: with roles by the length of prompts, the engines that took over streams still read short prompts, and their streams paused as well.

A decode step takes 3 ms and a chunk 24 ms, so that one engine of a zone can run the streams of all. Now a sixteenth of a zone's engines, and more while streams use over 0.4 of their memory, run streams; all others read prompts of any length. Engines for streams get other calls at a cost (150 ms for long prompts, 50 ms for short ones).

--- a/core/pick/staging.go
+++ b/core/pick/staging.go
@@ -9,10 +9,10 @@
 
 // Costs and limits of the roles of engines.
 const (
-	// longRoleCost is the cost of a long prompt at an engine for streams, and shortRoleCost that of a short prompt at an engine for long
-	// ones. They are below the cost of prefilling a long shared part anew.
-	longRoleCost  = 100 * time.Millisecond
-	shortRoleCost = 30 * time.Millisecond
+	// longRoleCost is the cost of a long prompt at an engine for streams, and shortRoleCost that of a short one, which delays the streams by
+	// one chunk only. In the simulation of core/stage, a lower cost for both leaves more pauses, and a higher one delays more beginnings.
+	longRoleCost  = 150 * time.Millisecond
+	shortRoleCost = 50 * time.Millisecond
 	// rolesInterval is the time between updates of the roles; tenders report about as often.
 	rolesInterval = 200 * time.Millisecond
 	// destinationSample is how many engines a hand-over chooses among, at random: all gates get the same report of an idle engine.
@@ -55,22 +55,25 @@
 		if sv.Draining() || st.replaced || st.inBackoff(now) || pk.restrictions[sv.ID()].leaving {
 			continue
 		}
-		known := now.Sub(st.utilization.observedAt) < utilizationTTL
-		engines = append(engines, stage.NewEngine(sv.Hash(), sv.Zone(), st.utilization.waiting, known))
+		en := stage.NewEngine(sv.Hash(), sv.Zone())
+		if ut := st.utilization; now.Sub(ut.observedAt) < utilizationTTL {
+			en = en.WithReport(ut.waiting, ut.memoryTokens-ut.freeTokens, ut.memoryTokens)
+		}
+		engines = append(engines, en)
 	}
 	sg.planner.Update(now, engines)
 }
 
-// roleCost returns the cost of a call at a server whose role is to take other calls, or zero. The caller holds mu.
+// roleCost returns the cost of a call at a server whose role is to run streams that are handed over, or zero. The caller holds mu.
 func (pk *Picker) roleCost(cl Call, sv *fleet.Server) time.Duration {
 	sg := pk.stagings[cl.service]
 	if sg == nil {
 		return 0
 	}
-	switch long := stage.IsLong(cl.PrefillTokens()); {
-	case long && sg.planner.Role(sv.Hash()) == stage.Decode:
-		return longRoleCost
-	case !long && sg.planner.Role(sv.Hash()) == stage.Prefill:
+	if sg.planner.Role(sv.Hash()) == stage.Decode {
+		if stage.IsLong(cl.PrefillTokens()) {
+			return longRoleCost
+		}
 		return shortRoleCost
 	}
 	return 0
--- a/core/stage/plan.go
+++ b/core/stage/plan.go
@@ -1,6 +1,7 @@
 package stage
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -13,27 +14,27 @@
 	// ChunkTokens is the number of prompt tokens that an engine prefills between two decode steps.
 	ChunkTokens = 2048
 	// maxShortTokens is the number of uncached tokens up to which a prompt is short: about one chunk, which delays a running stream by one
-	// step only.
+	// step only. Streams with short prompts are not handed over.
 	maxShortTokens = ChunkTokens * 5 / 4
 	// minEngines is the number of engines of a zone below which all of them do both: one engine more or less would be too large a part.
 	minEngines = 6
-	// maxPrefillShare bounds the engines of a zone that read long prompts, so that enough remain for streams.
-	maxPrefillShare = 2.0 / 3
-	// minLongShare is the part of all uncached tokens that those of long prompts must have; below it they delay few streams.
+	// minDecodeShare and maxDecodeShare bound the engines of a zone that only run streams. A decode step takes about 3 ms and a chunk 24 ms, so
+	// that few engines can run the streams of all.
+	minDecodeShare = 1.0 / 16
+	maxDecodeShare = 1.0 / 3
+	// decodeMemoryShare is the part of the memory of these engines that streams are to use, so that copies find room in a peak.
+	decodeMemoryShare = 0.4
+	// minLongShare is the part of all uncached tokens that those of long prompts must have; below it few streams are handed over.
 	minLongShare = 0.02
 	// beginWaiting and endWaiting are the mean number of calls of an engine without an event above which a separation begins and below
 	// which it ends. An engine that prefills 10 % of the time has about 0.1 of them.
 	beginWaiting = 0.3
 	endWaiting   = 0.1
-	// waitingTimeConstant is the averaging time of the waiting calls, and mixTimeConstant that of the mix of long and short prompts. A
-	// gate that takes 2 long prompts a second knows their share to about 0.05 after the latter.
-	waitingTimeConstant = 3 * time.Second
-	mixTimeConstant     = 30 * time.Second
+	// reportTimeConstant is the averaging time of the engines' reports, and mixTimeConstant that of the mix of long and short prompts.
+	reportTimeConstant = 3 * time.Second
+	mixTimeConstant    = 30 * time.Second
 	// minCalls is the number of calls, each weighted by its age, from which the mix of prompts is known.
 	minCalls = 20
-	// countHysteresis is how far the wanted number of engines must be from the current one for a change; each change moves prompts to
-	// engines that have not cached them.
-	countHysteresis = 0.75
 	// rankSeed separates the ranking of engines from other rendezvous hashes of their ids.
 	rankSeed = 0x7374616765
 )
@@ -45,9 +46,9 @@
 const (
 	// Mixed engines read prompts of any length and run their streams.
 	Mixed Role = iota
-	// Prefill engines read long prompts.
+	// Prefill engines read prompts and hand over streams with long ones.
 	Prefill
-	// Decode engines run streams whose prompts were read elsewhere, and read short prompts.
+	// Decode engines run streams whose prompts were read elsewhere.
 	Decode
 )
 
@@ -56,16 +57,21 @@
 
 // Engine is an engine of a service as its tender reported it.
 type Engine struct {
-	hash    uint64
-	zone    string
-	waiting int
-	known   bool
+	hash         uint64
+	zone         string
+	waiting      int
+	usedTokens   int
+	memoryTokens int
+	known        bool
 }
 
-// NewEngine returns an engine that takes calls: the hash of its id, its zone, and the number of its calls without an event, which is
-// ignored unless known is set.
-func NewEngine(hash uint64, zone string, waiting int, known bool) Engine {
-	return Engine{hash: hash, zone: zone, waiting: waiting, known: known}
+// NewEngine returns an engine that takes calls, of which no report is known: the hash of its id and its zone.
+func NewEngine(hash uint64, zone string) Engine { return Engine{hash: hash, zone: zone} }
+
+// WithReport returns the engine with a report: the number of its calls without an event, and how much of its memory is used, in tokens.
+func (en Engine) WithReport(waiting, usedTokens, memoryTokens int) Engine {
+	en.waiting, en.usedTokens, en.memoryTokens, en.known = waiting, usedTokens, memoryTokens, true
+	return en
 }
 
 // Planner assigns roles to the engines of one service; its owner serializes the calls. All gates get the same reports of the engines and
@@ -80,12 +86,13 @@
 
 // zone is the state of the engines of one zone.
 type zone struct {
-	// waiting is the moving mean of the calls without an event of an engine.
+	// waiting is the moving mean of the calls without an event of an engine, and used that of the engines whose memory streams fill.
 	waiting   float64
+	used      float64
 	updatedAt time.Time
 	separated bool
-	// prefillCount is the number of engines that read long prompts.
-	prefillCount int
+	// decodeCount is the number of engines that only run streams.
+	decodeCount int
 }
 
 // NewPlanner returns a planner that has observed nothing.
@@ -131,9 +138,16 @@
 			zn = &zone{updatedAt: now}
 			pl.zones[name] = zn
 		}
+		rankEngines(members)
 		zn.update(now, members, pl.longShare())
-		if zn.separated {
-			pl.assign(members, zn.prefillCount)
+		if !zn.separated {
+			continue
+		}
+		for i, en := range members {
+			pl.roles[en.hash] = Prefill
+			if i < zn.decodeCount {
+				pl.roles[en.hash] = Decode
+			}
 		}
 	}
 }
@@ -146,55 +160,46 @@
 	return pl.longTokens / (pl.longTokens + pl.shortTokens)
 }
 
-// update decides whether the engines of a zone are separated, and how many read long prompts: their part of the engines is that of the
-// long prompts in all tokens to prefill. All engines then prefill for the same part of the time, so that prompts wait no longer than
-// without a separation.
+// update decides whether the engines of a zone, in their order, are separated, and how many of them only run streams: enough that these
+// streams use a bounded part of the engines' memory.
 func (zn *zone) update(now time.Time, members []Engine, longShare float64) {
-	waiting, known := 0, 0
-	for _, en := range members {
-		if en.known {
-			waiting += en.waiting
-			known++
+	waiting, known, used := 0, 0, 0.0
+	for i, en := range members {
+		if !en.known {
+			continue
+		}
+		waiting += en.waiting
+		known++
+		if i < zn.decodeCount && en.memoryTokens > 0 {
+			used += float64(en.usedTokens) / float64(en.memoryTokens)
 		}
 	}
 	mean := 0.0
 	if 2*known > len(members) {
 		mean = float64(waiting) / float64(known)
 	}
-	zn.waiting += (mean - zn.waiting) * (1 - math.Exp(-float64(now.Sub(zn.updatedAt))/float64(waitingTimeConstant)))
+	weight := 1 - math.Exp(-float64(now.Sub(zn.updatedAt))/float64(reportTimeConstant))
+	zn.waiting += (mean - zn.waiting) * weight
+	zn.used += (used - zn.used) * weight
 	zn.updatedAt = now
 	least := beginWaiting
 	if zn.separated {
 		least = endWaiting
 	}
-	if len(members) < minEngines || longShare < minLongShare || zn.waiting < least {
-		zn.separated, zn.prefillCount = false, 0
+	if zn.separated = len(members) >= minEngines && longShare >= minLongShare && zn.waiting >= least; !zn.separated {
+		zn.decodeCount, zn.used = 0, 0
 		return
 	}
-	zn.separated = true
-	wanted := longShare * float64(len(members))
-	if zn.prefillCount == 0 || math.Abs(wanted-float64(zn.prefillCount)) > countHysteresis {
-		zn.prefillCount = int(math.Round(wanted))
-	}
-	zn.prefillCount = min(max(zn.prefillCount, 1), int(maxPrefillShare*float64(len(members))))
+	fewest := max(int(math.Round(minDecodeShare*float64(len(members)))), 1)
+	most := int(maxDecodeShare * float64(len(members)))
+	zn.decodeCount = min(max(int(math.Ceil(zn.used/decodeMemoryShare)), fewest), most)
 }
 
-// assign gives the engines of a zone their roles; the ranking by a hash of their ids is the same at all gates, and changes little when an
-// engine comes or goes.
-func (pl *Planner) assign(members []Engine, prefillCount int) {
-	rank := func(en Engine) uint64 { return prefix.Mix(rankSeed, en.hash) }
+// rankEngines sorts engines by a hash of their ids, which is the same at all gates; the order changes little when an engine comes or goes.
+func rankEngines(members []Engine) {
 	slices.SortFunc(members, func(a, b Engine) int {
-		if rank(a) < rank(b) {
-			return -1
-		}
-		return 1
+		return cmp.Compare(prefix.Mix(rankSeed, a.hash), prefix.Mix(rankSeed, b.hash))
 	})
-	for i, en := range members {
-		pl.roles[en.hash] = Decode
-		if i < prefillCount {
-			pl.roles[en.hash] = Prefill
-		}
-	}
 }
 
 // Role returns the role of an engine by the hash of its id.
