--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -79,6 +79,10 @@
 	if info.WeightVersion > 0 && rq.call.Model() != "" && !info.NotExecuted {
 		gt.picker.SetWeights(time.Now(), id, rq.call.Model(), info.WeightVersion, false)
 	}
+	if _, handle := rq.copySource(); handle != "" && resp.Status == http.StatusServiceUnavailable {
+		// A handle works once; whoever does not know it runs nothing.
+		info.NotExecuted = true
+	}
 	success := resp.Status >= 200 && resp.Status < 300
 	switch {
 	case info.NotExecuted:
--- a/io/gate/finish.go
+++ b/io/gate/finish.go
@@ -143,6 +143,9 @@
 	if !rq.response.progressAt.IsZero() {
 		fields["longest_pause_ms"] = rq.response.longestPause.Milliseconds()
 	}
+	if rq.moved != nil {
+		fields["moved_from"], fields["moved_to"] = rq.moved.source.Server().ID(), rq.moved.destination.Server().ID()
+	}
 	rq.addSendFields(fields)
 	if rq.isResumed() {
 		fields["resumes"] = rq.info.Resumes
