--- a/core/pick/cost.go
+++ b/core/pick/cost.go
@@ -23,6 +23,7 @@
 		cost += shortOnlyCost
 	}
 	cost += pk.zoneCost(pl, cd.server)
+	cost += pk.roleCost(cl, cd.server)
 	cost += time.Duration(st.failureRate * float64(failureCost))
 	switch {
 	case st.inBackoff(now):
--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -86,6 +86,8 @@
 	sharesOff  bool
 	price      zone.Price
 	tokenBytes map[string]int
+	// stagings holds, by service, the roles of the engines of services whose running calls can be handed over.
+	stagings map[string]*staging
 }
 
 // New returns a picker for a process in an availability zone. No call starts on old weights later than oldWeightsGrace
@@ -106,6 +108,7 @@
 		stores:          make(map[uint64]*storeState),
 		seen:            make(map[uint64]time.Time),
 		zones:           make(map[string]*serviceZones),
+		stagings:        make(map[string]*staging),
 		targets:         make(map[string][]announcedVersion),
 		notBegun:        make(map[*Attempt]func()),
 	}
@@ -198,6 +201,7 @@
 	pk.mu.Lock()
 	defer pk.mu.Unlock()
 	servers := pk.view.Servers(cl.service)
+	pk.updateRoles(now, cl.service)
 	candidates := pk.candidates(now, cl, servers, excluded)
 	pl := pk.plan(now, cl, servers, candidates)
 	switch {
@@ -293,6 +297,8 @@
 	// fullyCached is set if the server is assumed to have cached all shared parts of the prompt.
 	fullyCached bool
 	inBackoff   bool
+	// otherRole is set if the server's role is to take other calls.
+	otherRole bool
 }
 
 func (pk *Picker) sampleGroup(now time.Time, cl Call, pl plan, cd candidate) sampleGroup {
@@ -302,6 +308,7 @@
 		isDestination:  pl.leaves && cd.server.Zone() == pl.destination,
 		fullyCached:    len(cl.keys) > 0 && cd.depth == len(cl.keys),
 		inBackoff:      pk.state(cd.server.ID()).inBackoff(now),
+		otherRole:      pk.roleCost(cl, cd.server) > 0,
 	}
 }
 
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -32,6 +32,9 @@
 // TargetLatency returns the latency goal of a response.
 func (rt *Route) TargetLatency() time.Duration { return rt.spec.TargetLatency }
 
+// TargetGap returns the longest pause between events with which a stream is still on time, or zero if the route names none.
+func (rt *Route) TargetGap() time.Duration { return rt.spec.TargetGap }
+
 // MaxAttempts returns the maximum number of servers on which a call may run; it is at least one.
 func (rt *Route) MaxAttempts() int { return max(rt.spec.MaxAttempts, 1) }
 
@@ -113,6 +116,26 @@
 	return slices.Compact(names)
 }
 
+// StagedServices returns the names of the services whose engines can hand running streams over, and to which routes with a target for
+// the pauses of streams send calls.
+func (tb *Table) StagedServices() []string {
+	var names []string
+	for _, routes := range tb.routesByHost {
+		for _, rt := range routes {
+			if !rt.Stream() || rt.TargetGap() <= 0 {
+				continue
+			}
+			for _, name := range rt.Services() {
+				if sv := tb.services[name]; sv != nil && sv.Moves() && sv.CacheTokenBytes() > 0 && sv.LinkBytesPerSecond() > 0 {
+					names = append(names, name)
+				}
+			}
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // Service is a compiled service; it is immutable.
 type Service struct{ spec ServiceSpec }
 
@@ -122,6 +145,15 @@
 // IsEngine reports whether the servers are model engines.
 func (sv *Service) IsEngine() bool { return sv.spec.Engine }
 
+// Moves reports whether the service's engines can copy a running call to another engine.
+func (sv *Service) Moves() bool { return sv.spec.Engine && sv.spec.Moves }
+
+// CacheTokenBytes returns the size of the KV cache of one token, or zero if unknown.
+func (sv *Service) CacheTokenBytes() int { return sv.spec.CacheTokenBytes }
+
+// LinkBytesPerSecond returns the rate of an engine's link, or zero if unknown.
+func (sv *Service) LinkBytesPerSecond() float64 { return sv.spec.LinkBytesPerSecond }
+
 // Workspace is a compiled workspace; it is immutable.
 type Workspace struct{ spec WorkspaceSpec }
 
--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -33,6 +33,8 @@
 	// cancels the attempt, or marks the server unreachable if the request must not run more than once.
 	watchdog *time.Timer
 	timedOut atomic.Bool
+	// handOver is the hand-over of the run to another engine, or nil if there can be none.
+	handOver *handOver
 	// weightsExpired is set if the attempt was canceled because the server's weights expired before it began the request.
 	weightsExpired atomic.Bool
 }
@@ -78,6 +80,10 @@
 	if info.WeightVersion > 0 && rq.call.Model() != "" && !info.NotExecuted {
 		gt.picker.SetWeights(time.Now(), id, rq.call.Model(), info.WeightVersion, false)
 	}
+	if _, handle := rq.copySource(); handle != "" && resp.Status == http.StatusServiceUnavailable {
+		// A handle works once; whoever does not know it runs nothing.
+		info.NotExecuted = true
+	}
 	success := resp.Status >= 200 && resp.Status < 300
 	switch {
 	case info.NotExecuted:
--- a/io/gate/finish.go
+++ b/io/gate/finish.go
@@ -48,6 +48,9 @@
 		gt.opts.Recorder.CountRefusal(string(er.Code()))
 	}
 	gt.opts.Recorder.CountAnswer(string(outcome))
+	if !rq.response.progressAt.IsZero() {
+		gt.opts.Recorder.RecordStreamPause(rq.response.longestPause)
+	}
 	callerLeft := errors.Is(ctx.Err(), context.Canceled) && !rq.bodyLate
 	gt.logRequest(rq, er, outcome, callerLeft)
 	switch {
@@ -155,6 +158,12 @@
 	if rq.log.zoneExit != "" {
 		fields["zone_exit"] = rq.log.zoneExit
 	}
+	if !rq.response.progressAt.IsZero() {
+		fields["longest_pause_ms"] = rq.response.longestPause.Milliseconds()
+	}
+	if rq.moved != nil {
+		fields["moved_from"], fields["moved_to"] = rq.moved.source.Server().ID(), rq.moved.destination.Server().ID()
+	}
 	rq.addSendFields(fields)
 	if rq.isResumed() {
 		fields["resumes"] = rq.info.Resumes
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -54,9 +54,11 @@
 	Source      feed.Source
 	Store       table.Committer
 	CacheStores CacheStoreClient
-	Links       *link.Pool
-	Recorder    *trace.Recorder
-	Timer       clock.Clock
+	// Moves moves running requests between engines; without it, none are moved.
+	Moves    MoveClient
+	Links    *link.Pool
+	Recorder *trace.Recorder
+	Timer    clock.Clock
 	// RetryBudget limits the retries for each service.
 	RetryBudget RetryBudgetOptions
 	// Quota says by how much the limits of workspaces may be exceeded; without a window they are not enforced.
@@ -103,6 +105,7 @@
 	hints            *hintExchange
 	crashes          *crashWatch
 	zoneLog          *zoneLog
+	moveFailures     logLimit
 	limits           *limitSharing
 	origins          *origins
 	releases         *releases
--- a/io/gate/handle.go
+++ b/io/gate/handle.go
@@ -59,6 +59,8 @@
 	// beyondShare is set if the request is beyond the fair share of its workspace while servers are full.
 	beyondShare bool
 	response    response
+	// moved is the run of the request that was handed over, or was to be, and nil before.
+	moved *movedRun
 	// log collects fields of the log entry of the request.
 	log requestLog
 }
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -29,6 +29,7 @@
 func (at *attempt) relayEvents(requestCtx context.Context, resp *client.Response) (attemptResult, *answer.Error) {
 	rq := at.rq
 	events := resp.LineReader()
+	defer at.handOver.close(requestCtx)
 	var event []byte
 	held := eventMemory{claim: at.gate.memory.Open(time.Now(), memory.Response, rq.response.interruptWrite)}
 	defer held.claim.Close()
@@ -38,6 +39,15 @@
 			return at.endBroken(requestCtx, err)
 		}
 		event = append(event, line...)
+		if err != nil && !errors.Is(err, bufio.ErrBufferFull) && at.handOver != nil {
+			cause := err
+			if errors.Is(err, io.EOF) && len(bytes.TrimSpace(event)) == 0 {
+				cause = nil
+			}
+			if result, er, ended := at.relayedAll(requestCtx, resp, cause); ended {
+				return result, er
+			}
+		}
 		switch {
 		case len(event) > maxEventBytes:
 			return at.endBroken(requestCtx, errors.New("event exceeds the maximum size"))
@@ -54,7 +64,8 @@
 			return at.endBroken(requestCtx, errForeignHead)
 		}
 		if len(bytes.TrimSpace(event)) > 0 {
-			if hasField(event) {
+			progress := hasField(event)
+			if progress {
 				at.recordFirstEvent()
 			}
 			at.recordPromptServed()
@@ -62,10 +73,13 @@
 				return at.endBroken(requestCtx, err)
 			}
 			held.beginWrite()
-			if err := errors.Join(rq.response.writeEvent(resp, event), held.endWrite()); err != nil {
+			if err := errors.Join(rq.response.writeEvent(resp, event, progress), held.endWrite()); err != nil {
 				at.pickAttempt.End(time.Now(), pick.Abandoned)
 				return mayHaveRun, answer.NewError(answer.StreamBroken, answer.Unknown, 0, "write to caller: %v", err)
 			}
+			if progress && at.handOver != nil {
+				at.handOver.eventRelayed(requestCtx)
+			}
 		}
 		if event = event[:0]; cap(event) > freeEventBytes {
 			event = nil
--- a/io/trace/recorder.go
+++ b/io/trace/recorder.go
@@ -45,6 +45,8 @@
 	cachedTokens metric.Int64Counter
 	firstToken   metric.Float64Histogram
 	queueWait    metric.Float64Histogram
+	streamPause  metric.Float64Histogram
+	handOvers    metric.Int64Counter
 	controlBytes metric.Int64Counter
 	loadOrders   metric.Int64Counter
 	weightLoad   metric.Float64Histogram
@@ -61,6 +63,9 @@
 	zoneShare      metric.Float64Gauge
 }
 
+// pauseBoundaries are the buckets of the longest pauses of streams in seconds; routes ask for pauses of at most 0.4 or 0.5 s.
+var pauseBoundaries = []float64{0.05, 0.1, 0.15, 0.2, 0.25, 0.3, 0.35, 0.4, 0.5, 0.7, 1, 2, 5}
+
 // New returns the recorder of a process.
 func New(process string, lg *logrus.Entry) (*Recorder, error) {
 	registry := prom.NewRegistry()
@@ -85,7 +90,7 @@
 }
 
 func newMetrics(mt metric.Meter) (*Metrics, error) {
-	var errs [18]error
+	var errs [20]error
 	ms := &Metrics{meter: mt}
 	ms.requests, errs[0] = mt.Int64Counter("requests", metric.WithDescription("Requests answered, by outcome."))
 	ms.refusals, errs[1] = mt.Int64Counter("refusals", metric.WithDescription("Requests refused, by code."))
@@ -119,6 +124,10 @@
 		metric.WithDescription("Bytes of request bodies sent to other availability zones, by service."))
 	ms.zoneShare, errs[17] = mt.Float64Gauge("zone_share",
 		metric.WithDescription("Share of a service's requests that is to leave the availability zone."))
+	ms.streamPause, errs[18] = mt.Float64Histogram("stream_pause", metric.WithUnit("s"),
+		metric.WithDescription("Longest pause between two events of a stream, one value for each stream."),
+		metric.WithExplicitBucketBoundaries(pauseBoundaries...))
+	ms.handOvers, errs[19] = mt.Int64Counter("hand_overs", metric.WithDescription("Hand-overs of running streams to other engines, by result."))
 	for _, err := range errs {
 		if err != nil {
 			return nil, fmt.Errorf("create instrument: %w", err)
@@ -251,6 +260,16 @@
 	rc.metrics.queueWait.Record(context.Background(), elapsed.Seconds())
 }
 
+// RecordStreamPause records the longest pause between two events of a stream.
+func (rc *Recorder) RecordStreamPause(longest time.Duration) {
+	rc.metrics.streamPause.Record(context.Background(), longest.Seconds())
+}
+
+// CountHandOver counts a hand-over of a running stream by its result.
+func (rc *Recorder) CountHandOver(result string) {
+	rc.metrics.handOvers.Add(context.Background(), 1, metric.WithAttributes(attribute.String("result", result)))
+}
+
 // CountControlBytes adds the size in bytes of a message that carries no request.
 func (rc *Recorder) CountControlBytes(size int) {
 	rc.metrics.controlBytes.Add(context.Background(), int64(size))
