--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -30,7 +30,7 @@
 	rq := at.rq
 	events := resp.LineReader()
 	var event []byte
-	held := eventMemory{claim: at.gate.memory.Open(time.Now(), memory.Response, rq.response.interruptWrite)}
+	held := newEventMemory(at.gate.memory.Open(time.Now(), memory.Response, rq.response.interruptWrite))
 	defer held.claim.Close()
 	for {
 		line, err := events.ReadSlice('\n')
@@ -74,15 +74,28 @@
 	}
 }
 
-// freeEventBytes is the size up to which an event does not count as memory held.
-const freeEventBytes = 16 << 10
+const (
+	// streamBytes is what a stream counts for, so that a caller that does not read it can be disconnected when memory is short.
+	streamBytes = 8 << 10
+	// freeEventBytes is the size up to which an event does not count.
+	freeEventBytes = 16 << 10
+)
 
-// eventMemory is the memory of a long event of a stream.
+// eventMemory is the memory of a stream and of its current event, if that is long.
 type eventMemory struct {
 	claim *memory.Claim
 	bytes int
 }
 
+// newEventMemory returns the memory of a stream that has begun. If there is none, the stream, which may have run, goes on without it.
+func newEventMemory(cl *memory.Claim) *eventMemory {
+	em := &eventMemory{claim: cl}
+	if cl.Grow(time.Now(), streamBytes) == nil {
+		em.bytes = streamBytes
+	}
+	return em
+}
+
 // growTo claims memory for an event of a size; the slice that holds it may have twice the capacity.
 func (em *eventMemory) growTo(size int) error {
 	if size <= freeEventBytes || size <= em.bytes {
@@ -111,8 +124,8 @@
 }
 
 func (em *eventMemory) free() {
-	em.claim.ShrinkTo(0)
-	em.bytes = 0
+	em.claim.ShrinkTo(streamBytes)
+	em.bytes = min(em.bytes, streamBytes)
 }
 
 // endsWithBlankLine reports whether text that ends with a line end has an empty last line. The piece of a long line that ReadSlice
