--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -79,6 +79,8 @@
 	streamBytes = 8 << 10
 	// freeEventBytes is the size up to which an event does not count.
 	freeEventBytes = 16 << 10
+	// eventFactor is the memory of a long event for each of its bytes: the slice that grows, and the smaller ones that it has left.
+	eventFactor = 3
 )
 
 // eventMemory is the memory of a stream and of its current event, if that is long.
@@ -96,15 +98,15 @@
 	return em
 }
 
-// growTo claims memory for an event of a size; the slice that holds it may have twice the capacity.
+// growTo claims memory for an event of a size.
 func (em *eventMemory) growTo(size int) error {
 	if size <= freeEventBytes || size <= em.bytes {
 		return nil
 	}
-	if err := em.claim.Grow(time.Now(), int64(2*size-em.bytes)); err != nil {
+	if err := em.claim.Grow(time.Now(), int64(eventFactor*size-em.bytes)); err != nil {
 		return fmt.Errorf("event of %d bytes: %w", size, err)
 	}
-	em.bytes = 2 * size
+	em.bytes = eventFactor * size
 	return nil
 }
 
