--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -31,7 +31,7 @@
 	events := resp.LineReader()
 	defer at.handOver.close(requestCtx)
 	var event []byte
-	held := eventMemory{claim: at.gate.memory.Open(time.Now(), memory.Response, rq.response.interruptWrite)}
+	held := newEventMemory(at.gate.memory.Open(time.Now(), memory.Response, rq.response.interruptWrite))
 	defer held.claim.Close()
 	for {
 		line, err := events.ReadSlice('\n')
@@ -88,24 +88,39 @@
 	}
 }
 
-// freeEventBytes is the size up to which an event does not count as memory held.
-const freeEventBytes = 16 << 10
+const (
+	// streamBytes is what a stream counts for, so that a caller that does not read it can be disconnected when memory is short.
+	streamBytes = 8 << 10
+	// freeEventBytes is the size up to which an event does not count.
+	freeEventBytes = 16 << 10
+	// eventFactor is the memory of a long event for each of its bytes: the slice that grows, and the smaller ones that it has left.
+	eventFactor = 3
+)
 
-// eventMemory is the memory of a long event of a stream.
+// eventMemory is the memory of a stream and of its current event, if that is long.
 type eventMemory struct {
 	claim *memory.Claim
 	bytes int
 }
 
-// growTo claims memory for an event of a size; the slice that holds it may have twice the capacity.
+// newEventMemory returns the memory of a stream that has begun. If there is none, the stream, which may have run, goes on without it.
+func newEventMemory(cl *memory.Claim) *eventMemory {
+	em := &eventMemory{claim: cl}
+	if cl.Grow(time.Now(), streamBytes) == nil {
+		em.bytes = streamBytes
+	}
+	return em
+}
+
+// growTo claims memory for an event of a size.
 func (em *eventMemory) growTo(size int) error {
 	if size <= freeEventBytes || size <= em.bytes {
 		return nil
 	}
-	if err := em.claim.Grow(time.Now(), int64(2*size-em.bytes)); err != nil {
+	if err := em.claim.Grow(time.Now(), int64(eventFactor*size-em.bytes)); err != nil {
 		return fmt.Errorf("event of %d bytes: %w", size, err)
 	}
-	em.bytes = 2 * size
+	em.bytes = eventFactor * size
 	return nil
 }
 
@@ -125,8 +140,8 @@
 }
 
 func (em *eventMemory) free() {
-	em.claim.ShrinkTo(0)
-	em.bytes = 0
+	em.claim.ShrinkTo(streamBytes)
+	em.bytes = min(em.bytes, streamBytes)
 }
 
 // endsWithBlankLine reports whether text that ends with a line end has an empty last line. The piece of a long line that ReadSlice
