--- a/core/pick/leave.go
+++ b/core/pick/leave.go
@@ -120,15 +120,20 @@
 	return 0
 }
 
-// plan decides whether a call leaves the zone and where it goes. The caller holds mu.
-func (pk *Picker) plan(now time.Time, cl Call, servers []*fleet.Server, candidates []candidate) plan {
+// plan decides whether a call leaves the zone and where it goes. If dry is set, nothing is recorded. The caller holds mu.
+func (pk *Picker) plan(now time.Time, cl Call, servers []*fleet.Server, candidates []candidate, dry bool) plan {
 	if pk.sharesOff {
 		return plan{hop: pk.hopCost(cl)}
 	}
-	sz := pk.serviceZones(now, cl, servers)
+	if _, known := pk.zones[cl.service]; dry && !known {
+		return plan{hop: pk.hopCost(cl)}
+	}
+	sz := pk.serviceZones(now, cl, servers, dry)
 	share := sz.decider.Share()
 	pl := plan{hop: pk.hopCost(cl), stay: share.StayCost(), reason: share.Reason()}
-	sz.hop += time.Duration(float64(pl.hop-sz.hop) * callWeight)
+	if !dry {
+		sz.hop += time.Duration(float64(pl.hop-sz.hop) * callWeight)
+	}
 	// usable holds the zones with a candidate, and cached those with one that has cached all shared parts.
 	var usable, cached []string
 	for _, cd := range candidates {
@@ -145,7 +150,9 @@
 		}
 	}
 	portable := len(cl.keys) == 0 || len(cached) > 0
-	sz.observePortable(portable)
+	if !dry {
+		sz.observePortable(portable)
+	}
 	if share.Fraction() == 0 || len(usable) == 0 {
 		return pl
 	}
@@ -155,7 +162,7 @@
 		fraction = ofPortable
 	}
 	hash := cl.requestHash
-	if hash == 0 {
+	if hash == 0 && !dry {
 		hash = pk.random.Uint64()
 	}
 	if zone.Uniform(prefix.Mix(prefix.Key(hash), leaveSeed)) >= fraction {
@@ -201,15 +208,17 @@
 	sz.prompt += (float64(prompt) - sz.prompt) * callWeight
 }
 
-// serviceZones returns what is known of the zones of a call's service, and updates it if that is due. The caller holds mu.
-func (pk *Picker) serviceZones(now time.Time, cl Call, servers []*fleet.Server) *serviceZones {
+// serviceZones returns what is known of the zones of a call's service, and updates it if that is due and dry is not set. The caller holds mu.
+func (pk *Picker) serviceZones(now time.Time, cl Call, servers []*fleet.Server, dry bool) *serviceZones {
 	sz, ok := pk.zones[cl.service]
 	if !ok {
 		sz = &serviceZones{decider: zone.NewDecider(pk.zone), portable: 1, hop: pk.hopCost(cl),
 			uncached: initialUncachedTokens, prompt: initialUncachedTokens}
 		pk.zones[cl.service] = sz
 	}
-	pk.updateShare(now, sz, servers)
+	if !dry {
+		pk.updateShare(now, sz, servers)
+	}
 	return sz
 }
 
--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -194,22 +194,15 @@
 	pk.mu.Lock()
 	defer pk.mu.Unlock()
 	servers := pk.view.Servers(cl.service)
-	candidates := pk.candidates(now, cl, servers, excluded)
-	pl := pk.plan(now, cl, servers, candidates)
-	switch {
-	case pl.leaves && pl.cached:
-		setHome(candidates, nil)
-	case pl.leaves:
-		setHome(candidates, pk.homeServer(now, cl, servers, pl.destination))
-	}
+	candidates, pl := pk.prepare(now, cl, servers, excluded, false)
 	pk.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	limit := pk.sampleSize(len(servers))
 	seen := make(map[sampleGroup]int)
 	// preferred is the best choice without regard to limits.
 	var best, preferred Choice
 	for _, cd := range candidates {
-		cost, timeToFirstEvent := pk.cost(now, cl, pl, cd)
-		if !cd.startDeadline.IsZero() && now.Add(startSafetyFactor*timeToFirstEvent).After(cd.startDeadline) {
+		ch, inTime := pk.assess(now, cl, pl, cd)
+		if !inTime {
 			continue
 		}
 		sg := pk.sampleGroup(now, cl, pl, cd)
@@ -217,7 +210,7 @@
 			continue
 		}
 		allowed, limited := pk.limits.Allows(now, cd.server.ID(), cd.server.StartUnixMilli())
-		ch := Choice{server: cd.server, version: cd.version, cachedParts: cd.depth, cost: cost, timeToFirstEvent: timeToFirstEvent, limited: limited}
+		ch.limited = limited
 		if ch.isBetterThan(preferred) {
 			preferred = ch
 		}
@@ -238,9 +231,7 @@
 	if best.limited {
 		best.slot = pk.limits.Take(now, best.server.ID())
 	}
-	st := pk.state(best.server.ID())
-	ownTokens := cl.tokens - cl.tokensAfter(0) + cl.tokensAfter(best.cachedParts)
-	best.queueTime = max(best.timeToFirstEvent-time.Duration(st.slowdown*float64(baseLatency+prefillTime(ownTokens))), 0)
+	ownTokens := pk.setQueueTime(cl, &best)
 	if sz, ok := pk.zones[cl.service]; ok {
 		sz.observeTokens(ownTokens, cl.tokens)
 	}
@@ -250,20 +241,69 @@
 	return best, true
 }
 
+// prepare returns the servers that a call may be sent to, and whether it is to leave the zone. If dry is set, nothing is recorded. The caller
+// holds mu.
+func (pk *Picker) prepare(now time.Time, cl Call, servers []*fleet.Server, excluded map[string]bool, dry bool) ([]candidate, plan) {
+	candidates := pk.candidates(now, cl, servers, excluded)
+	pl := pk.plan(now, cl, servers, candidates, dry)
+	switch {
+	case pl.leaves && pl.cached:
+		setHome(candidates, nil)
+	case pl.leaves:
+		setHome(candidates, pk.homeServer(now, cl, servers, pl.destination))
+	}
+	return candidates, pl
+}
+
+// assess returns the choice of a candidate with its cost. inTime is false if the call is not expected to start while the candidate's weights may
+// be used. The caller holds mu.
+func (pk *Picker) assess(now time.Time, cl Call, pl plan, cd candidate) (ch Choice, inTime bool) {
+	cost, timeToFirstEvent := pk.cost(now, cl, pl, cd)
+	inTime = cd.startDeadline.IsZero() || !now.Add(startSafetyFactor*timeToFirstEvent).After(cd.startDeadline)
+	return Choice{server: cd.server, version: cd.version, cachedParts: cd.depth, cost: cost, timeToFirstEvent: timeToFirstEvent}, inTime
+}
+
+// setQueueTime sets the time that a call is expected to spend in the queue of its server, and returns the number of tokens that the server must
+// prefill for it. The caller holds mu.
+func (pk *Picker) setQueueTime(cl Call, ch *Choice) int {
+	ownTokens := cl.tokens - cl.tokensAfter(0) + cl.tokensAfter(ch.cachedParts)
+	slowdown := pk.state(ch.server.ID()).slowdown
+	ch.queueTime = max(ch.timeToFirstEvent-time.Duration(slowdown*float64(baseLatency+prefillTime(ownTokens))), 0)
+	return ownTokens
+}
+
+// obstacle returns why a call must not be sent to a server, or "". The caller holds mu.
+func (pk *Picker) obstacle(now time.Time, cl Call, sv *fleet.Server, excluded map[string]bool) Obstacle {
+	rs := pk.restrictions[sv.ID()]
+	switch {
+	case sv.Draining() || rs.leaving:
+		return Leaving
+	case excluded[sv.ID()]:
+		return Excluded
+	case cl.excludes(sv):
+		return OtherSoftware
+	case pk.state(sv.ID()).replaced:
+		return Replaced
+	case rs.forbidsCalls(now):
+		return Paused
+	}
+	if _, loading := pk.weightVersion(now, sv, cl.model); loading {
+		return LoadingWeights
+	}
+	return ""
+}
+
 // candidates returns the servers that a call may be sent to, including those whose startDeadline may be too soon for it.
 // The caller holds mu.
 func (pk *Picker) candidates(now time.Time, cl Call, servers []*fleet.Server, excluded map[string]bool) []candidate {
 	home := pk.homeServer(now, cl, servers, pk.zone)
 	candidates := make([]candidate, 0, len(servers))
 	for _, sv := range servers {
-		if sv.Draining() || excluded[sv.ID()] || cl.excludes(sv) || pk.state(sv.ID()).replaced || pk.restrictions[sv.ID()].forbidsCalls(now) {
+		if pk.obstacle(now, cl, sv, excluded) != "" {
 			continue
 		}
-		version, loading := pk.weightVersion(now, sv, cl.model)
+		version, _ := pk.weightVersion(now, sv, cl.model)
 		stalePenalty, startDeadline := pk.weightsCost(now, cl, version)
-		if loading {
-			continue
-		}
 		depth := pk.state(sv.ID()).cachedDepth(now, cl, version)
 		candidates = append(candidates, candidate{server: sv, version: version, stalePenalty: stalePenalty,
 			startDeadline: startDeadline, isHome: sv == home, depth: depth})
