shallotcleat explain: where a gate would send a request now and why

The gate's RPC Explain decides with the code for callers' requests and records nothing. After a brief loss of a zone's servers, or without reports, the share returns at once: one failed connection would otherwise keep the calls of a service with one server away for 5 s.

--- a/core/pick/call.go
+++ b/core/pick/call.go
@@ -18,6 +18,9 @@
 // ID returns the part's id.
 func (pt Part) ID() string { return pt.id }
 
+// Tokens returns the part's length in tokens.
+func (pt Part) Tokens() int { return pt.tokens }
+
 // Call holds the properties of a call that the choice of a server depends on.
 type Call struct {
 	service    string
--- a/core/pick/explain.go
+++ b/core/pick/explain.go
@@ -127,3 +127,13 @@
 	}
 	return ex
 }
+
+// KnowsModel reports whether any server of a service has named weights of a model.
+func (pk *Picker) KnowsModel(service, model string) bool {
+	pk.mu.Lock()
+	defer pk.mu.Unlock()
+	return slices.ContainsFunc(pk.view.Servers(service), func(sv *fleet.Server) bool {
+		version, loading := pk.weightVersion(time.Time{}, sv, model)
+		return version > 0 || loading
+	})
+}
--- a/core/zone/decider.go
+++ b/core/zone/decider.go
@@ -14,6 +14,9 @@
 	share Share
 	// meanExcess is the moving mean of the excess of the own zone's wait over the others'.
 	meanExcess time.Duration
+	// lostStep is the step at which the zone lost its last server, and beforeLoss the share until then.
+	lostStep   int64
+	beforeLoss float64
 	// excess is the same over a shorter time.
 	excess time.Duration
 }
@@ -42,6 +45,9 @@
 		}
 	}
 	if own.usable == 0 {
+		if dc.share.reason != NoServer {
+			dc.lostStep, dc.beforeLoss = step, dc.share.fraction
+		}
 		if zones := dc.refuges(loads); len(zones) > 0 {
 			dc.share = Share{fraction: 1, reason: NoServer, zones: zones}
 		} else {
@@ -66,6 +72,10 @@
 		target, reason = min(float64(dc.excess-hop/2)/float64(fullExcess), 1)*min(to.room/(scarceRoom*to.capacity), 1), Wait
 	}
 	fraction := dc.share.fraction
+	if dc.share.reason == NoServer && (step-dc.lostStep < briefLoss || !own.isKnown()) {
+		// Without reports the share could not follow the servers' return.
+		fraction = dc.beforeLoss
+	}
 	for range steps {
 		fraction = next(fraction, target, min(maxRise, roomFraction*to.room/float64(max(own.running, 1))), fall)
 	}
--- a/core/zone/share.go
+++ b/core/zone/share.go
@@ -22,6 +22,9 @@
 	maxFall = 0.02
 	// maxYield bounds the fall while nothing is free elsewhere, so that calls of other zones are not delayed for long.
 	maxYield = 0.05
+	// briefLoss is the number of steps up to which the loss of all servers of the zone leaves no trace in the share: one failed connection
+	// puts the only server of a small service in backoff for half a second, and its caches are still warm.
+	briefLoss = 20
 	// riseFactor and fallFactor are the part of the distance to its target that the share moves at most in one step, so that it does not
 	// follow every change of the reports.
 	riseFactor = 0.4
--- a/core/zone/zone_test.go
+++ b/core/zone/zone_test.go
@@ -223,3 +223,32 @@
 		t.Error("a service that is gone was kept")
 	}
 }
+
+// The only server of a small service is in backoff for half a second after one failed connection. Its calls must not stay away for seconds then.
+// After a long loss they return in steps, but at once where no reports tell whether the servers can take them.
+func TestShareAfterLoss(t *testing.T) {
+	other := loadWith("b", 1, 0, 0)
+	unreported := NewLoad("a")
+	unreported.AddUnreported()
+	for _, tt := range []struct {
+		name  string
+		steps int
+		back  Load
+		want  float64
+	}{
+		{"brief", 5, loadWith("a", 1, 0, 0), 0},
+		{"long", 40, loadWith("a", 1, 0, 0), 1 - maxFall},
+		{"long, without reports", 40, unreported, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			now, dc := time.Unix(1000, 0), NewDecider("a")
+			steps(dc, &now, 5, loadWith("a", 1, 0, 0), other)
+			if got := steps(dc, &now, tt.steps, other); got.Fraction() != 1 {
+				t.Fatalf("share without a server: %.2f", got.Fraction())
+			}
+			if got := steps(dc, &now, 1, tt.back, other); math.Abs(got.Fraction()-tt.want) > 1e-9 {
+				t.Errorf("share after the first step: got %.2f, want %.2f", got.Fraction(), tt.want)
+			}
+		})
+	}
+}
--- a/io/cmds/run.go
+++ b/io/cmds/run.go
@@ -47,6 +47,7 @@
 		{"server", "Add or retire a backend server", serverHelp, &serverCommand{}},
 		{"status", "Show the configuration and servers that processes know", statusHelp, &statusCommand{}},
 		{"timeline", "Show the events of a request across processes", timelineHelp, &timelineCommand{}},
+		{"explain", "Say where a gate would send a request and why", explainHelp, &explainCommand{}},
 		{"bench", "Compare the placement policy with baselines in virtual time", benchHelp, &benchCommand{}},
 		{"demo", "Run the whole system on loopback and check every response", demoHelp, &demoCommand{}},
 	}
