--- a/core/pick/zone_test.go
+++ b/core/pick/zone_test.go
@@ -154,6 +154,9 @@
 		if ms%100 == 0 {
 			sm.sampleShares()
 		}
+		if ms%250 == 0 {
+			sm.probe()
+		}
 		if ms%500 == 0 {
 			for _, pk := range sm.allGates() {
 				pk.ZoneShares(sm.now)
@@ -204,6 +207,19 @@
 	}
 }
 
+// probe lets gates probe the engines whose backoff ends within the next 250 ms, as io/gate does: a call that ends without a response may have
+// shortened the backoff.
+func (sm *zoneSim) probe() {
+	for _, pk := range sm.allGates() {
+		targets := pk.ProbeTargets(sm.now.Add(250 * time.Millisecond))
+		for _, en := range sm.engines {
+			if _, ok := targets[en.id]; ok && en.down {
+				pk.MarkProbeFailed(sm.now, en.id)
+			}
+		}
+	}
+}
+
 func (sm *zoneSim) sampleShares() {
 	for z := range 3 {
 		low, high, sum := 1.0, 0.0, 0.0
