Retry-After is never shorter than a pause that a server asked for, and jittered for callers with little time

platform TestServerRetryAfterIsHonored failed (2.08 s told, 2.084 s asked for): without room within the caller's time all callers were told exactly the pause, rounded down. Such callers get the pause and up to half of it more, as before, and the header is rounded up.

--- a/core/share/flow.go
+++ b/core/share/flow.go
@@ -23,7 +23,7 @@
 	// nothing gets a caller in 100 ms.
 	minReturnRate = 10
 	maxReturnRate = 10_000
-	// returnJitter is the jitter of a time to return that does not wait for others, as a part of it.
+	// returnJitter is the jitter of a time to return that does not wait for others, or that must be longer than callers wait, as a part of it.
 	returnJitter = 0.5
 	// maxReturnDelay bounds the time to return.
 	maxReturnDelay = 3 * time.Second
@@ -130,10 +130,11 @@
 	defer fl.mu.Unlock()
 	first := time.Duration(float64(earliest) * (1 + returnJitter*fl.random.Float64()))
 	sf := fl.service(now, service)
-	if sf == nil {
+	latest = min(latest, maxReturnDelay)
+	if sf == nil || latest <= earliest {
+		// A caller with less time than a server needs is told a true time, and not the same one as others.
 		return first
 	}
-	latest = max(min(latest, maxReturnDelay), earliest)
 	rate := min(max(sf.served*math.Ln2/servedHalfLife.Seconds(), minReturnRate), maxReturnRate)
 	gap := time.Duration(float64(time.Second) / rate)
 	if sf.next.Before(now.Add(earliest)) {
--- a/io/gate/finish.go
+++ b/io/gate/finish.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -77,7 +78,9 @@
 	}
 	hd := rq.response.writer.Header()
 	if er.RetryAfter() > 0 && status == http.StatusServiceUnavailable {
-		hd.Set("Retry-After", strconv.FormatFloat(gt.retryAfter(rq, er).Seconds(), 'f', 2, 64))
+		// Rounded up, since a server that asked for a pause must not get a request before it ends.
+		hundredths := math.Ceil(100 * gt.retryAfter(rq, er).Seconds())
+		hd.Set("Retry-After", strconv.FormatFloat(hundredths/100, 'f', 2, 64))
 	}
 	hd.Set("Content-Type", "text/plain; charset=utf-8")
 	body := string(er.Code()) + "\n"
