--- a/io/cmds/run.go
+++ b/io/cmds/run.go
@@ -10,6 +10,8 @@
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
+
+	"shallotcleat/platform"
 )
 
 // Exit codes of the program.
@@ -69,7 +71,7 @@
 		}
 		commands[sc.name] = sc.command
 	}
-	if err := loadSettingsFile(os.Getenv(settingsFileVariable)); err != nil {
+	if err := loadSettingsFile(os.Getenv(platform.SettingsFileVariable)); err != nil {
 		_, _ = fmt.Fprintln(errOut, "shallotcleat:", err)
 		return exitUsage
 	}
--- a/io/cmds/settings.go
+++ b/io/cmds/settings.go
@@ -9,10 +9,6 @@
 	"strings"
 )
 
-// settingsFileVariable names the environment variable with the path of a settings file: lines NAME=VALUE of environment variables. The template
-// deploy/settings.env fills it with what only some deployments state, since a placeholder in the environment itself must have a value.
-const settingsFileVariable = "SHALLOTCLEAT_BOOT"
-
 // loadSettingsFile sets the environment variables in the settings file that are not set yet. A missing file is no error.
 func loadSettingsFile(path string) error {
 	if path == "" {
