io/gate: the log says how each answer was framed, how it ended and which server sent which events

TestLogShowsHowStreamsEnd did not compile before (no such fields); it passes now, as do TestAnswerEnds, TestStreamEnds and TestUnframedStreamEndsAtEachByte.

--- /dev/null
+++ b/core/whole/answer.go
@@ -0,0 +1,77 @@
+package whole
+
+// Framing is what marks the end of an answer's body.
+type Framing string
+
+// Framings of a body.
+const (
+	// NoFraming is that of an answer whose header did not arrive.
+	NoFraming Framing = ""
+	// Length means that the header states the length of the body in bytes, or that the answer has no body.
+	Length Framing = "length"
+	// Chunks means that a last chunk ends the body.
+	Chunks Framing = "chunks"
+	// Connection means that the body ends with its connection.
+	Connection Framing = "connection"
+)
+
+// FramingOf returns the framing of a body with a length in bytes, which is negative if the header states none, or with chunks.
+func FramingOf(length int64, chunked bool) Framing {
+	switch {
+	case chunked:
+		return Chunks
+	case length >= 0:
+		return Length
+	}
+	return Connection
+}
+
+// Ending is how reading an answer ended. It is one of Finished, Cut, Reset, Silent, Interrupted and Malformed.
+type Ending interface {
+	isEnding()
+	// String returns the name of the ending in logs.
+	String() string
+}
+
+// Finished means that the body was read to its end by its framing; with Connection, that the server closed the connection in good order.
+type Finished struct{}
+
+// Cut means that the server closed the connection in good order before the end of the header, or of the body by its framing.
+type Cut struct{}
+
+// Reset means that the server reset the connection.
+type Reset struct{}
+
+// Silent means that the server's kernel no longer acknowledged what was sent.
+type Silent struct{}
+
+// Interrupted means that the reader stopped: at a deadline, since its caller left, or since the answer was of no use any more.
+type Interrupted struct{}
+
+// Malformed means that what the server sent is no answer, or one beyond a limit.
+type Malformed struct{}
+
+func (Finished) isEnding()    {}
+func (Cut) isEnding()         {}
+func (Reset) isEnding()       {}
+func (Silent) isEnding()      {}
+func (Interrupted) isEnding() {}
+func (Malformed) isEnding()   {}
+
+// String implements Ending.
+func (Finished) String() string { return "end" }
+
+// String implements Ending.
+func (Cut) String() string { return "cut" }
+
+// String implements Ending.
+func (Reset) String() string { return "reset" }
+
+// String implements Ending.
+func (Silent) String() string { return "silent" }
+
+// String implements Ending.
+func (Interrupted) String() string { return "interrupted" }
+
+// String implements Ending.
+func (Malformed) String() string { return "malformed" }
--- /dev/null
+++ b/io/client/ending.go
@@ -0,0 +1,27 @@
+package client
+
+import (
+	"errors"
+	"io"
+	"os"
+	"syscall"
+
+	"shallotcleat/core/whole"
+)
+
+// EndingOf returns how reading an answer ended with err, which is nil or io.EOF at the end of its body.
+func EndingOf(err error) whole.Ending {
+	switch {
+	case err == nil || err == io.EOF:
+		return whole.Finished{}
+	case errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE):
+		return whole.Reset{}
+	case errors.Is(err, syscall.ETIMEDOUT):
+		return whole.Silent{}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return whole.Interrupted{}
+	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
+		return whole.Cut{}
+	}
+	return whole.Malformed{}
+}
--- a/io/client/exchange.go
+++ b/io/client/exchange.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"shallotcleat/core/whole"
 )
 
 // asyncBodyBytes is the body length above which the request is written concurrently with reading the response, since a server
@@ -98,9 +100,8 @@
 type Response struct {
 	Status int
 	Header http.Header
-	// Framed is set if the response has a Content-Length or a chunked body; otherwise its body ends when the connection is
-	// closed, and a truncated body looks complete.
-	Framed bool
+	// Framing is what marks the end of the body. With whole.Connection, a truncated body looks complete.
+	Framing whole.Framing
 
 	pool   *Pool
 	conn   *conn
@@ -190,15 +191,21 @@
 			continue
 		}
 		cn.applyKeepAlive(resp.Header)
+		framing := whole.FramingOf(resp.ContentLength, len(resp.TransferEncoding) > 0)
+		// A server that rejects a long request may not have read its body, and may then close the connection.
+		reusable := !resp.Close && framing != whole.Connection && (rq.bodyLen() <= asyncBodyBytes || resp.StatusCode < http.StatusMultipleChoices)
+		if rq.Method == http.MethodHead {
+			// There is no body, whatever the header says.
+			framing = whole.Length
+		}
 		return &Response{
-			Status: resp.StatusCode,
-			Header: resp.Header,
-			Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
-			pool:   pl,
-			conn:   cn,
-			body:   resp.Body,
-			// A server that rejects a long request may not have read its body, and may then close the connection.
-			reusable:    !resp.Close && (rq.bodyLen() <= asyncBodyBytes || resp.StatusCode < http.StatusMultipleChoices),
+			Status:      resp.StatusCode,
+			Header:      resp.Header,
+			Framing:     framing,
+			pool:        pl,
+			conn:        cn,
+			body:        resp.Body,
+			reusable:    reusable,
 			writeResult: writeResult,
 		}, nil
 	}
@@ -266,8 +273,8 @@
 	}
 }
 
-// Read reads the body. It returns io.EOF at the end of the body and an *ExchangeError if reading fails. Unless the response is
-// Framed, a truncated body looks complete.
+// Read reads the body. It returns io.EOF at the end of the body and an *ExchangeError if reading fails. With the framing
+// whole.Connection, a truncated body looks complete.
 func (rs *Response) Read(buffer []byte) (int, error) {
 	count, err := rs.body.Read(buffer)
 	if err == io.EOF {
@@ -314,7 +321,7 @@
 		written = err == nil
 	default:
 	}
-	if !stopped || !rs.complete || !rs.reusable || !rs.Framed || !written || rs.conn.reader.Buffered() > 0 {
+	if !stopped || !rs.complete || !rs.reusable || !written || rs.conn.reader.Buffered() > 0 {
 		rs.conn.close()
 		return
 	}
--- /dev/null
+++ b/io/gate/answerlog.go
@@ -0,0 +1,76 @@
+package gate
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/sirupsen/logrus"
+
+	"shallotcleat/core/fleet"
+	"shallotcleat/core/whole"
+	"shallotcleat/io/client"
+)
+
+// answerLog is what the log says about the answer of one attempt, so that a log entry shows why the answer was taken for complete or not.
+type answerLog struct {
+	server  *fleet.Server
+	framing whole.Framing
+	// ending is nil until the answer has ended.
+	ending whole.Ending
+	// events is the number of events that reached the caller. firstID and lastID are the ids of the first and the last one; they are valid if
+	// hasID is set.
+	events          int
+	firstID, lastID int64
+	hasID           bool
+}
+
+// recordEnd records that reading the answer ended with err, which is nil or io.EOF at the end of its body.
+func (al *answerLog) recordEnd(err error) { al.ending = client.EndingOf(err) }
+
+// recordEvent records that an event reached the caller; id is valid if hasID is set.
+func (al *answerLog) recordEvent(id int64, hasID bool) {
+	al.events++
+	switch {
+	case !hasID:
+		return
+	case !al.hasID:
+		al.firstID, al.hasID = id, true
+	}
+	al.lastID = id
+}
+
+// addFields adds the fields of the log entry of an attempt.
+func (al *answerLog) addFields(fields logrus.Fields) {
+	if al.server == nil {
+		return
+	}
+	fields["server_start_ms"] = al.server.StartUnixMilli()
+	if al.framing != whole.NoFraming {
+		fields["framing"] = string(al.framing)
+	}
+	if al.ending != nil {
+		fields["ended_by"] = al.ending.String()
+	}
+	if al.events > 0 {
+		fields["events"] = al.events
+	}
+	if al.hasID {
+		fields["last_event"] = al.lastID
+	}
+}
+
+// eventsFrom returns which server sent which events of a stream, as SERVER:FIRST-LAST or, without ids, SERVER:xCOUNT.
+func eventsFrom(answers []*answerLog) string {
+	var parts []string
+	for _, al := range answers {
+		switch {
+		case al.events == 0:
+		case al.hasID:
+			parts = append(parts, fmt.Sprintf("%s:%d-%d", al.server.ID(), al.firstID, al.lastID))
+		default:
+			parts = append(parts, al.server.ID()+":x"+strconv.Itoa(al.events))
+		}
+	}
+	return strings.Join(parts, ",")
+}
--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -13,6 +13,7 @@
 	"shallotcleat/core/answer"
 	"shallotcleat/core/memory"
 	"shallotcleat/core/pick"
+	"shallotcleat/core/whole"
 	"shallotcleat/io/client"
 )
 
@@ -33,6 +34,8 @@
 	// cancels the attempt, or marks the server unreachable if the request must not run more than once.
 	watchdog *time.Timer
 	timedOut atomic.Bool
+	// answer is what the log says about the answer.
+	answer *answerLog
 	// handOver is the hand-over of the run to another engine, or nil if there can be none.
 	handOver *handOver
 	// weightsExpired is set if the attempt was canceled because the server's weights expired before it began the request.
@@ -167,6 +170,7 @@
 func (at *attempt) relayBuffered(requestCtx context.Context, resp *client.Response) (attemptResult, *answer.Error) {
 	rq := at.rq
 	body, err := at.gate.bodies.readAll(resp, at.gate.memory.Open(time.Now(), memory.Response, rq.response.interruptWrite))
+	at.answer.recordEnd(err)
 	if err != nil {
 		freeBody(body)
 		return at.endBroken(requestCtx, err)
@@ -224,7 +228,7 @@
 // recordAnswered records that the request was answered to its end. If the end is that of the connection, the server may have crashed right
 // then.
 func (at *attempt) recordAnswered(requestCtx context.Context, resp *client.Response) {
-	if resp.Framed {
+	if resp.Framing != whole.Connection {
 		at.gate.crashes.recordServed(at.rq.service.Name(), at.rq.suspectKeys)
 		return
 	}
--- a/io/gate/finish.go
+++ b/io/gate/finish.go
@@ -164,6 +164,9 @@
 	if !rq.response.progressAt.IsZero() {
 		fields["longest_pause_ms"] = rq.response.longestPause.Milliseconds()
 	}
+	if from := eventsFrom(rq.log.answers); from != "" {
+		fields["events_from"] = from
+	}
 	if rq.moved != nil {
 		fields["moved_from"], fields["moved_to"] = rq.moved.source.Server().ID(), rq.moved.destination.Server().ID()
 	}
@@ -208,9 +211,12 @@
 	gt.log.WithFields(fields).Info("attempt failed")
 }
 
-// addSendFields adds whether the request must not run twice, and over which connection it was last sent: a new or a kept one, for how long it was
-// idle, how many requests it carried before, and how many responses to other requests came first.
+// addSendFields adds whether the request must not run twice, and of its last attempt: how its answer was framed and ended, and over which connection
+// it was sent: a new or a kept one, for how long it was idle, how many requests it carried before, and how many responses to other requests came first.
 func (rq *request) addSendFields(fields logrus.Fields) {
+	if count := len(rq.log.answers); count > 0 {
+		rq.log.answers[count-1].addFields(fields)
+	}
 	if rq.route != nil {
 		fields["at_most_once"] = rq.route.AtMostOnce()
 	}
--- a/io/gate/handle.go
+++ b/io/gate/handle.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"shallotcleat/core/answer"
+	"shallotcleat/core/fleet"
 	"shallotcleat/core/memory"
 	"shallotcleat/core/pick"
 	"shallotcleat/core/route"
@@ -72,9 +73,11 @@
 	connUse *client.ConnUse
 	// softwareVersion is that of the server.
 	softwareVersion string
-	weightVersion   uint64
-	cachedParts     int
-	cacheSourceID   string
+	// answers describes the answers of all attempts.
+	answers       []*answerLog
+	weightVersion uint64
+	cachedParts   int
+	cacheSourceID string
 	// zoneExit is why the last attempt went to another zone, or "".
 	zoneExit string
 	// timeToFirstEvent is the time from the arrival of the request to the first event of any attempt, or to a complete response
@@ -84,6 +87,13 @@
 	expectedTimeToFirstEvent time.Duration
 }
 
+// addAnswer adds the answer of a new attempt at a server.
+func (rl *requestLog) addAnswer(sv *fleet.Server) *answerLog {
+	al := &answerLog{server: sv}
+	rl.answers = append(rl.answers, al)
+	return al
+}
+
 // isResumed reports whether the caller takes up a stream.
 func (rq *request) isResumed() bool {
 	return rq.route != nil && rq.route.Stream() && (rq.info.Resumes != "" || rq.info.LastEventID != "")
--- a/io/gate/handover.go
+++ b/io/gate/handover.go
@@ -11,6 +11,7 @@
 	"shallotcleat/core/answer"
 	"shallotcleat/core/pick"
 	"shallotcleat/core/stage"
+	"shallotcleat/core/whole"
 	"shallotcleat/io/client"
 )
 
@@ -373,7 +374,7 @@
 		// The server has failed in nothing.
 		at.pickAttempt.End(time.Now(), pick.Served)
 		return stopped, nil, true
-	case ok && run.unknown && err == nil && !resp.Framed:
+	case ok && run.unknown && err == nil && resp.Framing == whole.Connection:
 		// The end of a stopped run looks like that of a complete one.
 		result, er = at.endBroken(requestCtx, errMoveUnknown)
 		return result, er, true
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -14,6 +14,7 @@
 	"shallotcleat/core/answer"
 	"shallotcleat/core/memory"
 	"shallotcleat/core/pick"
+	"shallotcleat/core/whole"
 	"shallotcleat/io/client"
 )
 
@@ -39,6 +40,9 @@
 			return at.endBroken(requestCtx, err)
 		}
 		event = append(event, line...)
+		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
+			at.answer.recordEnd(err)
+		}
 		if err != nil && !errors.Is(err, bufio.ErrBufferFull) && at.handOver != nil {
 			cause := err
 			if errors.Is(err, io.EOF) && len(bytes.TrimSpace(event)) == 0 {
@@ -73,7 +77,7 @@
 				return at.endBroken(requestCtx, err)
 			}
 			held.beginWrite()
-			if err := errors.Join(rq.response.writeEvent(resp, event, progress), held.endWrite()); err != nil {
+			if err := errors.Join(rq.response.writeEvent(at.answer, resp, event, progress), held.endWrite()); err != nil {
 				at.pickAttempt.End(time.Now(), pick.Abandoned)
 				return mayHaveRun, answer.NewError(answer.StreamBroken, answer.Unknown, 0, "write to caller: %v", err)
 			}
@@ -166,7 +170,7 @@
 	if requestCtx.Err() != nil {
 		return at.endBroken(requestCtx, requestCtx.Err())
 	}
-	if !resp.Framed && at.firstEventAt.IsZero() && at.rq.response.resumeEventID(at.rq.info.LastEventID) == "" {
+	if resp.Framing == whole.Connection && at.firstEventAt.IsZero() && at.rq.response.resumeEventID(at.rq.info.LastEventID) == "" {
 		// The server ended before it began the stream; only a continued stream may have nothing left to send.
 		return at.endBroken(requestCtx, errTruncatedEvent)
 	}
--- a/io/gate/response.go
+++ b/io/gate/response.go
@@ -108,8 +108,8 @@
 	}
 }
 
-// writeEvent relays one event. It skips events that the caller already has. An event without progress has comments only.
-func (rs *response) writeEvent(resp *client.Response, event []byte, progress bool) error {
+// writeEvent relays one event of the answer that al describes. It skips events that the caller already has. An event without progress has comments only.
+func (rs *response) writeEvent(al *answerLog, resp *client.Response, event []byte, progress bool) error {
 	id, ok := eventID(event)
 	if ok && rs.hasEventID && id <= rs.lastEventID {
 		return nil
@@ -127,6 +127,7 @@
 	if err := http.NewResponseController(rs.writer).Flush(); err != nil {
 		return fmt.Errorf("flush event: %w", err)
 	}
+	al.recordEvent(id, ok)
 	return nil
 }
 
--- a/io/gate/run.go
+++ b/io/gate/run.go
@@ -143,7 +143,7 @@
 	now := time.Now()
 	pickAttempt := gt.picker.StartAttempt(now, rq.call, ch)
 	gt.countZoneExit(rq, ch)
-	at := &attempt{gate: gt, rq: rq, choice: ch, pickAttempt: pickAttempt, sentAt: now}
+	at := &attempt{gate: gt, rq: rq, choice: ch, pickAttempt: pickAttempt, sentAt: now, answer: rq.log.addAnswer(ch.Server())}
 	pickAttempt.OnExpiry(at.expiryFunc(cancel))
 	at.handOver = at.newHandOver(cancel)
 	timeout := gt.responseTimeout(rq)
@@ -160,9 +160,11 @@
 	defer at.watchdog.Stop()
 	resp, err := gt.connPool.Do(ctx, ch.Server().Address(), gt.encodeRequest(ctx, rq, ch))
 	if err != nil {
+		at.answer.recordEnd(err)
 		return at.endNoResponse(parent, err)
 	}
 	defer resp.Close()
+	at.answer.framing = resp.Framing
 	return at.relayResponse(parent, resp)
 }
 
