An answer that ends with its connection is whole only if its server still runs

Cause: the end of the connection was taken for the end of the answer. The kernel closes the connections of a process that ends in good order, whatever it was writing, so that end proves nothing. The class: something that others cause too is read as a statement of the server.

Change: core/whole judges each answer of a server from its framing, how reading it ended and what it consists of, and leaves such an end in doubt. io/probe asks the server whether the same run still runs, by a call that begins after the end: engines by their report, others by their health check. It takes a response that names no other id or start for a yes, a refused connection for a no, and waits at most 400 ms. Only a yes makes the answer whole. Else a stream that may be resumed goes on elsewhere after its last event, a repeatable request is sent again, and of the rest the caller sees that they are incomplete. Questions about a run that are asked while a call is in progress share the next one. The watch for crashes takes the response for its own, so that it no longer connects once more after such an answer.

--- a/core/route/spec.go
+++ b/core/route/spec.go
@@ -51,6 +51,8 @@
 	Name string
 	// Engine is set if the servers are model engines.
 	Engine bool
+	// HealthPath is the path of the servers' health checks, or empty if unknown.
+	HealthPath string
 	// CacheTokenBytes is the size of the cached prefix of one token at the service's engines, or zero.
 	CacheTokenBytes int
 	// Moves is set if an engine can copy a running call to another one, over a link of LinkBytesPerSecond.
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -145,6 +145,9 @@
 // IsEngine reports whether the servers are model engines.
 func (sv *Service) IsEngine() bool { return sv.spec.Engine }
 
+// HealthPath returns the path of the servers' health checks, or "" if unknown.
+func (sv *Service) HealthPath() string { return sv.spec.HealthPath }
+
 // Moves reports whether the service's engines can copy a running call to another engine.
 func (sv *Service) Moves() bool { return sv.spec.Engine && sv.spec.Moves }
 
--- a/io/gate/answerlog.go
+++ b/io/gate/answerlog.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -23,11 +24,19 @@
 	events          int
 	firstID, lastID int64
 	hasID           bool
+	// life is what the server showed when it was asked whether it still runs, and nil if it was not asked; lifeTime is how long that took.
+	life     whole.Life
+	lifeTime time.Duration
 }
 
 // recordEnd records that reading the answer ended with err, which is nil or io.EOF at the end of its body.
 func (al *answerLog) recordEnd(err error) { al.ending = client.EndingOf(err) }
 
+// recordLife records whether the server still ran after the answer, and how long it took to find out.
+func (al *answerLog) recordLife(life whole.Life, took time.Duration) {
+	al.life, al.lifeTime = life, took
+}
+
 // recordEvent records that an event reached the caller; id is valid if hasID is set.
 func (al *answerLog) recordEvent(id int64, hasID bool) {
 	al.events++
@@ -52,6 +61,9 @@
 	if al.ending != nil {
 		fields["ended_by"] = al.ending.String()
 	}
+	if al.life != nil {
+		fields["server_after"], fields["asked_ms"] = al.life.String(), al.lifeTime.Milliseconds()
+	}
 	if al.events > 0 {
 		fields["events"] = al.events
 	}
--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -171,6 +171,10 @@
 	rq := at.rq
 	body, err := at.gate.bodies.readAll(resp, at.gate.memory.Open(time.Now(), memory.Response, rq.response.interruptWrite))
 	at.answer.recordEnd(err)
+	at.watchdog.Stop()
+	if err == nil {
+		err = at.checkWhole(requestCtx, resp, nil, whole.Opaque{})
+	}
 	if err != nil {
 		freeBody(body)
 		return at.endBroken(requestCtx, err)
@@ -181,7 +185,6 @@
 			freeBody(body)
 		}
 	}()
-	at.watchdog.Stop()
 	if resp.Status >= http.StatusInternalServerError {
 		at.pickAttempt.End(time.Now(), pick.Failed)
 		if !rq.response.started && !rq.route.AtMostOnce() {
@@ -246,9 +249,8 @@
 
 // recordBroken records that the attempt failed with err, if the server closed the connection; it may have crashed.
 func (at *attempt) recordBroken(requestCtx context.Context, err error) {
-	if !at.hasTimedOut() && (client.IsDisconnect(err) || errors.Is(err, errTruncatedEvent)) {
+	if !at.hasTimedOut() && (client.IsDisconnect(err) || errors.Is(err, errTruncatedEvent) || errors.Is(err, errServerEnded) ||
+		errors.Is(err, errServerSilent)) {
 		at.gate.crashes.recordClosed(requestCtx, at, false)
 	}
 }
-
-var errTruncatedEvent = errors.New("stream ends within an event")
--- a/io/gate/crashwatch.go
+++ b/io/gate/crashwatch.go
@@ -69,6 +69,8 @@
 type examination struct {
 	server   *fleet.Server
 	closedAt time.Time
+	// responded is set if the server has responded since closedAt.
+	responded bool
 	// suspects holds when the last request with a key was sent, for the calls that the server had not answered to their end, and of their prompts'
 	// parts those that it had just read or was about to.
 	suspects map[uint64]time.Time
@@ -141,7 +143,7 @@
 }
 
 // recordClosed records that a server closed the connection of an attempt, and examines whether the server has crashed. answered is set if that
-// may have been the end of the answer. A server that has announced its stop closes connections when it stops.
+// was the end of the answer, and the server has responded since. A server that has announced its stop closes connections when it stops.
 func (cw *crashWatch) recordClosed(ctx context.Context, at *attempt, answered bool) {
 	keys, sv := at.rq.suspectKeys, at.choice.Server()
 	if cw.gate.picker.Leaving(sv) {
@@ -150,8 +152,8 @@
 	cw.mu.Lock()
 	defer cw.mu.Unlock()
 	ex, ok := cw.examined[sv.ID()]
-	if !ok {
-		ex = &examination{server: sv, closedAt: time.Now(), suspects: make(map[uint64]time.Time)}
+	if !ok || ex.responded && !answered {
+		ex = &examination{server: sv, closedAt: time.Now(), responded: answered, suspects: make(map[uint64]time.Time)}
 		cw.examined[sv.ID()] = ex
 		cw.calls.Go(func() { cw.examine(context.WithoutCancel(ctx), ex) })
 	}
@@ -186,11 +188,13 @@
 func (cw *crashWatch) examine(parent context.Context, ex *examination) {
 	ctx, cancel := context.WithTimeout(parent, examineTimeout)
 	defer cancel()
-	crashed := client.RefusesConnections(ctx, ex.server.Address())
+	crashed := !ex.responded && client.RefusesConnections(ctx, ex.server.Address())
 	timer.Sleep(ctx, collectDelay)
 	cw.mu.Lock()
 	defer cw.mu.Unlock()
-	delete(cw.examined, ex.server.ID())
+	if cw.examined[ex.server.ID()] == ex {
+		delete(cw.examined, ex.server.ID())
+	}
 	if crashed {
 		cw.reportCrash(ex, "server closed its connections and refuses new ones")
 		return
--- a/io/gate/dialect.go
+++ b/io/gate/dialect.go
@@ -87,6 +87,12 @@
 	// DecodeResponse decodes the status and header of a server's response.
 	DecodeResponse(status int, hd http.Header) ResponseInfo
 
+	// LifeTarget returns the path at which the servers of a service show that they run.
+	LifeTarget(sv *route.Service) string
+	// DecodeLife decodes such a response, whose body may be cut off. It returns the id of the server, or "", and the start of its run in Unix
+	// milliseconds, or zero.
+	DecodeLife(hd http.Header, body []byte) (serverID string, startUnixMilli int64)
+
 	// Tables returns the names of the tables that a gate watches.
 	Tables() Tables
 	// DecodeConfig decodes a configuration from a row of the config table; ok is false for other rows.
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -27,6 +27,7 @@
 	"shallotcleat/io/feed"
 	"shallotcleat/io/intake"
 	"shallotcleat/io/link"
+	"shallotcleat/io/probe"
 	"shallotcleat/io/table"
 	"shallotcleat/io/trace"
 	"shallotcleat/io/wire"
@@ -93,6 +94,7 @@
 	log      *logrus.Entry
 	picker   *pick.Picker
 	connPool *client.Pool
+	prober   *probe.Prober
 	routes   atomic.Pointer[route.Table]
 	// stopping is set once the graceful stop has begun; closeConnections is set once responses must tell callers to close
 	// their connections.
@@ -134,11 +136,13 @@
 // New returns a gate; Serve starts it.
 func New(opts Options) *Gate {
 	tables := opts.Dialect.Tables()
+	connPool := client.NewPool()
 	gt := &Gate{
 		opts:          opts,
 		log:           opts.Recorder.Log(),
 		picker:        pick.New(opts.Zone, opts.OldWeightsGrace, opts.RandomSeed),
-		connPool:      client.NewPool(),
+		connPool:      connPool,
+		prober:        probe.New(connPool),
 		meter:         share.NewMeter(),
 		memory:        memory.NewBudget(opts.MemoryBytes),
 		flow:          share.NewFlow(opts.RandomSeed),
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -55,12 +55,13 @@
 		switch {
 		case len(event) > maxEventBytes:
 			return at.endBroken(requestCtx, errors.New("event exceeds the maximum size"))
-		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(event)) == 0:
-			return at.endComplete(requestCtx, resp)
-		case errors.Is(err, io.EOF):
-			return at.endBroken(requestCtx, errTruncatedEvent)
 		case err != nil && !errors.Is(err, bufio.ErrBufferFull):
-			return at.endBroken(requestCtx, err)
+			begun := !at.firstEventAt.IsZero() || rq.response.resumeEventID(rq.info.LastEventID) != ""
+			content := whole.NewEvents(begun, len(bytes.TrimSpace(event)) > 0)
+			if err := at.checkWhole(requestCtx, resp, err, content); err != nil {
+				return at.endBroken(requestCtx, err)
+			}
+			return at.endComplete(requestCtx, resp)
 		case err != nil || !endsWithBlankLine(event):
 			continue
 		}
@@ -170,10 +171,6 @@
 	if requestCtx.Err() != nil {
 		return at.endBroken(requestCtx, requestCtx.Err())
 	}
-	if resp.Framing == whole.Connection && at.firstEventAt.IsZero() && at.rq.response.resumeEventID(at.rq.info.LastEventID) == "" {
-		// The server ended before it began the stream; only a continued stream may have nothing left to send.
-		return at.endBroken(requestCtx, errTruncatedEvent)
-	}
 	at.recordFirstEvent()
 	at.pickAttempt.End(time.Now(), pick.Served)
 	at.gate.flow.Served(time.Now(), at.rq.service.Name(), time.Since(at.sentAt))
--- /dev/null
+++ b/io/probe/prober.go
@@ -0,0 +1,142 @@
+package probe
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"shallotcleat/core/whole"
+	"shallotcleat/io/client"
+	"shallotcleat/io/timer"
+)
+
+// Limits of the calls to one server.
+const (
+	// timeout bounds a round of calls.
+	timeout = 400 * time.Millisecond
+	// retryPause is the time between two calls of a round. A process that ends may close its listener some milliseconds after its connections.
+	retryPause = 25 * time.Millisecond
+	// maxBodyBytes bounds the body of a response.
+	maxBodyBytes = 1 << 20
+)
+
+// Question asks one run of a server whether it still runs.
+type Question struct {
+	// Run identifies the run of the server; questions about the same run share their calls.
+	Run     string
+	Address string
+	// Target is the path that the server responds to without running anything.
+	Target string
+	// IsSame reports whether a response, whose body may be cut off, is that of the run.
+	IsSame func(hd http.Header, body []byte) bool
+	// Belongs reports whether a response with a header is to this call, and no late copy of one to a request.
+	Belongs func(hd http.Header) bool
+}
+
+// Prober asks servers. It is safe for concurrent use.
+type Prober struct {
+	pool *client.Pool
+	// rounds are the rounds of calls in progress.
+	rounds conc.WaitGroup
+
+	// mu guards running, which holds the round in progress for each run of a server.
+	mu      sync.Mutex
+	running map[string]*round
+}
+
+// round is one round of calls to a server. life is set before done is closed; the prober's mu guards next, the round that follows.
+type round struct {
+	done chan struct{}
+	life whole.Life
+	next *round
+}
+
+func newRound() *round { return &round{done: make(chan struct{})} }
+
+// New returns a prober that calls servers over the connections of a pool.
+func New(pl *client.Pool) *Prober {
+	return &Prober{pool: pl, running: make(map[string]*round)}
+}
+
+// Wait waits until no calls are in progress.
+func (pr *Prober) Wait() { pr.rounds.Wait() }
+
+// Ask returns whether a server runs, by a call that began after Ask was called. It returns whole.Unknown if the context ends first.
+func (pr *Prober) Ask(ctx context.Context, qn Question) whole.Life {
+	rd := pr.join(qn)
+	select {
+	case <-rd.done:
+		return rd.life
+	case <-ctx.Done():
+		return whole.Unknown{}
+	}
+}
+
+// join returns a round that has not begun, or begins it if none is in progress.
+func (pr *Prober) join(qn Question) *round {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	current, ok := pr.running[qn.Run]
+	if !ok {
+		rd := newRound()
+		pr.running[qn.Run] = rd
+		pr.rounds.Go(func() { pr.run(qn, rd) })
+		return rd
+	}
+	if current.next == nil {
+		current.next = newRound()
+	}
+	return current.next
+}
+
+// run runs rounds until nobody waits for another one.
+func (pr *Prober) run(qn Question, rd *round) {
+	for rd != nil {
+		rd.life = pr.call(qn)
+		close(rd.done)
+		pr.mu.Lock()
+		if rd = rd.next; rd != nil {
+			pr.running[qn.Run] = rd
+		} else {
+			delete(pr.running, qn.Run)
+		}
+		pr.mu.Unlock()
+	}
+}
+
+// call calls a server until it responds, refuses a connection or the time is over. A connection that is closed without a response shows
+// nothing: it may have been kept since before the end of the server, or be one too many for it.
+func (pr *Prober) call(qn Question) whole.Life {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	for ; ctx.Err() == nil; timer.Sleep(ctx, retryPause) {
+		life, err := pr.callOnce(ctx, qn)
+		if err == nil {
+			return life
+		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return whole.Ended{}
+		}
+	}
+	return whole.Unknown{}
+}
+
+func (pr *Prober) callOnce(ctx context.Context, qn Question) (whole.Life, error) {
+	resp, err := pr.pool.Do(ctx, qn.Address, &client.Request{Method: http.MethodGet, Target: qn.Target, Host: qn.Address, Matches: qn.Belongs})
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Close()
+	// The header alone shows that a server runs; the body may show that it is another run.
+	body, _ := io.ReadAll(io.LimitReader(resp, maxBodyBytes))
+	if !qn.IsSame(resp.Header, body) {
+		return whole.Ended{}, nil
+	}
+	return whole.Running{}, nil
+}
--- /dev/null
+++ b/io/probe/prober_test.go
@@ -0,0 +1,158 @@
+package probe
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"shallotcleat/core/whole"
+	"shallotcleat/io/client"
+)
+
+// server is a listener whose nth connection, counted from 1, serve handles once a request has arrived.
+type server struct {
+	lis   net.Listener
+	conns atomic.Int64
+}
+
+func newServer(t *testing.T, serve func(n int64, conn net.Conn)) *server {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = lis.Close() })
+	sv := &server{lis: lis}
+	go func() {
+		for {
+			conn, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			n := sv.conns.Add(1)
+			go func() {
+				defer func() { _ = conn.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					serve(n, conn)
+				}
+			}()
+		}
+	}()
+	return sv
+}
+
+// question returns the question whether run r1 of a server runs.
+func (sv *server) question() Question {
+	return Question{Run: "r1", Address: sv.lis.Addr().String(), Target: "/report",
+		Belongs: func(hd http.Header) bool { return hd.Get("Request") == "" },
+		IsSame:  func(_ http.Header, body []byte) bool { return strings.HasPrefix(string(body), "r1") }}
+}
+
+func respond(conn net.Conn, header, body string) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", header, len(body), body)
+}
+
+func hangUp(conn net.Conn) { _ = conn.(*net.TCPConn).SetLinger(0) }
+
+// Guards against a server that is taken for running though it has ended, started again or does not respond, and the reverse.
+func TestAsk(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		serve func(sv *server, n int64, conn net.Conn)
+		want  whole.Life
+	}{
+		{"responds", func(_ *server, _ int64, conn net.Conn) { respond(conn, "", "r1") }, whole.Running{}},
+		{"rejects", func(_ *server, _ int64, conn net.Conn) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 503 Full\r\nContent-Length: 2\r\n\r\nr1")
+		}, whole.Running{}},
+		{"another run", func(_ *server, _ int64, conn net.Conn) { respond(conn, "", "r2") }, whole.Ended{}},
+		{"copy of another response first", func(_ *server, _ int64, conn net.Conn) {
+			respond(conn, "Request: a\r\n", "r2")
+			respond(conn, "", "r1")
+		}, whole.Running{}},
+		{"only a copy of another response", func(_ *server, _ int64, conn net.Conn) { respond(conn, "Request: a\r\n", "r1") }, whole.Unknown{}},
+		{"one connection too many, then responds", func(_ *server, n int64, conn net.Conn) {
+			if n < 3 {
+				hangUp(conn)
+				return
+			}
+			respond(conn, "", "r1")
+		}, whole.Running{}},
+		{"always one connection too many", func(_ *server, _ int64, conn net.Conn) { hangUp(conn) }, whole.Unknown{}},
+		// A process that is killed closes its listener after the connections that it had accepted.
+		{"closes its listener last", func(sv *server, _ int64, conn net.Conn) {
+			hangUp(conn)
+			_ = sv.lis.Close()
+		}, whole.Ended{}},
+		{"paused", func(*server, int64, net.Conn) { time.Sleep(2 * timeout) }, whole.Unknown{}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			var sv *server
+			ready := make(chan struct{})
+			sv = newServer(t, func(n int64, conn net.Conn) { <-ready; tt.serve(sv, n, conn) })
+			close(ready)
+			pr := New(client.NewPool())
+			if life := pr.Ask(t.Context(), sv.question()); life != tt.want {
+				t.Errorf("got %s, want %s", life, tt.want)
+			}
+			pr.Wait()
+		})
+	}
+}
+
+// Guards against an answer from before the question, and against one call for each of many answers that end at once.
+func TestAskSharesCallsThatBeginLater(t *testing.T) {
+	began, proceed := make(chan struct{}), make(chan struct{})
+	sv := newServer(t, func(n int64, conn net.Conn) {
+		if n == 1 {
+			close(began)
+			<-proceed
+			respond(conn, "Connection: close\r\n", "r1")
+			return
+		}
+		respond(conn, "Connection: close\r\n", "r2")
+	})
+	pr := New(client.NewPool())
+	var wg sync.WaitGroup
+	ask := func(want whole.Life) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if life := pr.Ask(context.Background(), sv.question()); life != want {
+				t.Errorf("got %s, want %s", life, want)
+			}
+		}()
+	}
+	ask(whole.Running{})
+	<-began
+	for range 20 {
+		ask(whole.Ended{})
+	}
+	for pr.waiting("r1") == nil {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(20 * time.Millisecond)
+	close(proceed)
+	wg.Wait()
+	pr.Wait()
+	if conns := sv.conns.Load(); conns > 3 {
+		t.Errorf("21 questions took %d calls", conns)
+	}
+}
+
+// waiting returns the round that follows the one in progress for a run.
+func (pr *Prober) waiting(run string) *round {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	if rd := pr.running[run]; rd != nil {
+		return rd.next
+	}
+	return nil
+}
--- a/io/trace/recorder.go
+++ b/io/trace/recorder.go
@@ -47,6 +47,7 @@
 	queueWait    metric.Float64Histogram
 	streamPause  metric.Float64Histogram
 	handOvers    metric.Int64Counter
+	unframedEnds metric.Int64Counter
 	controlBytes metric.Int64Counter
 	loadOrders   metric.Int64Counter
 	weightLoad   metric.Float64Histogram
@@ -90,7 +91,7 @@
 }
 
 func newMetrics(mt metric.Meter) (*Metrics, error) {
-	var errs [20]error
+	var errs [21]error
 	ms := &Metrics{meter: mt}
 	ms.requests, errs[0] = mt.Int64Counter("requests", metric.WithDescription("Requests answered, by outcome."))
 	ms.refusals, errs[1] = mt.Int64Counter("refusals", metric.WithDescription("Requests refused, by code."))
@@ -128,6 +129,8 @@
 		metric.WithDescription("Longest pause between two events of a stream, one value for each stream."),
 		metric.WithExplicitBucketBoundaries(pauseBoundaries...))
 	ms.handOvers, errs[19] = mt.Int64Counter("hand_overs", metric.WithDescription("Hand-overs of running streams to other engines, by result."))
+	ms.unframedEnds, errs[20] = mt.Int64Counter("unframed_ends",
+		metric.WithDescription("Answers that ended with their connection, by what their server showed afterwards: running, ended or unknown."))
 	for _, err := range errs {
 		if err != nil {
 			return nil, fmt.Errorf("create instrument: %w", err)
@@ -270,6 +273,11 @@
 	rc.metrics.handOvers.Add(context.Background(), 1, metric.WithAttributes(attribute.String("result", result)))
 }
 
+// CountUnframedEnd counts an answer that ended with its connection, by what its server showed afterwards.
+func (rc *Recorder) CountUnframedEnd(life string) {
+	rc.metrics.unframedEnds.Add(context.Background(), 1, metric.WithAttributes(attribute.String("server", life)))
+}
+
 // CountControlBytes adds the size in bytes of a message that carries no request.
 func (rc *Recorder) CountControlBytes(size int) {
 	rc.metrics.controlBytes.Add(context.Background(), int64(size))
