io/gate: a caller that takes a stream up gets no event that it has

What callers saw: a caller that named event 7 as its last one got events 0 to 9 (TestTakenUpStreamNeverGoesBack), so that its numbers went back. Cause: ids were compared with those of the same response only; a server that ignores the id of the last event begins anew. Class: a promise of the system rests on what a server does with a header. Change: the response begins with the caller's last id, as a continued one does with that of its last event, and drops events up to it.

--- a/io/gate/response.go
+++ b/io/gate/response.go
@@ -69,6 +69,15 @@
 	return requested
 }
 
+// continueAfter sets the id of the last event that the caller has from an earlier response, if it is numeric: a server may ignore it and begin
+// the stream anew.
+func (rs *response) continueAfter(requested string) {
+	id, err := strconv.ParseInt(requested, 10, 64)
+	if err == nil && strconv.FormatInt(id, 10) == requested {
+		rs.lastEventID, rs.hasEventID = id, true
+	}
+}
+
 // hopByHopHeaders apply to a single connection. Content-Length is included because it is set separately for each message.
 var hopByHopHeaders = map[string]bool{
 	"Connection":        true,
--- a/io/gate/resume.go
+++ b/io/gate/resume.go
@@ -47,6 +47,7 @@
 		rq.setService(rq.routes.Service(service))
 	}
 	rq.call = rq.call.WithSoftwareVersion(version)
+	rq.response.continueAfter(rq.info.LastEventID)
 	if !gt.picker.HasServer(rq.call) {
 		return answer.NewError(answer.NotResumable, answer.NotRun, resumeRetryAfter, "no server has software version %q, at which stream %q began",
 			version, rq.info.Resumes)
