entry, agent and all clients of the platform decide by core/whole whether a response is complete

Found in the search for the same cause: a plain service that ended within a body without length gave the agent a whole response (the agent recorded an order as done with half of its answer), and an object store that did so gave half of an object, for example of usage records or presets. The other clients decode JSON, which shows its end, but each had its own way: some ignored what follows a value or how reading ended, and one had no limit.

io/reply reads and decodes bodies for all of them and asks core/whole. A body without an end of its own that ended with its connection counts only if the service, asked again, still responds. The admin client is bounded by 64 MB.

--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -12,6 +12,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"shallotcleat/core/board"
+	"shallotcleat/io/reply"
 	"shallotcleat/io/trace"
 )
 
@@ -19,6 +20,8 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	fetchTimeout      = 3 * time.Second
+	// maxReplyBytes bounds a response of another process.
+	maxReplyBytes     = 64 << 20
 	maxTimelineEvents = 5000
 )
 
@@ -131,8 +134,8 @@
 	if rs.StatusCode != http.StatusOK {
 		return fmt.Errorf("query %s: %s", address, rs.Status)
 	}
-	if err := json.NewDecoder(rs.Body).Decode(out); err != nil {
-		return fmt.Errorf("query %s: decode response: %w", address, err)
+	if _, err := reply.Decode(rs, maxReplyBytes, out); err != nil {
+		return fmt.Errorf("query %s: %w", address, err)
 	}
 	return nil
 }
--- a/io/object/store.go
+++ b/io/object/store.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"net/url"
 	"time"
+
+	"shallotcleat/core/whole"
+	"shallotcleat/io/reply"
 )
 
 // callTimeout bounds one call.
@@ -74,16 +76,24 @@
 	if rs.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("get object %q: %s", name, rs.Status)
 	}
-	value, err := io.ReadAll(io.LimitReader(rs.Body, ht.maxBytes+1))
+	value, verdict, err := reply.Read(rs, ht.maxBytes)
+	if err == nil && verdict == whole.Doubtful && whole.Settle(ht.life(ctx, name)) != whole.Whole {
+		err = reply.ErrIncomplete
+	}
 	if err != nil {
 		return nil, fmt.Errorf("get object %q: %w", name, err)
 	}
-	if int64(len(value)) > ht.maxBytes {
-		return nil, fmt.Errorf("get object %q: longer than the limit of %d bytes", name, ht.maxBytes)
-	}
 	return value, nil
 }
 
+// life returns whether the object store still runs after it sent an object with the given name.
+func (ht *HTTP) life(ctx context.Context, name string) whole.Life {
+	if _, err := ht.List(ctx, name); err != nil {
+		return whole.Unknown{}
+	}
+	return whole.Running{}
+}
+
 // List implements Store.
 func (ht *HTTP) List(ctx context.Context, prefix string) ([]string, error) {
 	rs, err := ht.call(ctx, http.MethodGet, "?prefix="+url.QueryEscape(prefix), nil)
@@ -95,8 +105,8 @@
 		return nil, fmt.Errorf("list objects: %s", rs.Status)
 	}
 	var names []string
-	if err := json.NewDecoder(io.LimitReader(rs.Body, maxObjectBytes)).Decode(&names); err != nil {
-		return nil, fmt.Errorf("list objects: decode response: %w", err)
+	if _, err := reply.Decode(rs, maxObjectBytes, &names); err != nil {
+		return nil, fmt.Errorf("list objects: %w", err)
 	}
 	return names, nil
 }
--- a/io/server/engine.go
+++ b/io/server/engine.go
@@ -10,6 +10,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"shallotcleat/io/reply"
 )
 
 // Limits of an engine's responses.
@@ -247,8 +249,8 @@
 		return State{}, &StatusError{status: httpResponse.StatusCode}
 	}
 	var st State
-	if err := json.NewDecoder(io.LimitReader(httpResponse.Body, maxStateBytes)).Decode(&st); err != nil {
-		return State{}, fmt.Errorf("decode engine state: %w", err)
+	if _, err := reply.Decode(httpResponse, maxStateBytes, &st); err != nil {
+		return State{}, fmt.Errorf("get engine state: %w", err)
 	}
 	return st, nil
 }
--- a/io/server/plain.go
+++ b/io/server/plain.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
+
+	"shallotcleat/core/whole"
+	"shallotcleat/io/reply"
 )
 
 // maxResponseBytes is the maximum size of a response body of a plain service.
@@ -88,16 +90,24 @@
 		return Response{}, classifyError(err)
 	}
 	defer func() { _ = httpResponse.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(httpResponse.Body, maxResponseBytes+1))
+	body, verdict, err := reply.Read(httpResponse, maxResponseBytes)
 	if err != nil {
 		return Response{}, &ExchangeError{cause: err}
 	}
-	if len(body) > maxResponseBytes {
-		return Response{}, &ExchangeError{cause: fmt.Errorf("response body exceeds %d bytes", maxResponseBytes)}
+	if verdict == whole.Doubtful && whole.Settle(hps.life(ctx)) != whole.Whole {
+		return Response{}, &ExchangeError{cause: reply.ErrIncomplete}
 	}
 	return Response{Status: httpResponse.StatusCode, ContentType: httpResponse.Header.Get("Content-Type"), Body: body}, nil
 }
 
+// life returns whether the service still runs.
+func (hps *HTTPPlainService) life(ctx context.Context) whole.Life {
+	if err := hps.Ping(ctx); err != nil {
+		return whole.Unknown{}
+	}
+	return whole.Running{}
+}
+
 // pingTimeout is the timeout of Ping.
 const pingTimeout = time.Second
 
--- a/io/server/plain_test.go
+++ b/io/server/plain_test.go
@@ -40,3 +40,26 @@
 		srv.Close()
 	}
 }
+
+// The response of a service that ends with its connection, as a killed process does, is not whole, however much of it arrived.
+func TestResponseOfEndedServiceIsIncomplete(t *testing.T) {
+	for _, key := range []string{"", "k"} {
+		var srv *httptest.Server
+		srv = httptest.NewServer(http.HandlerFunc(func(wr http.ResponseWriter, _ *http.Request) {
+			conn, _, err := wr.(http.Hijacker).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nwho")
+			_ = srv.Listener.Close()
+			_ = conn.Close()
+		}))
+		rs, err := NewHTTPPlainService(srv.URL).Do(t.Context(), Request{Method: http.MethodPost, Path: "/", IdempotencyKey: key})
+		var ee *ExchangeError
+		if !errors.As(err, &ee) {
+			t.Errorf("key %q: got %q, %v", key, rs.Body, err)
+		}
+		srv.Close()
+	}
+}
--- a/io/table/http.go
+++ b/io/table/http.go
@@ -6,9 +6,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
+
+	"shallotcleat/io/reply"
 )
 
 // callTimeout bounds one call. A slower table counts as unavailable, so that callers are refused without delay.
@@ -103,13 +104,13 @@
 func decode(rs *http.Response, out any) error {
 	switch rs.StatusCode {
 	case http.StatusOK:
-		if err := json.NewDecoder(io.LimitReader(rs.Body, maxResponseBytes)).Decode(out); err != nil {
+		if _, err := reply.Decode(rs, maxResponseBytes, out); err != nil {
 			return &UnavailableError{cause: err}
 		}
 		return nil
 	case http.StatusConflict:
 		var cells CellsResponse
-		if err := json.NewDecoder(io.LimitReader(rs.Body, maxResponseBytes)).Decode(&cells); err != nil {
+		if _, err := reply.Decode(rs, maxResponseBytes, &cells); err != nil {
 			return &UnavailableError{cause: err}
 		}
 		return NewConflictError(cells.Cells)
--- a/io/vmlist/list.go
+++ b/io/vmlist/list.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"sync"
 	"time"
+
+	"shallotcleat/io/reply"
 )
 
 // callTimeout bounds one call.
@@ -90,17 +90,10 @@
 	default:
 		return Response{}, fmt.Errorf("list VMs: %s", rs.Status)
 	}
-	data, err := io.ReadAll(io.LimitReader(rs.Body, maxListBytes+1))
-	if err != nil {
+	resp := Response{Changed: true}
+	if resp.Size, err = reply.Decode(rs, maxListBytes, &resp.VMs); err != nil {
 		return Response{}, fmt.Errorf("list VMs: %w", err)
 	}
-	if len(data) > maxListBytes {
-		return Response{}, fmt.Errorf("list VMs: response is longer than the limit of %d bytes", maxListBytes)
-	}
-	resp := Response{Changed: true, Size: len(data)}
-	if err := json.Unmarshal(data, &resp.VMs); err != nil {
-		return Response{}, fmt.Errorf("list VMs: decode response: %w", err)
-	}
 	ht.etag = rs.Header.Get("ETag")
 	return resp, nil
 }
