--- a/io/probe/prober_test.go
+++ b/io/probe/prober_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -156,3 +157,17 @@
 	}
 	return nil
 }
+
+// BenchmarkAsk measures one question over a kept connection, with the processor time of the server that responds.
+func BenchmarkAsk(b *testing.B) {
+	srv := httptest.NewServer(http.HandlerFunc(func(wr http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(wr, "r1") }))
+	defer srv.Close()
+	pr := New(client.NewPool())
+	qn := Question{Run: "r1", Address: strings.TrimPrefix(srv.URL, "http://"), Target: "/report", Belongs: func(http.Header) bool { return true },
+		IsSame: func(http.Header, []byte) bool { return true }}
+	for b.Loop() {
+		if life := pr.Ask(b.Context(), qn); life != (whole.Running{}) {
+			b.Fatalf("server is %s", life)
+		}
+	}
+}
