io/gate: a server that begins a stream anew does not continue it

Found in the review. What callers saw: after events 0 to 7 of one run, events 8 and 9 of another one whose server had ignored the id of the last event, as a complete stream; and an empty stream, as a complete one, where the other run had only five events. Cause: events up to the last id were dropped, and the rest passed. Change: if the first event with an id of an attempt does not follow what the caller has, the server has failed, and another one is tried. Ids that do not grow later in a run are dropped as before.

--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -28,6 +28,8 @@
 	// it has survived the request only when the answer is complete.
 	firstEventAt time.Time
 	promptServed bool
+	// continuing is set once an event with an id has come.
+	continuing bool
 	// versionChecked is set once checkVersion has been called.
 	versionChecked bool
 	// watchdog fires after the response timeout unless the first event of a stream or a complete other response arrives before. It
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -69,6 +69,9 @@
 			return at.endBroken(requestCtx, errForeignHead)
 		}
 		if len(bytes.TrimSpace(event)) > 0 {
+			if !at.continues(event) {
+				return at.endBroken(requestCtx, errNotContinued)
+			}
 			progress := hasField(event)
 			if progress {
 				at.recordFirstEvent()
@@ -179,6 +182,20 @@
 	return responded, nil
 }
 
+// errNotContinued means that a server has begun a stream anew that it was to continue. Its events are those of another run, whatever their ids.
+var errNotContinued = errors.New("the server has begun the stream anew")
+
+// continues reports whether an event of the attempt follows what the caller has. Only the first one with an id shows that.
+func (at *attempt) continues(event []byte) bool {
+	if at.continuing {
+		return true
+	}
+	id, ok := eventID(event)
+	at.continuing = ok
+	rs := &at.rq.response
+	return !ok || !rs.hasEventID || id > rs.lastEventID
+}
+
 // hasField reports whether an event has a field; one of comments only is no sign of progress.
 func hasField(event []byte) bool {
 	for _, line := range bytes.Split(event, []byte("\n")) {
