io/probe: only what names the same run shows that a server still runs

What callers saw: a cut answer as a whole one where something else responded at the server's address: a proxy of an ended server (502, 503, 404), a server that names no id, a later run whose report is odd or missing; and a whole answer as a broken one where its server took over 400 ms to respond, because its health check waited for a slot or it was paused.

Cause: any response that named no other run counted as a yes, and silence of 400 ms as a no. Change: a yes names the id of the server, and for an engine its start; what names nothing is no response, and the question is asked again. Where the request cannot be sent elsewhere the question may take 2 s, within the request's time. Each call has a connection of its own, since a late copy of a report could be taken for the response to the next request. The agent wants a successful health check.

--- a/io/client/exchange.go
+++ b/io/client/exchange.go
@@ -39,6 +39,8 @@
 	Body [][]byte
 	// AtMostOnce is set if the request must not run more than once; it is then sent only over a new or recently used connection.
 	AtMostOnce bool
+	// Fresh is set if the request is sent over a connection of its own, which carries no other request.
+	Fresh bool
 	// Permit is called right before the request is written; if it returns an error, Do fails with a *NotSentError. Nil permits.
 	Permit func() error
 	// Carried, unless it is nil, is called with the use of the connection once the request is about to be written, and again if responses to
@@ -130,7 +132,10 @@
 	if rq.ID != "" {
 		key = xxhash.Sum64String(rq.ID)
 	}
-	cn := pl.takeIdle(address, usedAfter, key)
+	var cn *conn
+	if !rq.Fresh {
+		cn = pl.takeIdle(address, usedAfter, key)
+	}
 	if cn == nil {
 		var err error
 		if cn, err = dial(ctx, address); err != nil {
@@ -193,7 +198,7 @@
 		cn.applyKeepAlive(resp.Header)
 		framing := whole.FramingOf(resp.ContentLength, len(resp.TransferEncoding) > 0)
 		// A server that rejects a long request may not have read its body, and may then close the connection.
-		reusable := !resp.Close && framing != whole.Connection && (rq.bodyLen() <= asyncBodyBytes || resp.StatusCode < http.StatusMultipleChoices)
+		reusable := !rq.Fresh && !resp.Close && framing != whole.Connection && (rq.bodyLen() <= asyncBodyBytes || resp.StatusCode < http.StatusMultipleChoices)
 		if rq.Method == http.MethodHead {
 			// There is no body, whatever the header says.
 			framing = whole.Length
--- a/io/gate/settle.go
+++ b/io/gate/settle.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"shallotcleat/core/fleet"
 	"shallotcleat/core/whole"
 	"shallotcleat/io/client"
 	"shallotcleat/io/probe"
@@ -32,7 +33,9 @@
 		return err
 	}
 	askedAt := time.Now()
-	life := at.gate.prober.Ask(ctx, at.gate.lifeQuestion(at))
+	askCtx, cancel := context.WithDeadline(ctx, at.settleBy(askedAt))
+	defer cancel()
+	life := at.gate.prober.Ask(askCtx, at.gate.lifeQuestion(at))
 	at.answer.recordLife(life, time.Since(askedAt))
 	at.gate.opts.Recorder.CountUnframedEnd(life.String())
 	if whole.Settle(life) == whole.Whole {
@@ -44,17 +47,53 @@
 	return errServerSilent
 }
 
+// Limits of the time for which the end of an answer stays in doubt.
+const (
+	// settleTimeout applies if the request can be sent to another server instead.
+	settleTimeout = 400 * time.Millisecond
+	// lastSettleTimeout applies otherwise, and settleMargin is left of the request's time, for an answer that is taken for incomplete.
+	lastSettleTimeout = 2 * time.Second
+	settleMargin      = 30 * time.Millisecond
+)
+
+// settleBy returns until when an answer that ended at a time may stay in doubt. A server that is full answers a question late, and its answer
+// is most likely whole; it must not be thrown away as long as nothing better can follow.
+func (at *attempt) settleBy(endedAt time.Time) time.Time {
+	rq := at.rq
+	timeout := settleTimeout
+	if rq.route.AtMostOnce() || rq.possibleRuns+1 >= rq.route.MaxAttempts() || rq.sends >= maxSends {
+		timeout = lastSettleTimeout
+	}
+	settleBy := endedAt.Add(timeout)
+	if latest := rq.deadline.Add(-settleMargin); latest.Before(settleBy) {
+		return latest
+	}
+	return settleBy
+}
+
 // lifeQuestion returns the question whether the server of an attempt still runs.
 func (gt *Gate) lifeQuestion(at *attempt) probe.Question {
-	sv := at.choice.Server()
+	sv, service := at.choice.Server(), at.rq.service
 	return probe.Question{
 		Run:     sv.ID() + "/" + strconv.FormatInt(sv.StartUnixMilli(), 10),
 		Address: sv.Address(),
-		Target:  gt.opts.Dialect.LifeTarget(at.rq.service),
-		Belongs: func(hd http.Header) bool { return gt.opts.Dialect.DecodeResponse(0, hd).RequestID == "" },
-		IsSame: func(hd http.Header, body []byte) bool {
+		Target:  gt.opts.Dialect.LifeTarget(service),
+		Identify: func(hd http.Header, body []byte) whole.Life {
 			id, start := gt.opts.Dialect.DecodeLife(hd, body)
-			return (id == "" || id == sv.ID()) && (start == 0 || sv.StartUnixMilli() == 0 || start == sv.StartUnixMilli())
+			return identifyRun(sv, service.IsEngine(), id, start)
 		},
 	}
 }
+
+// identifyRun returns what a response shows about a run of a server; id and start are those that it names, or empty. An engine must name its start:
+// it may have started again under its id.
+func identifyRun(sv *fleet.Server, isEngine bool, id string, start int64) whole.Life {
+	known := sv.StartUnixMilli() != 0
+	switch {
+	case id != "" && id != sv.ID(), start != 0 && known && start != sv.StartUnixMilli():
+		return whole.Ended{}
+	case start != 0 && known, id != "" && !(isEngine && known):
+		return whole.Running{}
+	}
+	return whole.Unknown{}
+}
--- a/io/probe/prober.go
+++ b/io/probe/prober.go
@@ -18,10 +18,12 @@
 
 // Limits of the calls to one server.
 const (
-	// timeout bounds a round of calls.
-	timeout = 400 * time.Millisecond
-	// retryPause is the time between two calls of a round. A process that ends may close its listener some milliseconds after its connections.
-	retryPause = 25 * time.Millisecond
+	// roundTimeout bounds a round of calls. A call may wait for a slot of the server like a request.
+	roundTimeout = 2 * time.Second
+	// minRetryPause and maxRetryPause bound the time between two calls of a round, which doubles. A process that ends may close its listener some
+	// milliseconds after its connections.
+	minRetryPause = 25 * time.Millisecond
+	maxRetryPause = 200 * time.Millisecond
 	// maxBodyBytes bounds the body of a response.
 	maxBodyBytes = 1 << 20
 )
@@ -33,10 +35,9 @@
 	Address string
 	// Target is the path that the server responds to without running anything.
 	Target string
-	// IsSame reports whether a response, whose body may be cut off, is that of the run.
-	IsSame func(hd http.Header, body []byte) bool
-	// Belongs reports whether a response with a header is to this call, and no late copy of one to a request.
-	Belongs func(hd http.Header) bool
+	// Identify returns what a response, whose body may be cut off, shows about the run. Whatever stands at the address of the server may have
+	// responded: what names neither this run nor another one is whole.Unknown.
+	Identify func(hd http.Header, body []byte) whole.Life
 }
 
 // Prober asks servers. It is safe for concurrent use.
@@ -67,14 +68,18 @@
 // Wait waits until no calls are in progress.
 func (pr *Prober) Wait() { pr.rounds.Wait() }
 
-// Ask returns whether a server runs, by a call that began after Ask was called. It returns whole.Unknown if the context ends first.
+// Ask returns whether a server runs, by a call that began after Ask was called. It returns whole.Unknown only once the context ends.
 func (pr *Prober) Ask(ctx context.Context, qn Question) whole.Life {
-	rd := pr.join(qn)
-	select {
-	case <-rd.done:
-		return rd.life
-	case <-ctx.Done():
-		return whole.Unknown{}
+	for {
+		rd := pr.join(qn)
+		select {
+		case <-rd.done:
+			if rd.life != (whole.Unknown{}) {
+				return rd.life
+			}
+		case <-ctx.Done():
+			return whole.Unknown{}
+		}
 	}
 }
 
@@ -110,33 +115,32 @@
 	}
 }
 
-// call calls a server until it responds, refuses a connection or the time is over. A connection that is closed without a response shows
-// nothing: it may have been kept since before the end of the server, or be one too many for it.
+// call calls a server until a response or a refused connection shows whether the run still runs, or the time is over. A connection that is closed
+// without a response shows nothing: it may be one too many for the server.
 func (pr *Prober) call(qn Question) whole.Life {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	ctx, cancel := context.WithTimeout(context.Background(), roundTimeout)
 	defer cancel()
-	for ; ctx.Err() == nil; timer.Sleep(ctx, retryPause) {
+	for pause := minRetryPause; ctx.Err() == nil; pause = min(2*pause, maxRetryPause) {
 		life, err := pr.callOnce(ctx, qn)
-		if err == nil {
-			return life
-		}
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			return whole.Ended{}
 		}
+		if err == nil && life != (whole.Unknown{}) {
+			return life
+		}
+		timer.Sleep(ctx, pause)
 	}
 	return whole.Unknown{}
 }
 
+// callOnce makes one call, over a connection of its own: nothing in the response to such a call tells it from a late copy of another one.
 func (pr *Prober) callOnce(ctx context.Context, qn Question) (whole.Life, error) {
-	resp, err := pr.pool.Do(ctx, qn.Address, &client.Request{Method: http.MethodGet, Target: qn.Target, Host: qn.Address, Matches: qn.Belongs})
+	resp, err := pr.pool.Do(ctx, qn.Address, &client.Request{Method: http.MethodGet, Target: qn.Target, Host: qn.Address, Fresh: true})
 	if err != nil {
 		return nil, err
 	}
 	defer resp.Close()
-	// The header alone shows that a server runs; the body may show that it is another run.
+	// The header alone may show that the run goes on.
 	body, _ := io.ReadAll(io.LimitReader(resp, maxBodyBytes))
-	if !qn.IsSame(resp.Header, body) {
-		return whole.Ended{}, nil
-	}
-	return whole.Running{}, nil
+	return qn.Identify(resp.Header, body), nil
 }
--- a/io/probe/prober_test.go
+++ b/io/probe/prober_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -51,9 +52,18 @@
 
 // question returns the question whether run r1 of a server runs.
 func (sv *server) question() Question {
-	return Question{Run: "r1", Address: sv.lis.Addr().String(), Target: "/report",
-		Belongs: func(hd http.Header) bool { return hd.Get("Request") == "" },
-		IsSame:  func(_ http.Header, body []byte) bool { return strings.HasPrefix(string(body), "r1") }}
+	return Question{Run: "r1", Address: sv.lis.Addr().String(), Target: "/report", Identify: identify}
+}
+
+// identify reads the name of a run from the beginning of a body.
+func identify(_ http.Header, body []byte) whole.Life {
+	switch {
+	case bytes.HasPrefix(body, []byte("r1")):
+		return whole.Running{}
+	case bytes.HasPrefix(body, []byte("r")):
+		return whole.Ended{}
+	}
+	return whole.Unknown{}
 }
 
 func respond(conn net.Conn, header, body string) {
@@ -62,6 +72,9 @@
 
 func hangUp(conn net.Conn) { _ = conn.(*net.TCPConn).SetLinger(0) }
 
+// askTimeout bounds each question of TestAsk.
+const askTimeout = time.Second
+
 // Guards against a server that is taken for running though it has ended, started again or does not respond, and the reverse.
 func TestAsk(t *testing.T) {
 	for _, tt := range []struct {
@@ -74,11 +87,11 @@
 			_, _ = io.WriteString(conn, "HTTP/1.1 503 Full\r\nContent-Length: 2\r\n\r\nr1")
 		}, whole.Running{}},
 		{"another run", func(_ *server, _ int64, conn net.Conn) { respond(conn, "", "r2") }, whole.Ended{}},
-		{"copy of another response first", func(_ *server, _ int64, conn net.Conn) {
-			respond(conn, "Request: a\r\n", "r2")
-			respond(conn, "", "r1")
+		{"names no run, as a proxy does", func(_ *server, _ int64, conn net.Conn) { respond(conn, "", "bad gateway") }, whole.Unknown{}},
+		{"names no run at first", func(_ *server, n int64, conn net.Conn) {
+			respond(conn, "", map[bool]string{true: "full", false: "r1"}[n < 3])
 		}, whole.Running{}},
-		{"only a copy of another response", func(_ *server, _ int64, conn net.Conn) { respond(conn, "Request: a\r\n", "r1") }, whole.Unknown{}},
+		{"waits for a slot", func(_ *server, _ int64, conn net.Conn) { time.Sleep(askTimeout / 2); respond(conn, "", "r1") }, whole.Running{}},
 		{"one connection too many, then responds", func(_ *server, n int64, conn net.Conn) {
 			if n < 3 {
 				hangUp(conn)
@@ -92,7 +105,7 @@
 			hangUp(conn)
 			_ = sv.lis.Close()
 		}, whole.Ended{}},
-		{"paused", func(*server, int64, net.Conn) { time.Sleep(2 * timeout) }, whole.Unknown{}},
+		{"paused", func(*server, int64, net.Conn) { time.Sleep(2 * askTimeout) }, whole.Unknown{}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			var sv *server
@@ -100,7 +113,9 @@
 			sv = newServer(t, func(n int64, conn net.Conn) { <-ready; tt.serve(sv, n, conn) })
 			close(ready)
 			pr := New(client.NewPool())
-			if life := pr.Ask(t.Context(), sv.question()); life != tt.want {
+			ctx, cancel := context.WithTimeout(t.Context(), askTimeout)
+			defer cancel()
+			if life := pr.Ask(ctx, sv.question()); life != tt.want {
 				t.Errorf("got %s, want %s", life, tt.want)
 			}
 			pr.Wait()
@@ -143,7 +158,7 @@
 	close(proceed)
 	wg.Wait()
 	pr.Wait()
-	if conns := sv.conns.Load(); conns > 3 {
+	if conns := sv.conns.Load(); conns > 2 {
 		t.Errorf("21 questions took %d calls", conns)
 	}
 }
@@ -163,8 +178,7 @@
 	srv := httptest.NewServer(http.HandlerFunc(func(wr http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(wr, "r1") }))
 	defer srv.Close()
 	pr := New(client.NewPool())
-	qn := Question{Run: "r1", Address: strings.TrimPrefix(srv.URL, "http://"), Target: "/report", Belongs: func(http.Header) bool { return true },
-		IsSame: func(http.Header, []byte) bool { return true }}
+	qn := Question{Run: "r1", Address: strings.TrimPrefix(srv.URL, "http://"), Target: "/report", Identify: identify}
 	for b.Loop() {
 		if life := pr.Ask(b.Context(), qn); life != (whole.Running{}) {
 			b.Fatalf("server is %s", life)
--- a/io/server/plain.go
+++ b/io/server/plain.go
@@ -100,9 +100,9 @@
 	return Response{Status: httpResponse.StatusCode, ContentType: httpResponse.Header.Get("Content-Type"), Body: body}, nil
 }
 
-// life returns whether the service still runs.
+// life returns whether the service still runs. A response that is no success may be that of a proxy in front of it.
 func (hps *HTTPPlainService) life(ctx context.Context) whole.Life {
-	if err := hps.Ping(ctx); err != nil {
+	if status, err := hps.checkHealth(ctx); err != nil || status/100 != 2 {
 		return whole.Unknown{}
 	}
 	return whole.Running{}
@@ -113,15 +113,21 @@
 
 // Ping implements PlainService.
 func (hps *HTTPPlainService) Ping(ctx context.Context) error {
+	_, err := hps.checkHealth(ctx)
+	return err
+}
+
+// checkHealth returns the status of a health check.
+func (hps *HTTPPlainService) checkHealth(ctx context.Context) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	httpRequest, err := http.NewRequestWithContext(ctx, http.MethodGet, hps.baseURL+"/healthz", nil)
 	if err != nil {
-		return fmt.Errorf("ping backend server: %w", err)
+		return 0, fmt.Errorf("ping backend server: %w", err)
 	}
 	httpResponse, err := hps.repeatable.Do(httpRequest)
 	if err != nil {
-		return fmt.Errorf("ping backend server: %w", err)
+		return 0, fmt.Errorf("ping backend server: %w", err)
 	}
-	return httpResponse.Body.Close()
+	return httpResponse.StatusCode, httpResponse.Body.Close()
 }
