io/client: a response of HTTP/1.0 with a transfer encoding is no response

Found by a test that cuts answers of 35 forms at each byte, with an ordinary end, with a reset and by a killed server process, on all kinds of routes (TestAnswersCutAtEachByte, TestAnswersOfKilledServerCutAtEachByte), after a report of other operators: answers that were cut within their head reached callers as whole ones.

Cause: that version has no chunks, so net/http removes the header and goes by what is left of the framing.

Change: the client looks at the header of a version before 1.1 and fails if it names a transfer encoding, also beside a length.

--- a/io/client/exchange.go
+++ b/io/client/exchange.go
@@ -168,7 +168,7 @@
 	}
 	cn.limit.beginHead()
 	for {
-		resp, err := http.ReadResponse(cn.reader, &http.Request{Method: rq.Method})
+		resp, err := cn.readHead(rq.Method)
 		if err != nil && cn.limit.failure != nil {
 			// A header that was cut off is malformed, too.
 			err = fmt.Errorf("%w (%w)", err, cn.limit.failure)
@@ -211,6 +211,14 @@
 	}
 }
 
+// readHead reads the header of the next response, to a request with the given method.
+func (cn *conn) readHead(method string) (*http.Response, error) {
+	if err := checkOldHead(cn.reader); err != nil {
+		return nil, err
+	}
+	return http.ReadResponse(cn.reader, &http.Request{Method: method})
+}
+
 // skip reads an unmatched response to its end and reports whether the connection may still be used: the response was not too long,
 // and not too many were skipped for the request.
 func (cn *conn) skip(resp *http.Response) bool {
