io/reply: a compressed body that ends with its connection is in doubt like any other

Found by TestClientsRejectAnswersCutAtEachByte, which cuts answers of 10 forms at each byte for the clients of plain services, objects, tables, the list of VMs and engines, with an ordinary end, a reset and a service that ends, too.

What callers saw: an empty object, or an empty response of a plain service, as a whole one, if a service ended right after a header that names compression but neither length nor chunks; or a part of it, if the body had several compressed parts: 9 failures in that run, all of the form 'compressed, neither'. No other form or client failed.

Cause: a decompressed body was taken for one that shows its end by its checksum. The reader finds no checksum missing where no part has begun.

Change: such a body counts as one without an end of its own, so that the service is asked whether it still runs. net/http drops the length of a compressed body, so that one with a length is asked about, too, and is an error if its service has ended since.

Result: 0 failures; io/reply, io/server and io/object pass with -race.

--- a/io/reply/reply.go
+++ b/io/reply/reply.go
@@ -57,11 +57,8 @@
 	return body, nil
 }
 
-// judge returns the verdict on a body that was read without an error.
+// judge returns the verdict on a body that was read without an error. A body that net/http decompressed has lost its length, and shows its end no
+// better than any other: it may consist of several parts, each with its checksum, or of none.
 func judge(rs *http.Response, content whole.Content) whole.Verdict {
-	if rs.Uncompressed {
-		// Compressed bodies have a checksum at their end.
-		content = whole.Document{}
-	}
 	return whole.Judge(whole.FramingOf(rs.ContentLength, len(rs.TransferEncoding) > 0), whole.Finished{}, content)
 }
