io/gate: a stream to a caller with HTTP/1.0 ends with a reset if the gate is killed

What callers saw: a stream that ended as complete in its middle, if the gate's process was killed and the caller has HTTP/1.0, on both kinds of stream routes (TestKilledGateEndsNoAnswerAsComplete, with a gate process). Callers with HTTP/1.1, and other bodies in both versions, saw that their answers were cut.

Cause: such a stream ends with its connection, and the kernel closes the connections of a killed process in good order. The gate reset them itself, which a process that is killed cannot do.

Change: while such a stream is incomplete, its socket has the option that closing it resets it, whoever closes it.

Result: both callers get a reset; 20 of 20 complete streams of 20 events still end in good order (TestWholeStreamToHTTP10CallerIsNotReset). Passed with -race.

--- a/io/gate/callers.go
+++ b/io/gate/callers.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -115,6 +116,20 @@
 	}
 }
 
+// connKey is the key of a caller's connection in the context of its requests.
+type connKey struct{}
+
+// withConn is the ConnContext function of the http.Server.
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// lingererOf returns the connection of a request with the given context, or nil if it is not one of TCP.
+func lingererOf(ctx context.Context) lingerer {
+	lg, _ := ctx.Value(connKey{}).(lingerer)
+	return lg
+}
+
 // enforce ends the reads of connections that are over a timeout, and logs how many connections have been closed since its last call.
 // A shorter idle timeout applies after idleMargin, since callers may not know it yet.
 func (ccs *callerConns) enforce() {
--- a/io/gate/finish.go
+++ b/io/gate/finish.go
@@ -56,6 +56,7 @@
 	gt.logRequest(rq, er, outcome, callerLeft)
 	switch {
 	case er == nil:
+		rq.response.resetAtEnd(false)
 		return
 	case rq.response.started || callerLeft:
 		if err := rq.response.reset(); err != nil {
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -206,7 +206,7 @@
 	wg.Go(func() { gt.serveHTTP(readiness, ready) })
 	conns := newCallerConns(func() route.Limits { return callerLimits(gt.routes.Load()) }, gt.memory, gt.opts.Timer.Now, gt.log)
 	// The limits of callers are applied by conns.
-	srv := &http.Server{Handler: http.HandlerFunc(gt.handle), ConnState: conns.stateChanged, MaxHeaderBytes: math.MaxInt32}
+	srv := &http.Server{Handler: http.HandlerFunc(gt.handle), ConnState: conns.stateChanged, ConnContext: withConn, MaxHeaderBytes: math.MaxInt32}
 	wg.Go(func() { gt.serveHTTP(srv, conns.listener(callers)) })
 	cancelEnforce := gt.opts.Timer.Every(enforceInterval, conns.enforce)
 	defer cancelEnforce()
--- a/io/gate/handle.go
+++ b/io/gate/handle.go
@@ -108,7 +108,7 @@
 		header:   hr.Header,
 		arrived:  time.Now(),
 		info:     gt.opts.Dialect.DecodeRequest(hr.Header),
-		response: response{writer: wr, unframed: !hr.ProtoAtLeast(1, 1)},
+		response: response{writer: wr, unframed: !hr.ProtoAtLeast(1, 1), conn: lingererOf(hr.Context())},
 	}
 	if gt.closeConnections.Load() {
 		wr.Header().Set("Connection", "close")
--- a/io/gate/response.go
+++ b/io/gate/response.go
@@ -16,6 +16,9 @@
 	writer http.ResponseWriter
 	// unframed is set if the caller's version of HTTP has no chunks, so that a stream ends with the connection.
 	unframed bool
+	// conn is the caller's connection, or nil if it is not one of TCP. resetsAtEnd is set while closing it resets it.
+	conn        lingerer
+	resetsAtEnd bool
 	// started is set once a part of the response has been sent.
 	started bool
 	// lastEventID is the numeric id of the last event that was sent; it is valid if hasEventID is set.
@@ -100,10 +103,34 @@
 		return
 	}
 	rs.started = true
+	rs.resetAtEnd(true)
 	rs.copyHeader(hd)
 	rs.writer.WriteHeader(status)
 }
 
+// lingerer is a connection whose end can be chosen, as that of net.TCPConn.
+type lingerer interface{ SetLinger(seconds int) error }
+
+// Values of SetLinger: closing resets the connection, also when the kernel closes it because the process has ended, or ends it in good order.
+const (
+	lingerReset   = 0
+	lingerDefault = -1
+)
+
+// resetAtEnd chooses how the caller's connection ends if the end of a stream is that of its connection: with a reset until the stream is complete,
+// since the kernel closes the connections of a killed process in good order.
+func (rs *response) resetAtEnd(resets bool) {
+	if !rs.unframed || rs.conn == nil || rs.resetsAtEnd == resets {
+		return
+	}
+	seconds := lingerDefault
+	if resets {
+		seconds = lingerReset
+	}
+	// The call fails only if the connection has ended.
+	rs.resetsAtEnd = rs.conn.SetLinger(seconds) == nil && resets
+}
+
 func (rs *response) copyHeader(hd http.Header) {
 	dst := rs.writer.Header()
 	for name, values := range hd {
@@ -158,8 +185,8 @@
 	if err != nil {
 		return fmt.Errorf("take over connection: %w", err)
 	}
-	if lg, ok := conn.(interface{ SetLinger(sec int) error }); ok {
-		if err := lg.SetLinger(0); err != nil {
+	if lg, ok := conn.(lingerer); ok {
+		if err := lg.SetLinger(lingerReset); err != nil {
 			return errors.Join(fmt.Errorf("set linger: %w", err), conn.Close())
 		}
 	}
