io/entry: responses of plain services have a length

What callers with HTTP/1.0 saw: a lookup or the result of an order of more than 2 KB ended with its connection, so that one that was cut off, since the entry was killed or disconnected a caller that reads slowly, looked whole: the header named no length in TestResponsesToHTTP10CallersShowTheirEnd for both.

Cause: the entry left the framing to net/http, which has chunks for HTTP/1.1 only.

Change: it sets the length, which it knows.

Result: the test passes; io/entry, io/gate and io/local pass with -race.

--- a/io/entry/orders.go
+++ b/io/entry/orders.go
@@ -78,6 +78,7 @@
 	wr.Header().Set("Content-Type", contentType)
 	wr.Header().Set("X-Outcome", string(answer.Done))
 	wr.Header().Set("X-Order-Request", row.Request())
+	setLength(wr, len(body))
 	wr.WriteHeader(row.Result().Status())
 	cl := en.claimResponse(wr)
 	defer cl.Close()
--- a/io/entry/plaincall.go
+++ b/io/entry/plaincall.go
@@ -116,11 +116,20 @@
 		wr.Header().Set("Content-Type", reply.GetContentType())
 	}
 	wr.Header().Set("X-Outcome", string(answer.Done))
+	setLength(wr, len(reply.GetBody()))
 	wr.WriteHeader(int(reply.GetHttpStatus()))
 	intake.WriteSlowly(cl, wr, reply.GetBody())
 	return nil
 }
 
+// setLength sets the length in bytes of a body. Without one, a caller with HTTP/1.0 could not tell a body that was cut off from a whole one. There
+// may be no body by the status or the method.
+func setLength(wr http.ResponseWriter, length int) {
+	if length > 0 {
+		wr.Header().Set("Content-Length", itoa(length))
+	}
+}
+
 // claimResponse returns a claim for a response. When it is evicted, a pending write to the caller ends, and the connection with it.
 func (en *Entry) claimResponse(wr http.ResponseWriter) *memory.Claim {
 	controller := http.NewResponseController(wr)
