io/table: a response without cells or versions says nothing about the table

What would be seen: an order, or the head of the configuration, that does not exist for an entry or agent, or a process that ends on an index out of range: the table client took a response such as '{}' or 'null' for a table without cells, and a commit for done without the versions of its writes (21 failures in TestResponsesThatSayNothingAreUnavailable).

Cause: what is missing in a response was read as the statement that there is nothing.

Change: a response needs its list, which may be empty, and as many versions as there were writes. Else the table counts as unavailable.

--- a/io/table/http.go
+++ b/io/table/http.go
@@ -62,25 +62,57 @@
 	if err := ht.call(ctx, "/commit", CommitRequest{Writes: writes}, &resp); err != nil {
 		return nil, fmt.Errorf("commit %d writes: %w", len(writes), err)
 	}
+	if len(resp.Versions) != len(writes) {
+		return nil, fmt.Errorf("commit %d writes: %w", len(writes), &UnavailableError{cause: fmt.Errorf("%w: %d versions", errIncomplete, len(resp.Versions))})
+	}
 	return resp.Versions, nil
 }
 
+// errIncomplete means that a response lacks what it must have. It says nothing about the table then.
+var errIncomplete = errors.New("response of the table service is incomplete")
+
+// cellsBody is a CellsResponse as it was received: Cells is nil if the response has none, not even an empty list.
+type cellsBody struct {
+	Cells json.RawMessage `json:"cells"`
+}
+
+// decode returns the cells.
+func (cb cellsBody) decode() ([]Cell, error) {
+	if cb.Cells == nil {
+		return nil, &UnavailableError{cause: fmt.Errorf("%w: no cells", errIncomplete)}
+	}
+	var cells []Cell
+	if err := json.Unmarshal(cb.Cells, &cells); err != nil {
+		return nil, &UnavailableError{cause: fmt.Errorf("decode cells: %w", err)}
+	}
+	return cells, nil
+}
+
+// cells makes a call whose response holds cells.
+func (ht *HTTP) cells(ctx context.Context, path string, body any) ([]Cell, error) {
+	var received cellsBody
+	if err := ht.call(ctx, path, body, &received); err != nil {
+		return nil, err
+	}
+	return received.decode()
+}
+
 // Read implements Store.
 func (ht *HTTP) Read(ctx context.Context, keys []string) ([]Cell, error) {
-	var resp CellsResponse
-	if err := ht.call(ctx, "/read", ReadRequest{Keys: keys}, &resp); err != nil {
+	cells, err := ht.cells(ctx, "/read", ReadRequest{Keys: keys})
+	if err != nil {
 		return nil, fmt.Errorf("read %d keys: %w", len(keys), err)
 	}
-	return resp.Cells, nil
+	return cells, nil
 }
 
 // Scan implements Store.
 func (ht *HTTP) Scan(ctx context.Context, prefix string, limit int) ([]Cell, error) {
-	var resp CellsResponse
-	if err := ht.call(ctx, "/scan", ScanRequest{Prefix: prefix, Limit: limit}, &resp); err != nil {
+	cells, err := ht.cells(ctx, "/scan", ScanRequest{Prefix: prefix, Limit: limit})
+	if err != nil {
 		return nil, fmt.Errorf("scan %q: %w", prefix, err)
 	}
-	return resp.Cells, nil
+	return cells, nil
 }
 
 func (ht *HTTP) call(ctx context.Context, path string, body, out any) error {
@@ -109,11 +141,15 @@
 		}
 		return nil
 	case http.StatusConflict:
-		var cells CellsResponse
-		if _, err := reply.Decode(rs, maxResponseBytes, &cells); err != nil {
+		var received cellsBody
+		if _, err := reply.Decode(rs, maxResponseBytes, &received); err != nil {
 			return &UnavailableError{cause: err}
 		}
-		return NewConflictError(cells.Cells)
+		cells, err := received.decode()
+		if err != nil {
+			return err
+		}
+		return NewConflictError(cells)
 	}
 	return &UnavailableError{cause: errors.New(rs.Status)}
 }
