io/watch: a declaration whose hash is right is complete, also if its store no longer responds

A declaration shows by its hash that it is complete.

The object client returns what it received with its error, an *IncompleteError, and the reader of declarations checks the hash.

--- a/io/object/store.go
+++ b/io/object/store.go
@@ -23,7 +23,8 @@
 type Store interface {
 	// Put stores an object. Storing the same value under the same name again is allowed.
 	Put(ctx context.Context, name string, value []byte) error
-	// Get returns the value of an object. It fails with a *NotFoundError if the object does not exist.
+	// Get returns the value of an object. It fails with a *NotFoundError if the object does not exist, and with an *IncompleteError if it may be
+	// incomplete.
 	Get(ctx context.Context, name string) ([]byte, error)
 	// List returns the names that begin with prefix, sorted.
 	List(ctx context.Context, prefix string) ([]string, error)
@@ -37,6 +38,23 @@
 // Error returns a message with the name of the object.
 func (ne *NotFoundError) Error() string { return fmt.Sprintf("object %q does not exist", ne.name) }
 
+// IncompleteError reports that an object was received, but may be incomplete, since it has no length and its store no longer responds.
+type IncompleteError struct {
+	name     string
+	received []byte
+}
+
+// Error returns a message with the name of the object.
+func (ie *IncompleteError) Error() string {
+	return fmt.Sprintf("object %q: %v", ie.name, reply.ErrIncomplete)
+}
+
+// Unwrap returns reply.ErrIncomplete.
+func (ie *IncompleteError) Unwrap() error { return reply.ErrIncomplete }
+
+// Received returns what was received, for callers that know how the whole object looks.
+func (ie *IncompleteError) Received() []byte { return ie.received }
+
 // HTTP is a Store that calls the object store with PUT and GET requests.
 type HTTP struct {
 	base   string
@@ -78,7 +96,7 @@
 	}
 	value, verdict, err := reply.Read(rs, ht.maxBytes)
 	if err == nil && verdict == whole.Doubtful && whole.Settle(ht.life(ctx, name)) != whole.Whole {
-		err = reply.ErrIncomplete
+		err = &IncompleteError{name: name, received: value}
 	}
 	if err != nil {
 		return nil, fmt.Errorf("get object %q: %w", name, err)
--- a/io/watch/head.go
+++ b/io/watch/head.go
@@ -79,6 +79,11 @@
 // length may have been cut off, and what is left may be a valid declaration.
 func ReadDeclaration(ctx context.Context, objects object.Store, hash string) ([]byte, error) {
 	text, err := objects.Get(ctx, declarationName(hash))
+	var ie *object.IncompleteError
+	if errors.As(err, &ie) {
+		// The hash shows whether it is complete.
+		text, err = ie.Received(), nil
+	}
 	if err != nil {
 		return nil, fmt.Errorf("read declaration: %w", err)
 	}
