io/intake, gate, entry: a request of HTTP/1.0 whose body has no known end is not run, and nothing that follows it is read

What servers saw: a request of HTTP/1.0 with Transfer-Encoding ran with an empty body, or with the line of a chunk as its body beside a length; with Connection: keep-alive, its chunks were read as the next request, which ran, too (5 cases of TestChunksInHTTP10RequestAreNotRun).

Cause: that version has no chunks, so net/http removes the header and takes the body for empty.

Change: a POST, PUT or PATCH of HTTP/1.0 needs a length, as that version demands, and is answered 400 without one. The response to a request of HTTP/1.0 ends the connection, also where that asked to keep it, so that nothing after it is read as a request (a sixth case, which was not wrong before). A length beside Transfer-Encoding still passes: the gate does not see that header.

--- a/io/entry/routes.go
+++ b/io/entry/routes.go
@@ -97,6 +97,7 @@
 	now := time.Now()
 	rq := &request{id: uuid.Must(uuid.NewV7()).String(), receivedAt: now, deadline: now.Add(time.Minute)}
 	wr.Header().Set("X-Request-Id", rq.id)
+	intake.CloseAfterOldRequest(wr, hr)
 	rq.snapshot = en.board.Snapshot()
 	if rq.snapshot == nil {
 		return rq, answer.NewError(answer.NotConfigured, answer.NotRun, time.Second, "the entry has no configuration yet")
--- a/io/gate/handle.go
+++ b/io/gate/handle.go
@@ -113,6 +113,7 @@
 	if gt.closeConnections.Load() {
 		wr.Header().Set("Connection", "close")
 	}
+	intake.CloseAfterOldRequest(wr, hr)
 	defer rq.release()
 	er := gt.admit(rq, hr)
 	if er == nil {
--- a/io/intake/body.go
+++ b/io/intake/body.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"errors"
 	"net/http"
 	"time"
 
@@ -10,8 +11,29 @@
 // lingerTime bounds what net/http still reads of a request whose body was refused.
 const lingerTime = 500 * time.Millisecond
 
-// ReadBody reads the body of a request of at most maxBytes. It fails with ErrTooLong, before it reads anything if the length was
-// announced, with memory.ErrShort, or with the error of the read; the response must then end the connection, which ReadBody prepares.
+// ErrNoLength means that the end of a body is not known: a version of HTTP without chunks, and no length. net/http removes the header that
+// names chunks then, and takes the body for empty.
+var ErrNoLength = errors.New("request body without a length")
+
+// lacksLength reports whether a request may have a body of which the end is not known.
+func lacksLength(hr *http.Request) bool {
+	switch hr.Method {
+	case http.MethodPost, http.MethodPut, http.MethodPatch:
+		return !hr.ProtoAtLeast(1, 1) && len(hr.Header["Content-Length"]) == 0
+	}
+	return false
+}
+
+// CloseAfterOldRequest makes the response to a request of a version of HTTP without chunks end the connection: what follows the request may be chunks of
+// it, and would be read as the next one.
+func CloseAfterOldRequest(wr http.ResponseWriter, hr *http.Request) {
+	if !hr.ProtoAtLeast(1, 1) {
+		wr.Header().Set("Connection", "close")
+	}
+}
+
+// ReadBody reads the body of a request of at most maxBytes. It fails with ErrNoLength, with ErrTooLong, before it reads anything if the
+// length was announced, with memory.ErrShort, or with the error of the read; the response must then end the connection, which ReadBody prepares.
 // The caller closes the claim of the returned data in every case.
 func ReadBody(bg *memory.Budget, wr http.ResponseWriter, hr *http.Request, maxBytes int64) (*Data, error) {
 	controller := http.NewResponseController(wr)
@@ -20,6 +42,10 @@
 		_ = controller.SetReadDeadline(time.Unix(1, 0))
 	})
 	dt := NewData(cl)
+	if lacksLength(hr) {
+		Refuse(wr)
+		return dt, ErrNoLength
+	}
 	if hr.ContentLength == 0 {
 		return dt, nil
 	}
