io/gate: the connection of a stream that ended within an event, as its framing says, serves no other request

What callers saw: a request that was sent over the connection of such a stream, which its server was about to close, was lost: 502 where it runs at most once, and one attempt less where it may be repeated.

Cause: the answer was whole by its length or its last chunk, so that its connection went back to the pool, although the gate judged it broken.

Change: a broken answer's connection is closed.

The retry budget was ruled out: the case needs 10 retries, and 8.75 + 0.14 x 34 requests = 13.5 are allowed there.

--- a/io/client/exchange.go
+++ b/io/client/exchange.go
@@ -319,6 +319,9 @@
 	return nil
 }
 
+// Discard makes Close close the connection, since its server sent an answer that is not whole, although its framing says so: it may be about to end.
+func (rs *Response) Discard() { rs.reusable = false }
+
 // Close returns the connection to the pool if it may be reused, the whole response was read and nothing follows it. Otherwise it
 // closes the connection, so that a server that is still processing the request notices the cancellation.
 func (rs *Response) Close() {
--- a/io/gate/settle.go
+++ b/io/gate/settle.go
@@ -26,6 +26,7 @@
 	case whole.Whole:
 		return nil
 	case whole.Broken:
+		resp.Discard()
 		if err == nil || client.EndingOf(err) == (whole.Finished{}) {
 			return errTruncatedEvent
 		}
