io/agent: an engine's failure does not state that a call was not run

What callers saw: 'bad request, not run' for every status of an engine other than 200, also for 500, 502, 503 and 504, and no attempt at another engine. Such a failure says neither that the request is wrong nor that it has not run.

Change: only statuses from 400 to 499 count as a refusal of the call; after others, the engine has failed and it is unknown whether the call ran, so that it goes to another engine.

--- a/io/agent/modelcall.go
+++ b/io/agent/modelcall.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -127,7 +128,8 @@
 		er = answer.NewError(answer.DeadlineExceeded, answer.Unknown, minRetryAfter, "deadline exceeded")
 	case errors.As(err, &notSent):
 		er = answer.NewError(answer.ServerUnreachable, answer.NotRun, minRetryAfter, "%v", err)
-	case errors.As(err, &status):
+	// An engine that failed may have run the call; only a refusal of the call itself states that it has not.
+	case errors.As(err, &status) && status.Status() >= http.StatusBadRequest && status.Status() < http.StatusInternalServerError:
 		er = answer.NewError(answer.BadRequest, answer.NotRun, 0,
 			"the engine returned status %d: %s", status.Status(), status.Body())
 	}
