io/local: the test of cut answers commits one write for the one version that it is answered

TestClientsRejectCutAnswers failed since: it committed no writes and was answered one version, which the table client now rejects as an answer that does not belong to the call. With one write the answer is a proper one; all cuts of it are still checked.

--- a/io/local/cut_test.go
+++ b/io/local/cut_test.go
@@ -52,7 +52,7 @@
 			return err
 		}},
 		{"versions", `{"versions":[1]}`, func(ctx context.Context) error {
-			_, err := table.NewHTTP(srv.URL).Commit(ctx, nil)
+			_, err := table.NewHTTP(srv.URL).Commit(ctx, []table.Write{{Key: "a"}})
 			return err
 		}},
 		{"engine", `{"incarnation":7,"weights":"w1"}`, func(ctx context.Context) error {
