io/client: clients of plain services and objects reject a response of HTTP/1.0 with a transfer encoding

Change: the connections of these clients check the header of their first response, and serve one request only if it is of a version without chunks; net/http sends the next one over another connection.

--- a/io/object/store.go
+++ b/io/object/store.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"shallotcleat/core/whole"
+	"shallotcleat/io/client"
 	"shallotcleat/io/reply"
 )
 
@@ -65,7 +66,7 @@
 
 // NewHTTP returns a client of the object store at the base URL.
 func NewHTTP(base string) *HTTP {
-	return &HTTP{base: base, client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{}}, maxBytes: maxObjectBytes}
+	return &HTTP{base: base, client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{DialContext: client.GuardedDial}}, maxBytes: maxObjectBytes}
 }
 
 // Put implements Store.
--- a/io/reply/cut_test.go
+++ b/io/reply/cut_test.go
@@ -135,8 +135,8 @@
 type form struct {
 	name, head string
 	encode     func(body string) string
-	// unframed is set if the body ends with its connection.
-	unframed bool
+	// unframed is set if the body ends with its connection, and invalid if the answer is not one by the protocol.
+	unframed, invalid bool
 }
 
 func forms() []form {
@@ -157,16 +157,18 @@
 	const ok, closing, coding = "HTTP/1.1 200 OK\r\n", "Connection: close\r\n", "Content-Encoding: gzip\r\n"
 	const chunked = "Transfer-Encoding: chunked\r\n"
 	return []form{
-		{"length", ok + closing + "Content-Length: LENGTH\r\n\r\n", same, false},
-		{"length last, LF", strings.ReplaceAll(ok+closing+"Content-Length: LENGTH\r\n\r\n", "\r\n", "\n"), same, false},
-		{"length, HTTP/1.0", "HTTP/1.0 200 OK\r\nContent-Length: LENGTH\r\n\r\n", same, false},
-		{"chunks", ok + closing + chunked + "\r\n", chunks, false},
-		{"neither", ok + closing + "\r\n", same, true},
-		{"neither, HTTP/1.0, LF", "HTTP/1.0 200 OK\n\n", same, true},
-		{"interim, length", "HTTP/1.1 103 Early Hints\r\n\r\n" + ok + closing + "Content-Length: LENGTH\r\n\r\n", same, false},
-		{"compressed, length", ok + closing + coding + "Content-Length: LENGTH\r\n\r\n", compress, false},
-		{"compressed, chunks", ok + closing + coding + chunked + "\r\n", func(body string) string { return chunks(compress(body)) }, false},
-		{"compressed, neither", ok + closing + coding + "\r\n", compress, true},
+		{"length", ok + closing + "Content-Length: LENGTH\r\n\r\n", same, false, false},
+		{"length last, LF", strings.ReplaceAll(ok+closing+"Content-Length: LENGTH\r\n\r\n", "\r\n", "\n"), same, false, false},
+		{"length, HTTP/1.0", "HTTP/1.0 200 OK\r\nContent-Length: LENGTH\r\n\r\n", same, false, false},
+		{"chunks", ok + closing + chunked + "\r\n", chunks, false, false},
+		{"neither", ok + closing + "\r\n", same, true, false},
+		{"neither, HTTP/1.0, LF", "HTTP/1.0 200 OK\n\n", same, true, false},
+		{"interim, length", "HTTP/1.1 103 Early Hints\r\n\r\n" + ok + closing + "Content-Length: LENGTH\r\n\r\n", same, false, false},
+		{"compressed, length", ok + closing + coding + "Content-Length: LENGTH\r\n\r\n", compress, false, false},
+		{"compressed, chunks", ok + closing + coding + chunked + "\r\n", func(body string) string { return chunks(compress(body)) }, false, false},
+		{"chunks, HTTP/1.0", "HTTP/1.0 200 OK\r\n" + chunked + "\r\n", chunks, true, true},
+		{"chunks and length, HTTP/1.0", "HTTP/1.0 200 OK\r\nContent-Length: 3\r\n" + chunked + "\r\n", chunks, false, true},
+		{"compressed, neither", ok + closing + coding + "\r\n", compress, true, false},
 	}
 }
 
@@ -205,6 +207,9 @@
 			got, err := cl.do(t.Context(), cs.base(cut))
 			whole := cut == len(head)+len(body)
 			switch {
+			case fm.invalid && err == nil:
+				t.Errorf("%s, cut after %q: got %q for what is no answer", fm.name, text[max(0, len(text)-40):], got)
+			case fm.invalid:
 			case err == nil && cl.opaque && fm.unframed && how == ordinary && cut >= len(head):
 				// The service runs, and itself says that its answer ends here.
 			case err == nil && got != want:
--- a/io/server/plain.go
+++ b/io/server/plain.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"shallotcleat/core/whole"
+	"shallotcleat/io/client"
 	"shallotcleat/io/reply"
 )
 
@@ -56,10 +57,10 @@
 
 // NewHTTPPlainService returns a client of the service at a base URL.
 func NewHTTPPlainService(baseURL string) *HTTPPlainService {
-	reusing := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: time.Minute}
+	reusing := &http.Transport{DialContext: client.GuardedDial, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: time.Minute}
 	return &HTTPPlainService{
 		baseURL:    baseURL,
-		atMostOnce: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, CheckRedirect: noRedirect},
+		atMostOnce: &http.Client{Transport: &http.Transport{DialContext: client.GuardedDial, DisableKeepAlives: true}, CheckRedirect: noRedirect},
 		repeatable: &http.Client{Transport: reusing, CheckRedirect: noRedirect},
 	}
 }
@@ -73,9 +74,9 @@
 	if err != nil {
 		return Response{}, &NotSentError{cause: fmt.Errorf("create request: %w", err)}
 	}
-	client := hps.repeatable
+	sender := hps.repeatable
 	if rq.IdempotencyKey != "" {
-		client = hps.atMostOnce
+		sender = hps.atMostOnce
 		httpRequest.GetBody = nil
 	}
 	httpRequest.Header.Set("X-Request-Id", rq.RequestID)
@@ -85,7 +86,7 @@
 	if rq.IdempotencyKey != "" {
 		httpRequest.Header.Set("Idempotency-Key", rq.IdempotencyKey)
 	}
-	httpResponse, err := client.Do(httpRequest)
+	httpResponse, err := sender.Do(httpRequest)
 	if err != nil {
 		return Response{}, classifyError(err)
 	}
--- a/io/server/plain_test.go
+++ b/io/server/plain_test.go
@@ -63,3 +63,27 @@
 		srv.Close()
 	}
 }
+
+// Guards against a request that fails since the connection is that of a server with HTTP/1.0, which is kept but serves one request only.
+func TestRequestsToHTTP10Service(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(wr http.ResponseWriter, _ *http.Request) {
+		conn, _, err := wr.(http.Hijacker).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		_, _ = io.WriteString(conn, "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 5\r\n\r\nwhole")
+		_, _ = io.Copy(io.Discard, conn)
+	}))
+	defer srv.Close()
+	service := NewHTTPPlainService(srv.URL)
+	for _, key := range []string{"", "", "k", "", "k"} {
+		for _, method := range []string{http.MethodGet, http.MethodPost} {
+			rs, err := service.Do(t.Context(), Request{Method: method, Path: "/", IdempotencyKey: key})
+			if err != nil || string(rs.Body) != "whole" {
+				t.Errorf("%s, key %q: got %q, %v", method, key, rs.Body, err)
+			}
+		}
+	}
+}
