--- a/io/client/exchange.go
+++ b/io/client/exchange.go
@@ -173,7 +173,7 @@
 	}
 	cn.limit.beginHead()
 	for {
-		resp, err := http.ReadResponse(cn.reader, &http.Request{Method: rq.Method})
+		resp, err := cn.readHead(rq.Method)
 		if err != nil && cn.limit.failure != nil {
 			// A header that was cut off is malformed, too.
 			err = fmt.Errorf("%w (%w)", err, cn.limit.failure)
@@ -216,6 +216,14 @@
 	}
 }
 
+// readHead reads the header of the next response, to a request with the given method.
+func (cn *conn) readHead(method string) (*http.Response, error) {
+	if err := checkOldHead(cn.reader); err != nil {
+		return nil, err
+	}
+	return http.ReadResponse(cn.reader, &http.Request{Method: method})
+}
+
 // skip reads an unmatched response to its end and reports whether the connection may still be used: the response was not too long,
 // and not too many were skipped for the request.
 func (cn *conn) skip(resp *http.Response) bool {
@@ -316,6 +324,9 @@
 	return nil
 }
 
+// Discard makes Close close the connection, since its server sent an answer that is not whole, although its framing says so: it may be about to end.
+func (rs *Response) Discard() { rs.reusable = false }
+
 // Close returns the connection to the pool if it may be reused, the whole response was read and nothing follows it. Otherwise it
 // closes the connection, so that a server that is still processing the request notices the cancellation.
 func (rs *Response) Close() {
