io/gate: a stopping gate answers what it passes on, and refuses what it cannot serve in time

What callers saw: requests that a stopping gate took late in its grace were passed on and cut at 7.3 s without an answer, among them requests that must not be repeated. Requests on connections that had not been used before, sent later than 3 s after SIGTERM, were read and their connection closed without an answer. What still ran at the end was cut in silence, also requests that came early.

Cause: nothing asked whether a request that arrives at a stopping gate can end in time; a body that comes late begins its request whenever it comes. Server.Shutdown closes connections whose request has just been read (net/http returns without a response once it shuts down), and Server.Close ends the others without a response.

Change: core/drain decides from the time until the cut, the deadline of the request and the usual duration of its route whether it is taken. What is not taken gets 503 with Retry-After. The gate closes idle connections itself, after a last look for a request, and cuts running requests before its end so that they get 502 or a broken stream.

--- a/io/cmds/gate.go
+++ b/io/cmds/gate.go
@@ -46,7 +46,7 @@
 	OldWeights     string `long:"old-weights" env:"SHALLOTCLEAT_OLD_WEIGHTS" description:"how long after newer weights are announced a request may start on older ones" default:"6s"`
 }
 
-// stopMargin is the time between the end of a graceful stop and the kill at --stop-timeout.
+// stopMargin is the time between the end of a graceful stop and the kill at --stop-timeout, or a tenth of that time if it is less.
 const stopMargin = 700 * time.Millisecond
 
 // balancerLag is how long the load balancer may still send requests after the readiness check fails: it checks once a second
@@ -70,6 +70,7 @@
 
 func (cm *gateCommand) run(ctx context.Context, _ io.Writer) error {
 	var vd validator
+	stopTimeout := vd.duration("stop-timeout", cm.StopTimeout, 2*time.Second, time.Hour)
 	opts := gate.Options{
 		Zone:        cm.Zone,
 		PeerAddress: vd.address("peer", cm.Peer),
@@ -92,7 +93,7 @@
 		ZonePrice: zone.NewPrice(vd.duration("zone-latency", cm.ZoneLatency, 0, time.Second),
 			vd.duration("zone-megabyte-cost", cm.ZoneMegabyte, 0, time.Minute)),
 		FixedZoneCost: vd.oneOf("zone-choice", cm.ZoneChoice, "share", "cost") == "cost",
-		StopTimeout:   vd.duration("stop-timeout", cm.StopTimeout, 2*time.Second, time.Hour) - stopMargin,
+		StopTimeout:   stopTimeout - min(stopMargin, stopTimeout/10),
 		BalancerLag:   balancerLag,
 		RandomSeed:    randomNonZero(),
 	}
--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -195,7 +195,7 @@
 		}
 	} else {
 		at.pickAttempt.End(time.Now(), pick.Served)
-		at.gate.flow.Served(time.Now(), rq.service.Name(), time.Since(at.sentAt))
+		at.recordDuration()
 	}
 	if resp.Status < http.StatusMultipleChoices {
 		at.recordAnswered(requestCtx, resp)
@@ -210,6 +210,13 @@
 	return responded, nil
 }
 
+// recordDuration records how long the server took for a request that it served.
+func (at *attempt) recordDuration() {
+	took := time.Since(at.sentAt)
+	at.gate.flow.Served(time.Now(), at.rq.service.Name(), took)
+	at.gate.durations.Record(at.rq.route.Name(), took)
+}
+
 // endBroken ends an attempt whose response is incomplete or has too large an event.
 func (at *attempt) endBroken(requestCtx context.Context, err error) (attemptResult, *answer.Error) {
 	now := time.Now()
@@ -220,7 +227,7 @@
 		at.pickAttempt.End(now, pick.NoResponse)
 	case requestCtx.Err() != nil:
 		at.pickAttempt.End(now, pick.Abandoned)
-		return mayHaveRun, answer.NewError(answer.DeadlineExceeded, answer.Unknown, 0, "%v", err)
+		return mayHaveRun, at.gate.endedError(err)
 	default:
 		at.recordBroken(requestCtx, err)
 		at.pickAttempt.End(now, pick.Failed)
--- a/io/gate/callers.go
+++ b/io/gate/callers.go
@@ -89,6 +89,8 @@
 	// idleTimeout is the latest idle timeout, in force since idleTimeoutSince.
 	idleTimeout      time.Duration
 	idleTimeoutSince time.Time
+	// leaving is set once idle connections are closed because the process stops, lateHeaders once incomplete headers are refused for that.
+	leaving, lateHeaders bool
 }
 
 func newCallerConns(limits func() route.Limits, bg *memory.Budget, now func() time.Time, lg *logrus.Entry) *callerConns {
@@ -127,8 +129,15 @@
 	if now.Sub(ccs.idleTimeoutSince) < idleMargin {
 		idleSince = time.Time{}
 	}
+	headerSince := now.Add(-lm.HeaderTimeout - headerMargin)
+	if ccs.leaving {
+		idleSince = now
+	}
+	if ccs.lateHeaders {
+		headerSince = now
+	}
 	for cc := range ccs.open {
-		if err := cc.expire(idleSince, now.Add(-lm.HeaderTimeout-headerMargin)); err != nil {
+		if err := cc.expire(idleSince, headerSince); err != nil {
 			ccs.log.WithError(err).WithField("caller", cc.RemoteAddr().String()).Warn("cannot end the read of a caller's connection")
 		}
 	}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -16,6 +16,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"shallotcleat/core/clock"
+	"shallotcleat/core/drain"
 	"shallotcleat/core/memory"
 	"shallotcleat/core/pick"
 	"shallotcleat/core/quota"
@@ -96,10 +97,13 @@
 	connPool *client.Pool
 	prober   *probe.Prober
 	routes   atomic.Pointer[route.Table]
-	// stopping is set once the graceful stop has begun; closeConnections is set once responses must tell callers to close
-	// their connections.
-	stopping         atomic.Bool
+	// stop is the plan of the graceful stop, or nil before it; closeConnections is set once responses must tell callers to close
+	// their connections. cut is done once the requests that still run are cut off.
+	stop             atomic.Pointer[drain.Plan]
 	closeConnections atomic.Bool
+	cut              context.Context
+	cutOff           context.CancelFunc
+	durations        *drain.Durations
 	retryBudgets     *retryBudgets
 	bodies           bodies
 	memory           *memory.Budget
@@ -151,8 +155,10 @@
 		nodeTable:     feed.NewCopy(tables.Nodes),
 		loadScheduler: loadScheduler{scheduler: weight.NewScheduler(opts.OldWeightsGrace)},
 		pullRequests:  make(chan struct{}, 1),
+		durations:     drain.NewDurations(),
 		done:          make(chan struct{}),
 	}
+	gt.cut, gt.cutOff = context.WithCancel(context.Background())
 	gt.memoryReporter = intake.NewReporter(gt.memory, opts.Recorder)
 	gt.gateList = NewGateList(gt.nodeTable)
 	gt.hints = newHintExchange(gt)
@@ -217,37 +223,21 @@
 	cancelProbe := gt.opts.Timer.Every(probeInterval, func() { gt.probeUnreachable(workCtx) })
 	defer cancelProbe()
 	<-ctx.Done()
-	gt.shutdown(srv)
+	gt.shutdown(srv, conns, callers)
 	_ = readiness.Close()
 	return nil
 }
 
 func (gt *Gate) serveHTTP(srv *http.Server, lis net.Listener) {
-	if err := srv.Serve(lis); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	// The stop closes the listener of callers itself.
+	if err := srv.Serve(lis); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		gt.log.WithError(err).Error("HTTP server failed")
 	}
 }
 
-// shutdown stops the HTTP server gracefully: readiness checks fail first, then responses tell callers to close their
-// connections, and finally it waits for running requests. It interrupts those that are still running after StopTimeout.
-func (gt *Gate) shutdown(srv *http.Server) {
-	gt.stopping.Store(true)
-	gt.log.WithField("event", string(trace.LeavingBegan)).Info("graceful stop started")
-	end := time.Now().Add(gt.opts.StopTimeout)
-	time.Sleep(gt.opts.BalancerLag / 3)
-	gt.closeConnections.Store(true)
-	time.Sleep(gt.opts.BalancerLag - gt.opts.BalancerLag/3)
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	if err := srv.Shutdown(ctx); err != nil {
-		gt.log.WithError(err).Warn("stop timeout exceeded; closing the connections of running requests")
-		_ = srv.Close()
-	}
-}
-
 func (gt *Gate) serveReady(wr http.ResponseWriter, _ *http.Request) {
 	switch {
-	case gt.stopping.Load():
+	case gt.stop.Load() != nil:
 		http.Error(wr, "leaving", http.StatusServiceUnavailable)
 	case gt.routes.Load() == nil:
 		http.Error(wr, "no configuration yet", http.StatusServiceUnavailable)
--- a/io/gate/handle.go
+++ b/io/gate/handle.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -195,6 +196,12 @@
 // the request.
 func (gt *Gate) readBody(rq *request, wr http.ResponseWriter, hr *http.Request) *answer.Error {
 	maxBytes := callerLimits(rq.routes).MaxBodyBytes
+	if hr.ContentLength != 0 {
+		defer context.AfterFunc(gt.cut, func() {
+			// A connection that has ended needs no deadline.
+			_ = http.NewResponseController(wr).SetReadDeadline(time.Unix(1, 0))
+		})()
+	}
 	data, err := intake.ReadBody(gt.memory, wr, hr, maxBytes)
 	rq.bodyClaim = data.Claim()
 	switch {
@@ -204,6 +211,9 @@
 		// An evicted body was interrupted by a read deadline, like a late one.
 		rq.bodyLate = true
 		return answer.NewError(answer.MemoryShort, answer.NotRun, memoryRetryAfter, "request body: %v", err)
+	case errors.Is(err, os.ErrDeadlineExceeded) && gt.cut.Err() != nil:
+		rq.bodyLate = true
+		return answer.NewError(answer.Leaving, answer.NotRun, leavingRetryAfter, "request body incomplete at the end of the graceful stop")
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		rq.bodyLate = true
 		return answer.NewError(answer.DeadlineExceeded, answer.NotRun, 0, "request body incomplete at the deadline")
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -173,7 +173,7 @@
 	}
 	at.recordFirstEvent()
 	at.pickAttempt.End(time.Now(), pick.Served)
-	at.gate.flow.Served(time.Now(), at.rq.service.Name(), time.Since(at.sentAt))
+	at.recordDuration()
 	at.recordAnswered(requestCtx, resp)
 	at.rq.response.writeHeader(resp.Status, resp.Header)
 	return responded, nil
--- a/io/gate/run.go
+++ b/io/gate/run.go
@@ -52,6 +52,7 @@
 func (gt *Gate) run(parent context.Context, rq *request) *answer.Error {
 	ctx, cancel := context.WithDeadline(parent, rq.deadline)
 	defer cancel()
+	defer context.AfterFunc(gt.cut, cancel)()
 	if er := gt.pinResumed(ctx, rq); er != nil {
 		return er
 	}
@@ -62,6 +63,9 @@
 		"no available backend server for service %q", rq.service.Name())
 	for {
 		now := time.Now()
+		if er := gt.refuseStopping(now, rq); er != nil {
+			return worseError(last, er)
+		}
 		if er := gt.crashes.check(ctx, now, rq); er != nil {
 			return worseError(last, er)
 		}
@@ -277,7 +281,7 @@
 		return at.endExpired()
 	case requestCtx.Err() != nil && !at.hasTimedOut():
 		at.pickAttempt.End(now, pick.Abandoned)
-		return mayHaveRun, answer.NewError(answer.DeadlineExceeded, answer.Unknown, 0, "%v", err)
+		return mayHaveRun, at.gate.endedError(err)
 	}
 	at.recordBroken(requestCtx, err)
 	at.pickAttempt.End(now, pick.NoResponse)
