io/gate: the lines of an event take no memory of their own

Events of 1 MB that consist of lines of two bytes took a gate to 434 MB of resident memory: for each event, the search for its id and for its fields made two lists of all its lines, 21 MB for 1 MB.

Change: the lines are read one after another in place.

--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"strconv"
-	"strings"
 	"time"
 
 	"shallotcleat/core/answer"
@@ -181,7 +180,8 @@
 
 // hasField reports whether an event has a field; one of comments only is no sign of progress.
 func hasField(event []byte) bool {
-	for _, line := range bytes.Split(event, []byte("\n")) {
+	// Splitting an event of many short lines would take more than ten times its size.
+	for line := range bytes.Lines(event) {
 		if line = bytes.TrimSpace(line); len(line) > 0 && line[0] != ':' {
 			return true
 		}
@@ -191,9 +191,9 @@
 
 // eventID returns the id of an event, and whether the event has a numeric id.
 func eventID(event []byte) (int64, bool) {
-	for _, line := range strings.Split(string(event), "\n") {
-		if value, ok := strings.CutPrefix(line, "id:"); ok {
-			id, err := strconv.ParseInt(strings.TrimSpace(value), 10, 64)
+	for line := range bytes.Lines(event) {
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
 			return id, err == nil
 		}
 	}
