io/gate: headers of responses count in the memory budget

Callers saw: nothing yet; at 88 MB the process would have ended, with all requests on it. A response may have a header of 64 KB, which net/http keeps as a map: 60 KB of fields of 8 bytes take 1 MB for as long as the response lasts, and nothing counted them. 160 responses with such a header and a body or a stream that goes on slowly took a gate of 88 MB to 141 MB and 106 MB of resident memory.

Change: io/client reports the parts of a header as they arrive, interim responses and responses to others included, and the gate claims memory for them as for the headers of callers. Without room the exchange ends; the request may have run, so the caller gets a 502. The header of a failure that is kept as a fallback keeps its claim.

--- a/io/client/exchange.go
+++ b/io/client/exchange.go
@@ -44,6 +44,9 @@
 	// Carried, unless it is nil, is called with the use of the connection once the request is about to be written, and again if responses to
 	// other requests came before its own.
 	Carried func(ConnUse)
+	// HeadArrived, unless it is nil, is called with each part of a header that arrives, also of interim responses and of responses to other
+	// requests. Its error ends the exchange.
+	HeadArrived func(part []byte) error
 	// Matches reports whether a response with this header belongs to the request; nil accepts every response.
 	Matches func(http.Header) bool
 }
@@ -166,7 +169,7 @@
 	} else {
 		writeResult <- nil
 	}
-	cn.limit.beginHead()
+	cn.limit.beginHead(rq.HeadArrived)
 	for {
 		resp, err := http.ReadResponse(cn.reader, &http.Request{Method: rq.Method})
 		if err != nil && cn.limit.failure != nil {
@@ -187,7 +190,7 @@
 			if !usable {
 				return nil, &ExchangeError{address: cn.address, cause: errUnmatchedResponse}
 			}
-			cn.limit.beginHead()
+			cn.limit.beginHead(rq.HeadArrived)
 			continue
 		}
 		cn.applyKeepAlive(resp.Header)
@@ -260,7 +263,7 @@
 
 // applyKeepAlive sets the connection's idle time from the timeout parameter of the server's Keep-Alive header.
 func (cn *conn) applyKeepAlive(hd http.Header) {
-	for _, parameter := range strings.Split(hd.Get("Keep-Alive"), ",") {
+	for parameter := range strings.SplitSeq(hd.Get("Keep-Alive"), ",") {
 		value, ok := strings.CutPrefix(strings.TrimSpace(parameter), "timeout=")
 		if !ok {
 			continue
--- a/io/client/limit.go
+++ b/io/client/limit.go
@@ -15,6 +15,8 @@
 type readLimit struct {
 	reader    io.Reader
 	remaining int64
+	// arrived is called with each part of a header; it may be nil. Its error ends the exchange.
+	arrived func(part []byte) error
 	// failure is the last error of reader.
 	failure error
 }
@@ -29,6 +31,12 @@
 	}
 	count, err := rl.reader.Read(buffer)
 	rl.remaining -= int64(count)
+	if rl.arrived != nil && count > 0 {
+		if err := rl.arrived(buffer[:count]); err != nil {
+			rl.failure = err
+			return 0, err
+		}
+	}
 	if err != nil {
 		rl.failure = err
 	}
@@ -36,7 +44,9 @@
 }
 
 // beginHead limits the bytes of the header that is read next.
-func (rl *readLimit) beginHead() { rl.remaining = maxHeadBytes }
+func (rl *readLimit) beginHead(arrived func(part []byte) error) {
+	rl.remaining, rl.arrived = maxHeadBytes, arrived
+}
 
 // beginBody ends the limit; the reader of the body has a limit of its own.
-func (rl *readLimit) beginBody() { rl.remaining = math.MaxInt64 }
+func (rl *readLimit) beginBody() { rl.remaining, rl.arrived = math.MaxInt64, nil }
--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -15,6 +15,7 @@
 	"shallotcleat/core/pick"
 	"shallotcleat/core/whole"
 	"shallotcleat/io/client"
+	"shallotcleat/io/intake"
 )
 
 // attempt is one send of a request to one server.
@@ -34,6 +35,8 @@
 	// cancels the attempt, or marks the server unreachable if the request must not run more than once.
 	watchdog *time.Timer
 	timedOut atomic.Bool
+	// head is the memory of the header of the answer, or nil if the answer is kept beyond the attempt.
+	head *intake.Header
 	// answer is what the log says about the answer.
 	answer *answerLog
 	// handOver is the hand-over of the run to another engine, or nil if there can be none.
@@ -42,6 +45,13 @@
 	weightsExpired atomic.Bool
 }
 
+// freeHead frees the memory of the header unless the answer is kept.
+func (at *attempt) freeHead() {
+	if at.head != nil {
+		at.head.Close()
+	}
+}
+
 // timeoutFunc returns a function for the watchdog that cancels the attempt.
 func (at *attempt) timeoutFunc(cancel context.CancelFunc) func() {
 	return func() {
@@ -188,8 +198,8 @@
 	if resp.Status >= http.StatusInternalServerError {
 		at.pickAttempt.End(time.Now(), pick.Failed)
 		if !rq.response.started && !rq.route.AtMostOnce() {
-			rq.response.setFallback(resp.Status, resp.Header, body)
-			kept = true
+			rq.response.setFallback(resp.Status, resp.Header, body, at.head)
+			kept, at.head = true, nil
 			return serverError, answer.NewError(answer.ServerFailed, answer.Unknown, 0,
 				"server %s responded with status %d", at.choice.Server().ID(), resp.Status)
 		}
--- a/io/gate/response.go
+++ b/io/gate/response.go
@@ -34,18 +34,21 @@
 	status int
 	header http.Header
 	body   *intake.Data
+	// head is the memory of header.
+	head *intake.Header
 }
 
 // setFallback keeps an error response in place of an earlier one.
-func (rs *response) setFallback(status int, hd http.Header, body *intake.Data) {
+func (rs *response) setFallback(status int, hd http.Header, body *intake.Data, head *intake.Header) {
 	rs.release()
-	rs.fallback = &bufferedResponse{status: status, header: hd, body: body}
+	rs.fallback = &bufferedResponse{status: status, header: hd, body: body, head: head}
 }
 
 // release frees the memory of the fallback.
 func (rs *response) release() {
 	if rs.fallback != nil {
 		freeBody(rs.fallback.body)
+		rs.fallback.head.Close()
 		rs.fallback = nil
 	}
 }
--- a/io/gate/run.go
+++ b/io/gate/run.go
@@ -10,6 +10,7 @@
 	"shallotcleat/core/answer"
 	"shallotcleat/core/pick"
 	"shallotcleat/io/client"
+	"shallotcleat/io/intake"
 	"shallotcleat/io/link"
 )
 
@@ -143,7 +144,9 @@
 	now := time.Now()
 	pickAttempt := gt.picker.StartAttempt(now, rq.call, ch)
 	gt.countZoneExit(rq, ch)
-	at := &attempt{gate: gt, rq: rq, choice: ch, pickAttempt: pickAttempt, sentAt: now, answer: rq.log.addAnswer(ch.Server())}
+	at := &attempt{gate: gt, rq: rq, choice: ch, pickAttempt: pickAttempt, sentAt: now, answer: rq.log.addAnswer(ch.Server()),
+		head: intake.NewHeader(gt.memory)}
+	defer at.freeHead()
 	pickAttempt.OnExpiry(at.expiryFunc(cancel))
 	at.handOver = at.newHandOver(cancel)
 	timeout := gt.responseTimeout(rq)
@@ -158,7 +161,9 @@
 	rq.log.connUse = nil
 	at.watchdog = time.AfterFunc(timeout, onTimeout)
 	defer at.watchdog.Stop()
-	resp, err := gt.connPool.Do(ctx, ch.Server().Address(), gt.encodeRequest(ctx, rq, ch))
+	clientRequest := gt.encodeRequest(ctx, rq, ch)
+	clientRequest.HeadArrived = at.head.Add
+	resp, err := gt.connPool.Do(ctx, ch.Server().Address(), clientRequest)
 	if err != nil {
 		at.answer.recordEnd(err)
 		return at.endNoResponse(parent, err)
--- a/io/intake/conn.go
+++ b/io/intake/conn.go
@@ -1,7 +1,6 @@
 package intake
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"net"
@@ -32,10 +31,9 @@
 type ConnClaim struct {
 	claim *memory.Claim
 
-	// mu guards the fields below.
-	mu sync.Mutex
-	// headerBytes and headerLines are what was received of a header, claimed the part of the claim for it.
-	headerBytes, headerLines, claimed int
+	// mu guards header, what was received of a header.
+	mu     sync.Mutex
+	header headerSize
 }
 
 // OpenConn returns the claim of a new idle connection, or memory.ErrShort. The function evict must end the pending read of the
@@ -53,11 +51,8 @@
 // AddHeader claims memory for a part of a header, or fails with memory.ErrShort.
 func (cc *ConnClaim) AddHeader(part []byte) error {
 	cc.mu.Lock()
-	first := cc.headerBytes == 0
-	cc.headerBytes += len(part)
-	cc.headerLines += bytes.Count(part, []byte("\n"))
-	more := max(headerByteFactor*cc.headerBytes+headerLineBytes*cc.headerLines-freeHeaderBytes-cc.claimed, 0)
-	cc.claimed += more
+	first := cc.header.bytes == 0
+	more := cc.header.add(part)
 	cc.mu.Unlock()
 	now := time.Now()
 	if first {
@@ -79,7 +74,7 @@
 // Idle marks the connection as idle and frees the memory of the header.
 func (cc *ConnClaim) Idle() {
 	cc.mu.Lock()
-	cc.headerBytes, cc.headerLines, cc.claimed = 0, 0, 0
+	cc.header = headerSize{}
 	cc.mu.Unlock()
 	cc.claim.ShrinkTo(connBytes)
 	cc.claim.Wait(time.Now())
