feed, platform: a table has a maximum size

Callers saw: nothing yet; at 88 MB the process would have ended, with all requests on it. A faulty store could make a gate hold any amount: Read followed more-pages without end, each watch could add rows without end, and a row of two bytes in a body of up to 4 MB takes more than a hundred in memory.

Read and Apply fail beyond that, like a store that does not answer, and the process keeps the copy that it has.

--- a/io/feed/copy.go
+++ b/io/feed/copy.go
@@ -161,12 +161,16 @@
 }
 
 // Apply applies the changes that follow revision after, up to the given revision. It skips rows that a concurrent Replace has
-// already covered, and does nothing if the copy is older than after or not older than revision.
-func (cp *Copy) Apply(rows []Row, after, revision uint64) {
+// already covered, and does nothing if the copy is older than after or not older than revision. It fails with ErrTableTooLong, and changes nothing,
+// if the rows would make the copy longer than MaxTableBytes.
+func (cp *Copy) Apply(rows []Row, after, revision uint64) error {
 	cp.mu.Lock()
 	defer cp.mu.Unlock()
 	if cp.revision < after || revision <= cp.revision {
-		return
+		return nil
+	}
+	if !cp.fits(rows) {
+		return ErrTableTooLong
 	}
 	var newer []Row
 	for _, rw := range rows {
@@ -187,6 +191,30 @@
 	if len(newer) > 0 {
 		cp.notify(Change{Rows: newer})
 	}
+	return nil
+}
+
+// fits reports whether the copy stays within MaxTableBytes with further rows. The caller holds mu.
+func (cp *Copy) fits(rows []Row) bool {
+	grows, size := false, 0
+	for _, rw := range rows {
+		if rw.deleted {
+			continue
+		}
+		old, known := cp.rows[rw.key]
+		size += rw.Size()
+		if known {
+			size -= old.Size()
+		}
+		grows = grows || !known || rw.Size() > old.Size()
+	}
+	if !grows {
+		return true
+	}
+	for _, rw := range cp.rows {
+		size += rw.Size()
+	}
+	return size <= MaxTableBytes
 }
 
 // setUncertainSince sets the Since of the following changes.
--- a/io/feed/follower.go
+++ b/io/feed/follower.go
@@ -163,7 +163,9 @@
 	if rs.err != nil {
 		return fmt.Errorf("watch source: %w", rs.err)
 	}
-	fw.copy.Apply(rs.rows, after, rs.revision)
+	if err := fw.copy.Apply(rs.rows, after, rs.revision); err != nil {
+		return fmt.Errorf("apply changes: %w", err)
+	}
 	if len(rs.rows) > 0 {
 		timer.Sleep(ctx, fw.batchDelay)
 	}
