io/server and the clients of the platform: headers of responses are bounded

Callers saw: nothing yet; at 88 MB the agent would have ended, with all requests on it. The clients of engines, plain services, the table service, the object store and the VM list had net/http's limit of 10 MB on the header of a response. Lines of 8 bytes take 17 times their size in memory.

Change: 64 KB, as in the clients of gates and tenders.

Object store, table and VM list got the same limit without a run of their own.

--- a/io/object/store.go
+++ b/io/object/store.go
@@ -47,7 +47,7 @@
 
 // NewHTTP returns a client of the object store at the base URL.
 func NewHTTP(base string) *HTTP {
-	return &HTTP{base: base, client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{}}, maxBytes: maxObjectBytes}
+	return &HTTP{base: base, client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxResponseHeaderBytes: reply.MaxHeaderBytes}}, maxBytes: maxObjectBytes}
 }
 
 // Put implements Store.
--- a/io/reply/reply.go
+++ b/io/reply/reply.go
@@ -11,6 +11,9 @@
 	"shallotcleat/io/client"
 )
 
+// MaxHeaderBytes bounds the header of a response. The default of net/http is 10 MB, which short lines make hundreds of MB in memory.
+const MaxHeaderBytes = 64 << 10
+
 // ErrTooLong means that a body is longer than its reader allows.
 var ErrTooLong = errors.New("response body exceeds the length limit")
 
--- a/io/table/http.go
+++ b/io/table/http.go
@@ -26,7 +26,7 @@
 
 // NewHTTP returns a client of the table service at the base URL.
 func NewHTTP(base string) *HTTP {
-	transport := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}
+	transport := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: reply.MaxHeaderBytes}
 	return &HTTP{base: base, client: &http.Client{Transport: transport, Timeout: callTimeout}}
 }
 
--- a/io/vmlist/list.go
+++ b/io/vmlist/list.go
@@ -64,7 +64,7 @@
 
 // NewHTTP returns a client of the VM list at the base URL.
 func NewHTTP(base string) *HTTP {
-	return &HTTP{base: base, client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{}}}
+	return &HTTP{base: base, client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxResponseHeaderBytes: reply.MaxHeaderBytes}}}
 }
 
 // List implements Lister.
--- a/process_flood_test.go
+++ b/process_flood_test.go
@@ -41,8 +41,9 @@
 	conns []net.Conn
 }
 
-// newFloodedCluster starts the processes from a program that is built without the race detector.
-func newFloodedCluster(t *testing.T) *floodedCluster {
+// newFloodedCluster starts the processes from a program that is built without the race detector. The functions serve those requests to the plain
+// service for which they return true.
+func newFloodedCluster(t *testing.T, serve ...func(http.ResponseWriter, *http.Request) bool) *floodedCluster {
 	t.Helper()
 	t.Setenv("SHALLOTCLEAT_MEMORY", strconv.Itoa(floodMemoryMB))
 	cl := newEmptyCluster(t)
@@ -53,6 +54,11 @@
 	long := bytes.Repeat([]byte("r"), longReplyBytes)
 	service := http.HandlerFunc(func(wr http.ResponseWriter, hr *http.Request) {
 		_, _ = io.Copy(io.Discard, hr.Body)
+		for _, handle := range serve {
+			if handle(wr, hr) {
+				return
+			}
+		}
 		if strings.HasPrefix(hr.URL.Path, "/long") {
 			_, _ = wr.Write(long)
 		}
@@ -133,7 +139,11 @@
 
 func (fc *floodedCluster) checkProcesses(t *testing.T, when string) {
 	t.Helper()
-	for name, cmd := range map[string]*exec.Cmd{"entry": fc.entries[0], "agent": fc.plainAgents[0]} {
+	processes := map[string]*exec.Cmd{"entry": fc.entries[0], "agent": fc.plainAgents[0]}
+	for _, cmd := range fc.modelAgents {
+		processes["model agent"] = cmd
+	}
+	for name, cmd := range processes {
 		text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", cmd.Process.Pid))
 		if err != nil {
 			t.Fatalf("%s: the %s has ended: %v", when, name, err)
