--- a/io/object/store.go
+++ b/io/object/store.go
@@ -66,7 +66,8 @@
 
 // NewHTTP returns a client of the object store at the base URL.
 func NewHTTP(base string) *HTTP {
-	return &HTTP{base: base, client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{DialContext: client.GuardedDial}}, maxBytes: maxObjectBytes}
+	transport := &http.Transport{DialContext: client.GuardedDial, MaxResponseHeaderBytes: reply.MaxHeaderBytes}
+	return &HTTP{base: base, client: &http.Client{Timeout: callTimeout, Transport: transport}, maxBytes: maxObjectBytes}
 }
 
 // Put implements Store.
