entry: requests that are cut off at the end of a stop are answered

Cause: http.Server.Shutdown gives up at its deadline and leaves the requests to the end of the process.

They take the same path as at their deadline.

TestStoppingEntryAnswersWhatItCutsOff: before, EOF for the order and the completion, and no error event; with the contexts of HTTP requests alone, EOF for the order. After, outcome unknown for both and an error event, 2 of 2 runs with -race.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -43,6 +43,9 @@
 // maxHotPrefixes bounds the hot prefixes that an entry sends to a starting peer; each takes 12 bytes.
 const maxHotPrefixes = 500
 
+// cutTime is the part of the time to stop, at its end, in which requests that were cut off are answered; it is at most a tenth of that time.
+const cutTime = time.Second
+
 // usageFlushPeriod is the time between writes of usage records to the object store.
 const usageFlushPeriod = 5 * time.Second
 
@@ -91,6 +94,9 @@
 	nextPoll uint64
 	// stopping is set once the graceful stop has begun.
 	stopping atomic.Bool
+	// cut is done once the requests that still run at the end of the graceful stop are cut off.
+	cut    context.Context
+	cutOff context.CancelFunc
 	// background runs the notifications that confirm and void tickets; orders do not wait for them.
 	background conc.WaitGroup
 	done       chan struct{}
@@ -112,6 +118,7 @@
 		memory:      memory.NewBudget(opts.MemoryBytes),
 		done:        make(chan struct{}),
 	}
+	en.cut, en.cutOff = context.WithCancel(context.Background())
 	en.reporter = intake.NewReporter(en.memory, opts.Recorder)
 	en.vms = watch.NewVMPoller(opts.VMList, opts.SeedVMs, opts.Recorder, en.clock, en.updateMembers)
 	en.watcher = watch.New(watch.Options{
@@ -163,6 +170,7 @@
 		_ = srv.Serve(background, peers)
 	})
 	server := &http.Server{
+		BaseContext:       func(net.Listener) context.Context { return en.cut },
 		Handler:           en.routes(),
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       bodyTimeout,
@@ -191,13 +199,18 @@
 }
 
 // shutdown stops gracefully: it fails the readiness check, waits for BalancerLag, and then waits up to StopTimeout for running
-// requests.
+// requests. Shortly before, it cuts off those that still run, so that they are answered.
 func (en *Entry) shutdown(server *http.Server) error {
 	en.stopping.Store(true)
 	en.rec.RecordEvent("", trace.LeavingBegan)
 	time.Sleep(en.opts.BalancerLag)
 	ctx, cancel := context.WithTimeout(context.Background(), en.opts.StopTimeout)
 	defer cancel()
+	cut := time.AfterFunc(en.opts.StopTimeout-min(cutTime, en.opts.StopTimeout/10), func() {
+		en.rec.Log().Warn("stop timeout reached; cutting off the running requests")
+		en.cutOff()
+	})
+	defer cut.Stop()
 	if err := server.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("stop timeout exceeded; aborting the running requests: %w", err)
 	}
--- a/io/entry/orders.go
+++ b/io/entry/orders.go
@@ -48,6 +48,7 @@
 	// An order continues after its caller has disconnected, so that a lost connection does not leave it half done.
 	orderCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), call.rq.deadline)
 	defer cancel()
+	defer context.AfterFunc(en.cut, cancel)()
 	finish := dr.run(orderCtx)
 	if finish.Err() != nil {
 		return finish.Err()
--- a/process_test.go
+++ b/process_test.go
@@ -119,9 +119,9 @@
 	return cmd
 }
 
-func (cl *cluster) startEntry() *exec.Cmd {
+func (cl *cluster) startEntry(flags ...string) *exec.Cmd {
 	peer, callers := freeAddress(cl.t), freeAddress(cl.t)
-	cmd := cl.start("entry", "--listen", callers, "--peer", peer, "--piece-tokens", "50", "--balancer-lag", "300ms")
+	cmd := cl.start(append([]string{"entry", "--listen", callers, "--peer", peer, "--piece-tokens", "50", "--balancer-lag", "300ms"}, flags...)...)
 	cl.entryAddresses = append(cl.entryAddresses, callers)
 	cl.platform.AddVM(vmlist.VM{Address: peer, Zone: "ruai", Role: vmlist.RoleEntry})
 	return cmd
@@ -363,3 +363,54 @@
 	}
 	cl.checkOrderRuns(workers, rounds, &orders)
 }
+
+// Guards against requests that an entry cuts off at the end of --stop-timeout without a response: an order that has run is answered as unknown, a call of a
+// model as well, and a stream ends with an error event.
+func TestStoppingEntryAnswersWhatItCutsOff(t *testing.T) {
+	cl := newEmptyCluster(t)
+	engine := fake.NewEngine(fake.EngineSpeed{PrefillRate: 1e5, TokenInterval: 200 * time.Millisecond, BlockTokens: 50, CacheBlocks: 500}, "v1", true)
+	cl.startAgent("dispatch", "--model", engine)
+	service := fake.NewPlainService(10 * time.Second)
+	cl.startAgent("stock", "--plain", service)
+	entry := cl.startEntry("--stop-timeout", "2s")
+	if err := local.WaitReady(t.Context(), cl.entryAddresses[0], 20*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	caller := local.NewCaller(cl.entryAddresses[0], callerKey)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		rp, err := caller.PlaceOrder(t.Context(), "cut-order", "{}")
+		if err != nil || rp.Outcome != "unknown" {
+			t.Errorf("order: status %d, outcome %q, %v", rp.Status, rp.Outcome, err)
+		}
+	})
+	wg.Go(func() {
+		_, rp, err := caller.Complete(t.Context(), "dispatch", strings.Repeat("x", 400)+"#whole#", 100)
+		if rp.Outcome != "unknown" {
+			t.Errorf("completion: status %d, outcome %q, %v", rp.Status, rp.Outcome, err)
+		}
+	})
+	wg.Go(func() {
+		body, _ := json.Marshal(map[string]any{"model": "dispatch", "prompt": strings.Repeat("x", 400) + "#stream#", "max_tokens": 100, "stream": true})
+		events, failed := 0, false
+		_, err := caller.Stream(t.Context(), http.MethodPost, "/v1/completions", body, func(ev local.Event) bool {
+			events++
+			failed = failed || ev.Name == "error"
+			return true
+		})
+		if events < 2 || !failed {
+			t.Errorf("stream: %d events, error event: %v, %v", events, failed, err)
+		}
+	})
+	time.Sleep(time.Second)
+	if service.RunCount("cut-order") != 1 {
+		t.Errorf("the order has run %d times before the stop", service.RunCount("cut-order"))
+	}
+	signaled := time.Now()
+	_ = entry.Process.Signal(syscall.SIGTERM)
+	wg.Wait()
+	_ = entry.Wait()
+	if elapsed := time.Since(signaled); elapsed > 6*time.Second {
+		t.Errorf("the entry exited %s after SIGTERM", elapsed)
+	}
+}
