A health check proves that a server still runs only right after the end of its answer

Cause: a server that is killed and starts again under its id passes the health check by which the gate asks whether it still runs; only engines name their start. The gate read the end of the answer late, because it was itself paused (logs: server_after running, asked_ms 0), or the next process listened within 27 ms.

Change: what shows the id only counts if it came over a connection that was established less than 100 ms after the end of the answer arrived, as the kernel says (TCP_INFO); a connection from before the end always counts. Otherwise the server is unknown, and the answer incomplete. Not tried: a connection kept to each server for this; it would cost connections and health checks.

What remains: an end that the network delays for longer than the server is down; restarts within 100 ms.

--- a/core/whole/verdict.go
+++ b/core/whole/verdict.go
@@ -70,7 +70,7 @@
 // Ended means that the run of the server has ended.
 type Ended struct{}
 
-// Unknown means that the server did not respond.
+// Unknown means that the server did not respond, or not in a way that tells its runs apart.
 type Unknown struct{}
 
 func (Running) isLife() {}
--- a/io/client/exchange.go
+++ b/io/client/exchange.go
@@ -287,6 +287,12 @@
 	return count, nil
 }
 
+// LastHeard returns when the kernel last received something of the response; reading it may have come later. The response must not be closed.
+func (rs *Response) LastHeard() time.Time { return rs.conn.lastHeard() }
+
+// EstablishedAt returns when the connection of the response was established.
+func (rs *Response) EstablishedAt() time.Time { return rs.conn.establishedAt }
+
 // LineReader returns a buffered reader of the body, for reading line by line; every call returns the same reader.
 func (rs *Response) LineReader() *bufio.Reader {
 	if rs.reader == nil {
--- a/io/client/pool.go
+++ b/io/client/pool.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"shallotcleat/io/link"
 )
 
@@ -54,6 +56,8 @@
 	// expires is the time from which the idle connection must not be reused.
 	expires  time.Time
 	idleTime time.Duration
+	// establishedAt is a time at which the connection was established.
+	establishedAt time.Time
 	// requests is the number of requests that were sent over the connection.
 	requests int
 	// carried holds the keys of the requests that were sent over the connection.
@@ -153,7 +157,8 @@
 		return nil, link.NewDialError(address, err)
 	}
 	limit := &readLimit{reader: nc}
-	return &conn{net: nc, limit: limit, reader: bufio.NewReaderSize(limit, bufferBytes), address: address, idleTime: maxIdleTime}, nil
+	return &conn{net: nc, limit: limit, reader: bufio.NewReaderSize(limit, bufferBytes), address: address, idleTime: maxIdleTime,
+		establishedAt: time.Now()}, nil
 }
 
 func setUserTimeout(_, _ string, rc syscall.RawConn) error {
@@ -216,5 +221,25 @@
 	return err == nil && quiescent
 }
 
+// lastHeard returns when the kernel last received something from the peer, or a little earlier, and now if that is unknown.
+func (cn *conn) lastHeard() time.Time {
+	now := time.Now()
+	tc, ok := cn.net.(*net.TCPConn)
+	if !ok {
+		return now
+	}
+	rc, err := tc.SyscallConn()
+	if err != nil {
+		return now
+	}
+	var age time.Duration
+	_ = rc.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			age = time.Duration(min(info.Last_ack_recv, info.Last_data_recv)) * time.Millisecond
+		}
+	})
+	return now.Add(-age)
+}
+
 // close closes the connection. Errors are ignored, since no more data is sent.
 func (cn *conn) close() { _ = cn.net.Close() }
--- a/io/client/pool_test.go
+++ b/io/client/pool_test.go
@@ -107,3 +107,28 @@
 		}
 	}
 }
+
+// Guards against an answer that is taken to have ended when its end was read: the process may have been paused meanwhile.
+func TestLastHeardIsWhenTheEndArrived(t *testing.T) {
+	const pause = 200 * time.Millisecond
+	srv := httptest.NewServer(http.HandlerFunc(func(wr http.ResponseWriter, _ *http.Request) {
+		conn, _, _ := wr.(http.Hijacker).Hijack()
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n")
+		time.Sleep(pause)
+		_ = conn.Close()
+	}))
+	defer srv.Close()
+	begin := time.Now()
+	rs, err := NewPool().Do(t.Context(), strings.TrimPrefix(srv.URL, "http://"), &Request{Method: http.MethodGet, Target: "/", Host: "a.example"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer rs.Close()
+	time.Sleep(3 * pause)
+	if _, err := io.ReadAll(rs); err != nil {
+		t.Fatal(err)
+	}
+	if heard := rs.LastHeard().Sub(begin); heard < pause*9/10 || heard > 2*pause {
+		t.Errorf("the end came %s after the request, want about %s", heard, pause)
+	}
+}
--- a/io/gate/settle.go
+++ b/io/gate/settle.go
@@ -16,7 +16,7 @@
 var (
 	errTruncatedEvent = errors.New("stream ends within an event, or before the first one")
 	errServerEnded    = errors.New("the server has ended, and its answer with the connection: it may be incomplete")
-	errServerSilent   = errors.New("the answer ended with its connection, and the server no longer responds: it may be incomplete")
+	errServerSilent   = errors.New("the answer ended with its connection, and the server does not show that it still runs: it may be incomplete")
 )
 
 // checkWhole returns nil if an answer is complete, and else the reason. err is that with which reading it ended. If the answer alone does not
@@ -32,7 +32,7 @@
 		return err
 	}
 	askedAt := time.Now()
-	life := at.gate.prober.Ask(ctx, at.gate.lifeQuestion(at))
+	life := at.gate.prober.Ask(ctx, at.gate.lifeQuestion(at, resp.LastHeard()))
 	at.answer.recordLife(life, time.Since(askedAt))
 	at.gate.opts.Recorder.CountUnframedEnd(life.String())
 	if whole.Settle(life) == whole.Whole {
@@ -44,17 +44,19 @@
 	return errServerSilent
 }
 
-// lifeQuestion returns the question whether the server of an attempt still runs.
-func (gt *Gate) lifeQuestion(at *attempt) probe.Question {
+// lifeQuestion returns the question whether the server of an attempt still runs, whose answer ended at a time.
+func (gt *Gate) lifeQuestion(at *attempt, endedAt time.Time) probe.Question {
 	sv := at.choice.Server()
 	return probe.Question{
 		Run:     sv.ID() + "/" + strconv.FormatInt(sv.StartUnixMilli(), 10),
 		Address: sv.Address(),
 		Target:  gt.opts.Dialect.LifeTarget(at.rq.service),
 		Belongs: func(hd http.Header) bool { return gt.opts.Dialect.DecodeResponse(0, hd).RequestID == "" },
-		IsSame: func(hd http.Header, body []byte) bool {
+		EndedAt: endedAt,
+		IsSame: func(hd http.Header, body []byte) (same, showsRun bool) {
 			id, start := gt.opts.Dialect.DecodeLife(hd, body)
-			return (id == "" || id == sv.ID()) && (start == 0 || sv.StartUnixMilli() == 0 || start == sv.StartUnixMilli())
+			showsRun = start != 0 && sv.StartUnixMilli() != 0
+			return (id == "" || id == sv.ID()) && (!showsRun || start == sv.StartUnixMilli()), showsRun
 		},
 	}
 }
--- a/io/probe/prober.go
+++ b/io/probe/prober.go
@@ -22,6 +22,9 @@
 	timeout = 400 * time.Millisecond
 	// retryPause is the time between two calls of a round. A process that ends may close its listener some milliseconds after its connections.
 	retryPause = 25 * time.Millisecond
+	// minRestart is the shortest time between the end of a process and the next one at its address that has its id. It bounds how long after the end
+	// of an answer a connection that shows only the id is taken for one to the process that answered.
+	minRestart = 100 * time.Millisecond
 	// maxBodyBytes bounds the body of a response.
 	maxBodyBytes = 1 << 20
 )
@@ -33,8 +36,11 @@
 	Address string
 	// Target is the path that the server responds to without running anything.
 	Target string
-	// IsSame reports whether a response, whose body may be cut off, is that of the run.
-	IsSame func(hd http.Header, body []byte) bool
+	// EndedAt is when the end of the answer that is in doubt arrived, which may be long before it was read.
+	EndedAt time.Time
+	// IsSame reports whether a response, whose body may be cut off, is that of the run as far as it shows, and whether it shows the run and not just
+	// the id of the server.
+	IsSame func(hd http.Header, body []byte) (same, showsRun bool)
 	// Belongs reports whether a response with a header is to this call, and no late copy of one to a request.
 	Belongs func(hd http.Header) bool
 }
@@ -50,11 +56,28 @@
 	running map[string]*round
 }
 
-// round is one round of calls to a server. life is set before done is closed; the prober's mu guards next, the round that follows.
+// round is one round of calls to a server. response is set before done is closed; the prober's mu guards next, the round that follows.
 type round struct {
-	done chan struct{}
+	done     chan struct{}
+	response response
+	next     *round
+}
+
+// response is what a round of calls has shown.
+type response struct {
 	life whole.Life
-	next *round
+	// showsRun is set if life is about the run of the server, and else only about its id.
+	showsRun bool
+	// establishedAt is when the connection was established that brought the response.
+	establishedAt time.Time
+}
+
+// lifeAfter returns what the response shows about the server of an answer that ended at a time.
+func (rs response) lifeAfter(endedAt time.Time) whole.Life {
+	if rs.life == (whole.Running{}) && !rs.showsRun && rs.establishedAt.Sub(endedAt) >= minRestart {
+		return whole.Unknown{}
+	}
+	return rs.life
 }
 
 func newRound() *round { return &round{done: make(chan struct{})} }
@@ -72,7 +95,7 @@
 	rd := pr.join(qn)
 	select {
 	case <-rd.done:
-		return rd.life
+		return rd.response.lifeAfter(qn.EndedAt)
 	case <-ctx.Done():
 		return whole.Unknown{}
 	}
@@ -98,7 +121,7 @@
 // run runs rounds until nobody waits for another one.
 func (pr *Prober) run(qn Question, rd *round) {
 	for rd != nil {
-		rd.life = pr.call(qn)
+		rd.response = pr.call(qn)
 		close(rd.done)
 		pr.mu.Lock()
 		if rd = rd.next; rd != nil {
@@ -112,31 +135,32 @@
 
 // call calls a server until it responds, refuses a connection or the time is over. A connection that is closed without a response shows
 // nothing: it may have been kept since before the end of the server, or be one too many for it.
-func (pr *Prober) call(qn Question) whole.Life {
+func (pr *Prober) call(qn Question) response {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	for ; ctx.Err() == nil; timer.Sleep(ctx, retryPause) {
-		life, err := pr.callOnce(ctx, qn)
+		shown, err := pr.callOnce(ctx, qn)
 		if err == nil {
-			return life
+			return shown
 		}
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			return whole.Ended{}
+			return response{life: whole.Ended{}}
 		}
 	}
-	return whole.Unknown{}
+	return response{life: whole.Unknown{}}
 }
 
-func (pr *Prober) callOnce(ctx context.Context, qn Question) (whole.Life, error) {
+func (pr *Prober) callOnce(ctx context.Context, qn Question) (response, error) {
 	resp, err := pr.pool.Do(ctx, qn.Address, &client.Request{Method: http.MethodGet, Target: qn.Target, Host: qn.Address, Matches: qn.Belongs})
 	if err != nil {
-		return nil, err
+		return response{}, err
 	}
 	defer resp.Close()
 	// The header alone shows that a server runs; the body may show that it is another run.
 	body, _ := io.ReadAll(io.LimitReader(resp, maxBodyBytes))
-	if !qn.IsSame(resp.Header, body) {
-		return whole.Ended{}, nil
+	same, showsRun := qn.IsSame(resp.Header, body)
+	if !same {
+		return response{life: whole.Ended{}}, nil
 	}
-	return whole.Running{}, nil
+	return response{life: whole.Running{}, showsRun: showsRun, establishedAt: resp.EstablishedAt()}, nil
 }
--- a/io/probe/prober_test.go
+++ b/io/probe/prober_test.go
@@ -52,7 +52,9 @@
 func (sv *server) question() Question {
 	return Question{Run: "r1", Address: sv.lis.Addr().String(), Target: "/report",
 		Belongs: func(hd http.Header) bool { return hd.Get("Request") == "" },
-		IsSame:  func(_ http.Header, body []byte) bool { return strings.HasPrefix(string(body), "r1") }}
+		IsSame: func(_ http.Header, body []byte) (same, showsRun bool) {
+			return strings.HasPrefix(string(body), "r1"), true
+		}}
 }
 
 func respond(conn net.Conn, header, body string) {
@@ -107,6 +109,21 @@
 	}
 }
 
+// Guards against a new process that is taken for the one that answered, because it has its id and the end of the answer was read late; and against a
+// connection to the process from before the end that is not taken for one.
+func TestAskWithoutRun(t *testing.T) {
+	sv := newServer(t, func(_ int64, conn net.Conn) { respond(conn, "Connection: close\r\n", "r1") })
+	qn := sv.question()
+	qn.IsSame = func(http.Header, []byte) (same, showsRun bool) { return true, false }
+	pr := New(client.NewPool())
+	for age, want := range map[time.Duration]whole.Life{-time.Second: whole.Running{}, 0: whole.Running{}, minRestart: whole.Unknown{}} {
+		qn.EndedAt = time.Now().Add(-age)
+		if life := pr.Ask(t.Context(), qn); life != want {
+			t.Errorf("end %s before the connection: got %s, want %s", age, life, want)
+		}
+	}
+}
+
 // Guards against an answer from before the question, and against one call for each of many answers that end at once.
 func TestAskSharesCallsThatBeginLater(t *testing.T) {
 	began, proceed := make(chan struct{}), make(chan struct{})
