--- a/io/gate/settle.go
+++ b/io/gate/settle.go
@@ -17,7 +17,7 @@
 var (
 	errTruncatedEvent = errors.New("stream ends within an event, or before the first one")
 	errServerEnded    = errors.New("the server has ended, and its answer with the connection: it may be incomplete")
-	errServerSilent   = errors.New("the answer ended with its connection, and the server no longer responds: it may be incomplete")
+	errServerSilent   = errors.New("the answer ended with its connection, and the server does not show that it still runs: it may be incomplete")
 )
 
 // checkWhole returns nil if an answer is complete, and else the reason. err is that with which reading it ended. If the answer alone does not
@@ -36,7 +36,7 @@
 	askedAt := time.Now()
 	askCtx, cancel := context.WithDeadline(ctx, at.settleBy(askedAt))
 	defer cancel()
-	life := at.gate.prober.Ask(askCtx, at.gate.lifeQuestion(at))
+	life := at.gate.prober.Ask(askCtx, at.gate.lifeQuestion(at, resp.LastHeard()))
 	at.answer.recordLife(life, time.Since(askedAt))
 	at.gate.opts.Recorder.CountUnframedEnd(life.String())
 	if whole.Settle(life) == whole.Whole {
@@ -72,16 +72,17 @@
 	return settleBy
 }
 
-// lifeQuestion returns the question whether the server of an attempt still runs.
-func (gt *Gate) lifeQuestion(at *attempt) probe.Question {
+// lifeQuestion returns the question whether the server of an attempt still runs, whose answer ended at a time.
+func (gt *Gate) lifeQuestion(at *attempt, endedAt time.Time) probe.Question {
 	sv, service := at.choice.Server(), at.rq.service
 	return probe.Question{
 		Run:     sv.ID() + "/" + strconv.FormatInt(sv.StartUnixMilli(), 10),
 		Address: sv.Address(),
 		Target:  gt.opts.Dialect.LifeTarget(service),
-		Identify: func(hd http.Header, body []byte) whole.Life {
+		EndedAt: endedAt,
+		Identify: func(hd http.Header, body []byte) (whole.Life, bool) {
 			id, start := gt.opts.Dialect.DecodeLife(hd, body)
-			return identifyRun(sv, service.IsEngine(), id, start)
+			return identifyRun(sv, service.IsEngine(), id, start), start != 0 && sv.StartUnixMilli() != 0
 		},
 	}
 }
--- a/io/probe/prober.go
+++ b/io/probe/prober.go
@@ -24,6 +24,9 @@
 	// milliseconds after its connections.
 	minRetryPause = 25 * time.Millisecond
 	maxRetryPause = 200 * time.Millisecond
+	// minRestart is the shortest time between the end of a process and the next one at its address that has its id. It bounds how long after the end
+	// of an answer a connection that shows only the id is taken for one to the process that answered.
+	minRestart = 100 * time.Millisecond
 	// maxBodyBytes bounds the body of a response.
 	maxBodyBytes = 1 << 20
 )
@@ -35,9 +38,11 @@
 	Address string
 	// Target is the path that the server responds to without running anything.
 	Target string
-	// Identify returns what a response, whose body may be cut off, shows about the run. Whatever stands at the address of the server may have
-	// responded: what names neither this run nor another one is whole.Unknown.
-	Identify func(hd http.Header, body []byte) whole.Life
+	// EndedAt is when the end of the answer that is in doubt arrived, which may be long before it was read.
+	EndedAt time.Time
+	// Identify returns what a response, whose body may be cut off, shows about the run, and whether it shows the run and not just the id of the
+	// server. Whatever stands at the address of the server may have responded: what names neither this server nor another one is whole.Unknown.
+	Identify func(hd http.Header, body []byte) (life whole.Life, showsRun bool)
 }
 
 // Prober asks servers. It is safe for concurrent use.
@@ -51,11 +56,28 @@
 	running map[string]*round
 }
 
-// round is one round of calls to a server. life is set before done is closed; the prober's mu guards next, the round that follows.
+// round is one round of calls to a server. response is set before done is closed; the prober's mu guards next, the round that follows.
 type round struct {
-	done chan struct{}
+	done     chan struct{}
+	response response
+	next     *round
+}
+
+// response is what a round of calls has shown.
+type response struct {
 	life whole.Life
-	next *round
+	// showsRun is set if life is about the run of the server, and else only about its id.
+	showsRun bool
+	// establishedAt is when the connection was established that brought the response.
+	establishedAt time.Time
+}
+
+// lifeAfter returns what the response shows about the server of an answer that ended at a time.
+func (rs response) lifeAfter(endedAt time.Time) whole.Life {
+	if rs.life == (whole.Running{}) && !rs.showsRun && rs.establishedAt.Sub(endedAt) >= minRestart {
+		return whole.Unknown{}
+	}
+	return rs.life
 }
 
 func newRound() *round { return &round{done: make(chan struct{})} }
@@ -68,14 +90,15 @@
 // Wait waits until no calls are in progress.
 func (pr *Prober) Wait() { pr.rounds.Wait() }
 
-// Ask returns whether a server runs, by a call that began after Ask was called. It returns whole.Unknown only once the context ends.
+// Ask returns whether a server runs, by a call that began after Ask was called. It returns whole.Unknown once the context ends, or if the response
+// came too late to tell a run from the next one.
 func (pr *Prober) Ask(ctx context.Context, qn Question) whole.Life {
 	for {
 		rd := pr.join(qn)
 		select {
 		case <-rd.done:
-			if rd.life != (whole.Unknown{}) {
-				return rd.life
+			if rd.response.life != (whole.Unknown{}) {
+				return rd.response.lifeAfter(qn.EndedAt)
 			}
 		case <-ctx.Done():
 			return whole.Unknown{}
@@ -103,7 +126,7 @@
 // run runs rounds until nobody waits for another one.
 func (pr *Prober) run(qn Question, rd *round) {
 	for rd != nil {
-		rd.life = pr.call(qn)
+		rd.response = pr.call(qn)
 		close(rd.done)
 		pr.mu.Lock()
 		if rd = rd.next; rd != nil {
@@ -117,30 +140,31 @@
 
 // call calls a server until a response or a refused connection shows whether the run still runs, or the time is over. A connection that is closed
 // without a response shows nothing: it may be one too many for the server.
-func (pr *Prober) call(qn Question) whole.Life {
+func (pr *Prober) call(qn Question) response {
 	ctx, cancel := context.WithTimeout(context.Background(), roundTimeout)
 	defer cancel()
 	for pause := minRetryPause; ctx.Err() == nil; pause = min(2*pause, maxRetryPause) {
-		life, err := pr.callOnce(ctx, qn)
+		shown, err := pr.callOnce(ctx, qn)
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			return whole.Ended{}
+			return response{life: whole.Ended{}}
 		}
-		if err == nil && life != (whole.Unknown{}) {
-			return life
+		if err == nil && shown.life != (whole.Unknown{}) {
+			return shown
 		}
 		timer.Sleep(ctx, pause)
 	}
-	return whole.Unknown{}
+	return response{life: whole.Unknown{}}
 }
 
 // callOnce makes one call, over a connection of its own: nothing in the response to such a call tells it from a late copy of another one.
-func (pr *Prober) callOnce(ctx context.Context, qn Question) (whole.Life, error) {
+func (pr *Prober) callOnce(ctx context.Context, qn Question) (response, error) {
 	resp, err := pr.pool.Do(ctx, qn.Address, &client.Request{Method: http.MethodGet, Target: qn.Target, Host: qn.Address, Fresh: true})
 	if err != nil {
-		return nil, err
+		return response{}, err
 	}
 	defer resp.Close()
 	// The header alone may show that the run goes on.
 	body, _ := io.ReadAll(io.LimitReader(resp, maxBodyBytes))
-	return qn.Identify(resp.Header, body), nil
+	life, showsRun := qn.Identify(resp.Header, body)
+	return response{life: life, showsRun: showsRun, establishedAt: resp.EstablishedAt()}, nil
 }
--- a/io/probe/prober_test.go
+++ b/io/probe/prober_test.go
@@ -56,14 +56,14 @@
 }
 
 // identify reads the name of a run from the beginning of a body.
-func identify(_ http.Header, body []byte) whole.Life {
+func identify(_ http.Header, body []byte) (life whole.Life, showsRun bool) {
 	switch {
 	case bytes.HasPrefix(body, []byte("r1")):
-		return whole.Running{}
+		return whole.Running{}, true
 	case bytes.HasPrefix(body, []byte("r")):
-		return whole.Ended{}
+		return whole.Ended{}, true
 	}
-	return whole.Unknown{}
+	return whole.Unknown{}, false
 }
 
 func respond(conn net.Conn, header, body string) {
@@ -123,6 +123,20 @@
 	}
 }
 
+// Guards against a new process that is taken for the one that answered, because it has its id and the end of the answer was read late.
+func TestAskWithoutRun(t *testing.T) {
+	sv := newServer(t, func(_ int64, conn net.Conn) { respond(conn, "Connection: close\r\n", "r1") })
+	qn := sv.question()
+	qn.Identify = func(http.Header, []byte) (whole.Life, bool) { return whole.Running{}, false }
+	pr := New(client.NewPool())
+	for age, want := range map[time.Duration]whole.Life{-time.Second: whole.Running{}, 0: whole.Running{}, minRestart: whole.Unknown{}} {
+		qn.EndedAt = time.Now().Add(-age)
+		if life := pr.Ask(t.Context(), qn); life != want {
+			t.Errorf("end %s before the connection: got %s, want %s", age, life, want)
+		}
+	}
+}
+
 // Guards against an answer from before the question, and against one call for each of many answers that end at once.
 func TestAskSharesCallsThatBeginLater(t *testing.T) {
 	began, proceed := make(chan struct{}), make(chan struct{})
