agent, entry: what is kept of a model call counts in the memory budget

Callers saw: nothing yet; at 88 MB the agent and the entry would have ended, with all requests on them. An agent keeps all frames of a stream for a reader that may come back, and an entry the text of a call; an engine that streams without end filled both until the deadline of the calls.

Change: an agent claims memory for each event, 256 bytes beside its data and text, and keeps at most 16 MB of a stream. Beyond that, or without room, the call fails, and the stream is freed as soon as its last reader leaves. A stream that is kept after its call may be evicted when memory is short; one that runs is not. An entry claims memory for each copy of the text, also of a stream that is taken up.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -135,7 +135,6 @@
 		board:        board.New(),
 		clock:        timer.New(),
 		limiter:      newLimiter(opts.Slots),
-		streams:      newStreamRegistry(opts.Incarnation),
 		pendingUsage: bill.NewPendingRecords(),
 		usageWriter:  bill.NewWriter(opts.Objects, opts.Recorder, fmt.Sprintf("agent-%x", opts.Incarnation)),
 		ledger:       order.NewLedger(opts.Address, opts.Incarnation, ticketLifetime, opts.Slots*ticketsPerSlot),
@@ -143,6 +142,7 @@
 		memory:       memory.NewBudget(opts.MemoryBytes),
 		done:         make(chan struct{}),
 	}
+	ag.streams = newStreamRegistry(opts.Incarnation, ag.memory)
 	ag.reporter = intake.NewReporter(ag.memory, opts.Recorder)
 	ag.engineState.Store(&server.State{})
 	ag.vms = watch.NewVMPoller(opts.VMList, opts.SeedVMs, opts.Recorder, ag.clock, ag.updateRetired)
--- a/io/agent/modelcall.go
+++ b/io/agent/modelcall.go
@@ -97,12 +97,12 @@
 		CacheSalt: rq.GetSalt(),
 		Adapter:   rq.GetAdapter(),
 		Priority:  priority,
-	}, func(ev server.Event) {
+	}, func(ev server.Event) error {
 		if inPrefill {
 			inPrefill = false
 			ag.limiter.endPrefill(uncached, pending, time.Since(sentAt))
 		}
-		st.append(&wire.Frame{Kind: &wire.Frame_Chunk{Chunk: &wire.Chunk{Data: ev.Data, Text: ev.Text}}}, false)
+		return st.appendEvent(ev)
 	})
 	if inPrefill {
 		ag.limiter.cancelPrefill(uncached)
--- a/io/agent/streams.go
+++ b/io/agent/streams.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"shallotcleat/core/memory"
+	"shallotcleat/io/server"
 	"shallotcleat/io/wire"
 )
 
@@ -14,20 +16,32 @@
 const (
 	// resumeGracePeriod is the time for which a stream without a reader is kept, whether its call runs or has ended.
 	resumeGracePeriod = 10 * time.Second
+	// maxStreamBytes bounds the frames of a stream, which are kept so that a reader can resume it: more than 30,000 events of 250 bytes.
+	maxStreamBytes = 16 << 20
+	// frameBytes is the memory of a frame beside its data and text.
+	frameBytes = 256
 )
 
+// errStreamTooLong means that an engine sent more than maxStreamBytes.
+var errStreamTooLong = errors.New("stream exceeds the length limit")
+
 // stream buffers the output of one call. The sequence numbers of its frames start at 1. It is safe for concurrent use.
 type stream struct {
 	id        string
 	workspace string
 	cancel    context.CancelFunc
 	registry  *streamRegistry
+	// claim is the memory of the frames. It is in use while the call runs or a reader reads.
+	claim *memory.Claim
 
 	// mu guards the fields below.
 	mu      sync.Mutex
 	frames  []*wire.Frame
 	ended   bool
 	readers int
+	// bytes is the memory of the events; broken is set once there was no room for one, which ends the call.
+	bytes  int
+	broken bool
 	// changed is closed and replaced when frames or ended change.
 	changed chan struct{}
 	// idleTimer ends the current idle period after resumeGracePeriod. idlePeriod is the number of that period, which
@@ -48,10 +62,38 @@
 	fr.Seq = uint64(len(st.frames) + 1)
 	st.frames = append(st.frames, fr)
 	st.ended = st.ended || last
+	if last && st.readers == 0 {
+		st.claim.Wait(time.Now())
+	}
 	close(st.changed)
 	st.changed = make(chan struct{})
 }
 
+// appendEvent adds an event of the engine, or fails with errStreamTooLong or memory.ErrShort if there is no room for it.
+func (st *stream) appendEvent(ev server.Event) error {
+	size := frameBytes + cap(ev.Data) + len(ev.Text)
+	if err := st.claimEvent(size); err != nil {
+		return err
+	}
+	st.append(&wire.Frame{Kind: &wire.Frame_Chunk{Chunk: &wire.Chunk{Data: ev.Data, Text: ev.Text}}}, false)
+	return nil
+}
+
+// claimEvent claims the memory of an event.
+func (st *stream) claimEvent(size int) error {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.broken = true
+	if st.bytes+size > maxStreamBytes {
+		return fmt.Errorf("%w of %d bytes", errStreamTooLong, maxStreamBytes)
+	}
+	if err := st.claim.Grow(time.Now(), int64(size)); err != nil {
+		return fmt.Errorf("event after %d bytes of the stream: %w", st.bytes, err)
+	}
+	st.bytes, st.broken = st.bytes+size, false
+	return nil
+}
+
 // framesAfter returns the frames after a sequence number, whether the stream has ended, and a channel that is closed at
 // the next change.
 func (st *stream) framesAfter(seq uint64) ([]*wire.Frame, bool, <-chan struct{}) {
@@ -91,7 +133,7 @@
 func (st *stream) addReader() bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	if st.removed {
+	if st.removed || st.claim.Use() != nil {
 		return false
 	}
 	st.readers++
@@ -111,8 +153,15 @@
 
 // startIdlePeriod starts a period without readers; the caller holds mu.
 func (st *stream) startIdlePeriod() {
-	period := st.idlePeriod
-	st.idleTimer = time.AfterFunc(resumeGracePeriod, func() { st.registry.expire(st, period) })
+	period, grace := st.idlePeriod, resumeGracePeriod
+	if st.ended {
+		// The frames are only kept for a reader that may come back.
+		st.claim.Wait(time.Now())
+	}
+	if st.ended && st.broken {
+		grace = 0
+	}
+	st.idleTimer = time.AfterFunc(grace, func() { st.registry.expire(st, period) })
 }
 
 // endIdlePeriod marks the stream as removed, or returns false if the given idle period has ended before.
@@ -129,6 +178,7 @@
 // streamRegistry holds the streams of an agent by id. It is safe for concurrent use.
 type streamRegistry struct {
 	incarnation uint64
+	memory      *memory.Budget
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -137,8 +187,8 @@
 	byID   map[string]*stream
 }
 
-func newStreamRegistry(incarnation uint64) *streamRegistry {
-	return &streamRegistry{incarnation: incarnation, byID: make(map[string]*stream)}
+func newStreamRegistry(incarnation uint64, bg *memory.Budget) *streamRegistry {
+	return &streamRegistry{incarnation: incarnation, memory: bg, byID: make(map[string]*stream)}
 }
 
 // add adds a new stream of a workspace and returns it. The function cancel cancels the stream's call; expire calls it.
@@ -153,6 +203,8 @@
 		registry:  sr,
 		changed:   make(chan struct{}),
 	}
+	// A stream is evicted only after its call, without a reader; evict must not block.
+	st.claim = sr.memory.Open(time.Now(), memory.Response, func() { go sr.evict(st) })
 	st.mu.Lock()
 	st.startIdlePeriod()
 	st.mu.Unlock()
@@ -176,10 +228,27 @@
 	if !st.endIdlePeriod(period) {
 		return
 	}
+	sr.remove(st)
+}
+
+// evict removes a stream whose memory is needed. A reader that comes meanwhile finds it removed.
+func (sr *streamRegistry) evict(st *stream) {
+	st.mu.Lock()
+	removed := st.removed || st.readers > 0
+	st.removed = st.removed || !removed
+	st.mu.Unlock()
+	if !removed {
+		sr.remove(st)
+	}
+}
+
+// remove frees a stream that is marked as removed.
+func (sr *streamRegistry) remove(st *stream) {
 	sr.mu.Lock()
 	delete(sr.byID, st.id)
 	sr.mu.Unlock()
 	st.cancel()
+	st.claim.Close()
 }
 
 // readerCount returns the number of readers of all streams.
--- a/io/agent/streams_test.go
+++ b/io/agent/streams_test.go
@@ -7,6 +7,8 @@
 	"testing/synctest"
 	"time"
 
+	"shallotcleat/core/memory"
+	"shallotcleat/io/server"
 	"shallotcleat/io/wire"
 )
 
@@ -17,7 +19,7 @@
 	read, missed := 0, 0
 	for round := range 4000 {
 		synctest.Test(t, func(t *testing.T) {
-			sr := newStreamRegistry(1)
+			sr := newStreamRegistry(1, memory.NewBudget(0))
 			callCtx, cancel := context.WithCancel(t.Context())
 			added := sr.add("north", cancel)
 			added.append(&wire.Frame{}, false)
@@ -59,3 +61,51 @@
 	}
 	t.Logf("%d readers came in time, %d too late", read, missed)
 }
+
+// Guards against an engine that streams without end: its stream ends at the limit, and is freed as soon as its last reader leaves. A stream that is
+// kept after its call is freed when memory is needed, and takes no reader then; one that runs is not.
+func TestStreamsAreBounded(t *testing.T) {
+	const mb = 1 << 20
+	bg := memory.NewBudget(100 * mb)
+	sr := newStreamRegistry(1, bg)
+	event := server.Event{Data: make([]byte, mb)}
+	long := sr.add("north", func() {})
+	var err error
+	count := 0
+	for ; err == nil; count++ {
+		err = long.appendEvent(event)
+	}
+	if !errors.Is(err, errStreamTooLong) || count != maxStreamBytes/mb {
+		t.Errorf("event %d: got error %v", count, err)
+	}
+	long.append(&wire.Frame{}, true)
+	if err := long.send(t.Context(), 0, func(*wire.Frame) error { return nil }); err != nil {
+		t.Error(err)
+	}
+	for deadline := time.Now().Add(5 * time.Second); bg.Held(memory.Response) > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d bytes of a stream that is too long are kept", bg.Held(memory.Response))
+		}
+	}
+
+	kept, running := sr.add("north", func() {}), sr.add("north", func() {})
+	for range 10 {
+		if err := errors.Join(kept.appendEvent(event), running.appendEvent(event)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	kept.append(&wire.Frame{}, true)
+	// A claim without progress is evicted after half a second.
+	time.Sleep(600 * time.Millisecond)
+	for range 5 {
+		if err := running.appendEvent(event); err != nil {
+			t.Errorf("a stream that is kept leaves no memory: %v", err)
+		}
+	}
+	if err := kept.send(t.Context(), 0, func(*wire.Frame) error { return nil }); !errors.Is(err, errStreamRemoved) {
+		t.Errorf("got error %v of a stream that was removed", err)
+	}
+	if _, ok := sr.get(running.id, "north"); !ok {
+		t.Error("a stream that runs was removed")
+	}
+}
--- a/io/entry/modelcall.go
+++ b/io/entry/modelcall.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"net/http"
 	"slices"
@@ -17,6 +18,7 @@
 	"shallotcleat/core/answer"
 	"shallotcleat/core/config"
 	"shallotcleat/core/member"
+	"shallotcleat/core/memory"
 	"shallotcleat/core/place"
 	"shallotcleat/core/prefix"
 	"shallotcleat/core/usage"
@@ -47,6 +49,8 @@
 	seed          prefix.Seed
 	placement     place.Request
 	response      *modelResponse
+	// textClaim is the memory of the text that is kept of the response.
+	textClaim *memory.Claim
 
 	// excluded are the addresses of the agents that refused or failed the call.
 	excluded map[string]bool
@@ -60,6 +64,29 @@
 	usageRecord usage.Record
 }
 
+// beginResponse sets the response of a call and the claim of its text, which done closes.
+func (en *Entry) beginResponse(call *modelCall, wr http.ResponseWriter, stream bool) (done func()) {
+	call.response = newModelResponse(wr, call.rq, call, stream)
+	// The text is kept while the call runs, so that its claim is never evicted.
+	call.textClaim = en.memory.Open(time.Now(), memory.Response, func() {})
+	return call.textClaim.Close
+}
+
+// textFactor is the memory of each copy of the text for each of its bytes, since the copy grows by doubling.
+const textFactor = 2
+
+// claimText claims memory for a part of the text: one copy to continue the call at another engine, and one for a response that is not a stream.
+func (mc *modelCall) claimText(length int) error {
+	copies := 1
+	if !mc.response.stream {
+		copies = 2
+	}
+	if err := mc.textClaim.Grow(time.Now(), int64(copies*textFactor*length)); err != nil {
+		return fmt.Errorf("keep text: %w", err)
+	}
+	return nil
+}
+
 // serveModel serves the completions and chat completions endpoints.
 func (en *Entry) serveModel(ctx context.Context, rq *request, wr http.ResponseWriter, hr *http.Request,
 	_ httprouter.Params) *answer.Error {
@@ -72,7 +99,7 @@
 	if er := en.resolve(call); er != nil {
 		return er
 	}
-	call.response = newModelResponse(wr, rq, call, pt.Stream)
+	defer en.beginResponse(call, wr, pt.Stream)()
 	en.budget.RecordFirst()
 	if lastEventID := hr.Header.Get("Last-Event-ID"); lastEventID != "" {
 		er = en.resumeModel(ctx, call, lastEventID)
--- a/io/entry/relay.go
+++ b/io/entry/relay.go
@@ -99,7 +99,9 @@
 	case *wire.Frame_Refused:
 		return attemptRefused, kind.Refused.ToError(), true
 	case *wire.Frame_Chunk:
-		rl.relayChunk(kind.Chunk)
+		if er := rl.relayChunk(kind.Chunk); er != nil {
+			return attemptFinal, er, true
+		}
 	case *wire.Frame_Failed:
 		er := kind.Failed.ToError()
 		return rl.failureResult(er), er, true
@@ -120,10 +122,13 @@
 	return attemptIncomplete
 }
 
-// relayChunk relays one event of the engine, unless the caller already has it.
-func (rl *relay) relayChunk(ck *wire.Chunk) {
+// relayChunk relays one event of the engine, unless the caller already has it. It fails if there is no memory for its text.
+func (rl *relay) relayChunk(ck *wire.Chunk) *answer.Error {
 	call := rl.call
 	if ck.GetText() != "" {
+		if err := call.claimText(len(ck.GetText())); err != nil {
+			return answer.NewError(answer.ServerFailed, answer.Unknown, 0, "text after %d bytes: %v", call.relayedText.Len(), err)
+		}
 		if call.relayedTokens == 0 && rl.skipThrough == 0 {
 			rl.entry.rec.RecordFirstToken(time.Since(call.rq.receivedAt))
 		}
@@ -135,6 +140,7 @@
 	if rl.lastSeq > rl.skipThrough {
 		call.response.writeChunk(rl.eventID(), ck)
 	}
+	return nil
 }
 
 // eventID returns the event id of the last received frame, with which the caller can resume the stream.
--- a/io/entry/resume.go
+++ b/io/entry/resume.go
@@ -50,7 +50,7 @@
 func (en *Entry) serveResume(ctx context.Context, rq *request, wr http.ResponseWriter, hr *http.Request,
 	_ httprouter.Params) *answer.Error {
 	call := &modelCall{rq: rq, prompt: &prompt{}, excluded: make(map[string]bool)}
-	call.response = newModelResponse(wr, rq, call, true)
+	defer en.beginResponse(call, wr, true)()
 	result, er := en.relayExisting(ctx, call, hr.Header.Get("Last-Event-ID"))
 	if result == attemptDone {
 		er = nil
--- a/io/server/engine.go
+++ b/io/server/engine.go
@@ -68,9 +68,9 @@
 
 // Engine is a client of a model engine.
 type Engine interface {
-	// Stream runs a completion and calls onEvent for each event in order. Its error is a *NotSentError, a *StatusError,
-	// or an *ExchangeError if no complete stream arrived.
-	Stream(ctx context.Context, cr CompletionRequest, onEvent func(ev Event)) (Usage, error)
+	// Stream runs a completion and calls onEvent for each event in order, until it fails. Its error is a *NotSentError, a *StatusError,
+	// or an *ExchangeError if no complete stream arrived or onEvent failed.
+	Stream(ctx context.Context, cr CompletionRequest, onEvent func(ev Event) error) (Usage, error)
 	// State returns the state that the engine reports.
 	State(ctx context.Context) (State, error)
 	// Load orders the engine to load a version of the weights. It returns a *StatusError if the engine refuses the
@@ -91,7 +91,7 @@
 }
 
 // Stream implements Engine.
-func (he *HTTPEngine) Stream(ctx context.Context, cr CompletionRequest, onEvent func(ev Event)) (Usage, error) {
+func (he *HTTPEngine) Stream(ctx context.Context, cr CompletionRequest, onEvent func(ev Event) error) (Usage, error) {
 	body, err := requestBody(cr)
 	if err != nil {
 		return Usage{}, &NotSentError{cause: err}
@@ -158,7 +158,7 @@
 
 // readEvents calls onEvent for each event up to the [DONE] marker and returns the token counts of the last event that
 // has any. An event counts once the empty line after it has arrived.
-func readEvents(body io.Reader, onEvent func(ev Event)) (Usage, error) {
+func readEvents(body io.Reader, onEvent func(ev Event) error) (Usage, error) {
 	var usage Usage
 	var data []byte
 	sc := bufio.NewScanner(body)
@@ -181,7 +181,9 @@
 			return usage, nil
 		}
 		usage = decodeUsage(data, usage)
-		onEvent(Event{Data: data, Text: decodeText(data)})
+		if err := onEvent(Event{Data: data, Text: decodeText(data)}); err != nil {
+			return usage, &ExchangeError{cause: err}
+		}
 		data = nil
 	}
 	if err := sc.Err(); err != nil {
--- a/io/server/engine_test.go
+++ b/io/server/engine_test.go
@@ -18,7 +18,7 @@
 	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { called = true }))
 	defer srv.Close()
 	for _, body := range []string{"null", "[]", "3", ""} {
-		_, err := NewHTTPEngine(srv.URL).Stream(context.Background(), CompletionRequest{Body: []byte(body)}, func(Event) {})
+		_, err := NewHTTPEngine(srv.URL).Stream(context.Background(), CompletionRequest{Body: []byte(body)}, func(Event) error { return nil })
 		var nse *NotSentError
 		if !errors.As(err, &nse) || called {
 			t.Errorf("body %q: got error %v, engine called: %v", body, err, called)
@@ -46,7 +46,7 @@
 		for end := range len(text) + 1 {
 			for _, cause := range []error{io.EOF, syscall.ECONNRESET} {
 				relayed := 0
-				us, err := readEvents(io.MultiReader(strings.NewReader(text[:end]), iotest.ErrReader(cause)), func(Event) { relayed++ })
+				us, err := readEvents(io.MultiReader(strings.NewReader(text[:end]), iotest.ErrReader(cause)), func(Event) error { relayed++; return nil })
 				whole := min(strings.Count(text[:end], lineEnd+lineEnd), 3)
 				if relayed != whole || (err == nil) != (end == len(text)) || err == nil && us.OutputTokens != 2 {
 					t.Errorf("%q, then %v: got %d events, %+v, error %v", text[:end], cause, relayed, us, err)
--- a/process_endless_test.go
+++ b/process_endless_test.go
@@ -108,20 +108,33 @@
 		fmt.Fprintf(&lines, "a%d:\r\n", i)
 	}
 	stream := `{"model":"dispatch","prompt":"p","max_tokens":100000000,"stream":true}`
+	call := `{"model":"dispatch","prompt":"p","max_tokens":100000000}`
+	tokens := strings.Repeat("data: {\"choices\":[{\"text\":\"t\"}]}\n\n", 1000)
 	for name, tt := range map[string]struct {
 		path, body string
 		write      func(conn net.Conn)
 	}{
+		"stream of tokens":          {"/v1/completions", stream, writeForever(streamHead, tokens)},
+		"tokens of a call":          {"/v1/completions", call, writeForever(streamHead, tokens)},
+		"long tokens of a call":     {"/v1/completions", call, writeForever(streamHead, `data: {"choices":[{"text":"`+text+"\"}]}\n\n")},
 		"empty events":              {"/v1/completions", stream, writeForever(streamHead, strings.Repeat("data: \n\n", 4000))},
 		"comments":                  {"/v1/completions", stream, writeForever(streamHead, strings.Repeat(": x\n\n", 4000))},
 		"event without end":         {"/v1/completions", stream, writeForever(streamHead+"data: ", text)},
 		"lines of an event":         {"/v1/completions", stream, writeForever(streamHead, strings.Repeat("data: x\n", 4000))},
+		"long events":               {"/v1/completions", stream, writeForever(streamHead, "data: "+strings.Repeat("x", 1_000_000)+"\n\n")},
 		"failure":                   {"/v1/completions", stream, writeForever("HTTP/1.1 500 Failed\r\nConnection: close\r\n\r\n", text)},
 		"header line of an engine":  {"/v1/completions", stream, writeForever("HTTP/1.1 200 OK\r\nX-Long: ", text)},
 		"header lines of an engine": {"/v1/completions", stream, writeForever("HTTP/1.1 200 OK\r\n", lines.String())},
 		"interim responses":         {"/v1/completions", stream, writeForever("", "HTTP/1.1 103 Early Hints\r\n"+lines.String()+"\r\n")},
+		"body of a service":         {"/services/stock/endless", "", writeForever(head+"\r\n", text)},
 		"chunks of a service":       {"/services/stock/endless", "", writeForever(head+"Transfer-Encoding: chunked\r\n\r\n", "8000\r\n"+text+"\r\n")},
 		"header lines of a service": {"/services/stock/endless", "", writeForever("HTTP/1.1 200 OK\r\n", lines.String())},
+		"longest bodies of a service": {"/services/stock/endless", "", func(conn net.Conn) {
+			_, _ = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n", head, 4<<20)
+			for range (4 << 20) / len(text) {
+				_, _ = io.WriteString(conn, text)
+			}
+		}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			fc := newEndlessCluster(t, tt.write)
