io/local: the test of a retired server counts lookups by their times

TestRetiredServerReceivesNoRequests waited until a recorder had 50 more events than before. A recorder keeps its latest 20,000 events, three for each lookup: once it is full, their number stays at 6,667 and the test times out (seen: before 6,667, then 6,666 for 20 s).

Replaced by as strict a check: 50 lookups with a later time than the last one before. go test -race ./io/local -run TestRetiredServerReceivesNoRequests -count 8: passes.

--- a/io/local/stop_test.go
+++ b/io/local/stop_test.go
@@ -50,9 +50,19 @@
 		t.Fatal(err)
 	}
 	cl.waitFor("the agent to start leaving", func() bool { return countEvents(retired, trace.LeavingBegan) > 0 })
-	before := countEvents(cl.serviceAgents[1], trace.ServerCalled)
+	// A recorder keeps its latest events only: their number stays the same once it is full.
+	var last stamp.Stamp
+	for _, called := range eventStamps(cl.serviceAgents[1], trace.ServerCalled) {
+		last = max(last, called)
+	}
 	cl.waitFor("50 lookups at the other server", func() bool {
-		return countEvents(cl.serviceAgents[1], trace.ServerCalled) > before+50
+		later := 0
+		for _, called := range eventStamps(cl.serviceAgents[1], trace.ServerCalled) {
+			if called > last {
+				later++
+			}
+		}
+		return later > 50
 	})
 	close(stop)
 	wg.Wait()
