--- a/io/agent/modelcall_test.go
+++ b/io/agent/modelcall_test.go
@@ -20,7 +20,7 @@
 		answer.Unknown: {http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout, http.StatusNoContent},
 	} {
 		for _, status = range statuses {
-			_, err := server.NewHTTPEngine(srv.URL).Stream(t.Context(), server.CompletionRequest{Path: "/", Body: []byte("{}")}, func(server.Event) {})
+			_, err := server.NewHTTPEngine(srv.URL).Stream(t.Context(), server.CompletionRequest{Path: "/", Body: []byte("{}")}, func(server.Event) error { return nil })
 			er := toFailure(context.Background(), err).ToError()
 			if er.Outcome() != want || (er.Code() == answer.BadRequest) != (want == answer.NotRun) {
 				t.Errorf("status %d: got %s, %s, want %s", status, er.Code(), er.Outcome(), want)
--- a/io/reply/cut_test.go
+++ b/io/reply/cut_test.go
@@ -125,7 +125,10 @@
 		}},
 		{"engine's stream", "data: {\"choices\":[{\"text\":\"a\"}]}\n\ndata: [DONE]\n\n", false, func(ctx context.Context, base string) (string, error) {
 			var text strings.Builder
-			_, err := server.NewHTTPEngine(base).Stream(ctx, server.CompletionRequest{Path: "/", Body: []byte("{}")}, func(ev server.Event) { text.WriteString(ev.Text) })
+			_, err := server.NewHTTPEngine(base).Stream(ctx, server.CompletionRequest{Path: "/", Body: []byte("{}")}, func(ev server.Event) error {
+				text.WriteString(ev.Text)
+				return nil
+			})
 			return text.String(), err
 		}},
 	}
