--- a/io/gate/watcher.go
+++ b/io/gate/watcher.go
@@ -285,7 +285,7 @@
 	wg.Go(func() { gt.originLog.run(ctx) })
 	wg.Go(func() { <-ctx.Done(); gt.crashes.calls.Wait() })
 	wg.Go(func() { <-ctx.Done(); gt.origins.calls.Wait() })
-	wg.Go(func() { <-ctx.Done(); gt.prober.Wait() })
+	wg.Go(func() { <-ctx.Done(); gt.prober.Close() })
 	every := func(interval time.Duration, fn func()) {
 		cancel := gt.opts.Timer.Every(interval, fn)
 		wg.Go(func() { <-ctx.Done(); cancel() })
--- a/io/probe/prober.go
+++ b/io/probe/prober.go
@@ -48,8 +48,10 @@
 // Prober asks servers. It is safe for concurrent use.
 type Prober struct {
 	pool *client.Pool
-	// rounds are the rounds of calls in progress.
+	// rounds are the rounds of calls in progress; Close ends calls, which they make.
 	rounds conc.WaitGroup
+	calls  context.Context
+	end    context.CancelFunc
 
 	// mu guards running, which holds the round in progress for each run of a server.
 	mu      sync.Mutex
@@ -84,20 +86,24 @@
 
 // New returns a prober that calls servers over the connections of a pool.
 func New(pl *client.Pool) *Prober {
-	return &Prober{pool: pl, running: make(map[string]*round)}
+	calls, end := context.WithCancel(context.Background())
+	return &Prober{pool: pl, calls: calls, end: end, running: make(map[string]*round)}
 }
 
-// Wait waits until no calls are in progress.
-func (pr *Prober) Wait() { pr.rounds.Wait() }
+// Close ends the calls in progress and waits for their end. Questions that are asked afterwards get no response.
+func (pr *Prober) Close() {
+	pr.end()
+	pr.rounds.Wait()
+}
 
-// Ask returns whether a server runs, by a call that began after Ask was called. It returns whole.Unknown once the context ends, or if the response
-// came too late to tell a run from the next one.
+// Ask returns whether a server runs, by a call that began after Ask was called. It returns whole.Unknown once the context ends or the prober is
+// closed, or if the response came too late to tell a run from the next one.
 func (pr *Prober) Ask(ctx context.Context, qn Question) whole.Life {
 	for {
 		rd := pr.join(qn)
 		select {
 		case <-rd.done:
-			if rd.response.life != (whole.Unknown{}) {
+			if rd.response.life != (whole.Unknown{}) || pr.calls.Err() != nil {
 				return rd.response.lifeAfter(qn.EndedAt)
 			}
 		case <-ctx.Done():
@@ -141,7 +147,7 @@
 // call calls a server until a response or a refused connection shows whether the run still runs, or the time is over. A connection that is closed
 // without a response shows nothing: it may be one too many for the server.
 func (pr *Prober) call(qn Question) response {
-	ctx, cancel := context.WithTimeout(context.Background(), roundTimeout)
+	ctx, cancel := context.WithTimeout(pr.calls, roundTimeout)
 	defer cancel()
 	for pause := minRetryPause; ctx.Err() == nil; pause = min(2*pause, maxRetryPause) {
 		shown, err := pr.callOnce(ctx, qn)
--- a/io/probe/prober_test.go
+++ b/io/probe/prober_test.go
@@ -118,7 +118,15 @@
 			if life := pr.Ask(ctx, sv.question()); life != tt.want {
 				t.Errorf("got %s, want %s", life, tt.want)
 			}
-			pr.Wait()
+			// A call that nobody waits for any more holds up no stop.
+			began := time.Now()
+			pr.Close()
+			if took := time.Since(began); took > roundTimeout/4 {
+				t.Errorf("closing took %s", took)
+			}
+			if life := pr.Ask(t.Context(), sv.question()); life == (whole.Running{}) {
+				t.Errorf("after closing: got %s", life)
+			}
 		})
 	}
 }
@@ -171,7 +179,7 @@
 	time.Sleep(20 * time.Millisecond)
 	close(proceed)
 	wg.Wait()
-	pr.Wait()
+	pr.Close()
 	if conns := sv.conns.Load(); conns > 2 {
 		t.Errorf("21 questions took %d calls", conns)
 	}
