--- a/review/standin-2/descriptors.go
+++ b/review/standin-2/descriptors.go
@@ -77,7 +77,7 @@
 	sy.memoryMB, sy.maxFiles = machineMemoryMB, maxFiles
 	sy.store.put("op", "version/"+model, map[string]any{"model": model, "version": 1})
 	sy.store.put("op", "config", config(7, tenant{name: "shops", key: "shops-key"}, tenant{name: "press", key: "press-key"}))
-	startSmall(sy, nil)
+	startSmall(sy, 1, nil)
 	gt := sy.gates[0]
 	count := fewConnections
 	if trouble {
@@ -105,9 +105,10 @@
 				conns = append(conns, kc.conn)
 				mu.Unlock()
 				status, err := kc.exchange(stockHead(fmt.Sprintf("kept-%d", n)), 1500*time.Millisecond)
-				rc.logf("client %d: status %d, error %v", n, status, err)
 				if err == nil {
 					kept.Add(1)
+				} else {
+					rc.logf("client %d: status %d, error %v", n, status, err)
 				}
 			}
 		}()
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -14,8 +14,9 @@
 var cases = map[string]func(sy *system, trouble bool) bool{
 	"parts":       longPartLists,
 	"wall":        isolatedTenant,
-	"memory":      manyPartLists,
 	"descriptors": manyConnections,
+	"models":      manyModels,
+	"versions":    softwareVersions,
 }
 
 // maxDuration bounds a case.
@@ -44,6 +45,7 @@
 			rc.close()
 		}
 	}()
+	go startCommands()
 	rc = newRecorder(path)
 	sy = newSystem(rc)
 	interrupts := make(chan os.Signal, 1)
--- a/review/standin-2/parts.go
+++ b/review/standin-2/parts.go
@@ -26,29 +26,6 @@
 	minUnanswered = 20
 )
 
-// startSmall starts a small deployment: a gate in each of three zones, three model replicas with their tenders and a plain service.
-func startSmall(sy *system, prepare func(rp *replica)) {
-	zones := []string{"praha-a", "praha-b", "brno-c"}
-	sy.startGates(zones...)
-	for i, zone := range zones {
-		rp := newReplica(sy.record, fmt.Sprintf("i-model%d", i+1), engineService, zone, true, 64)
-		if prepare != nil {
-			prepare(rp)
-		}
-		sy.add(rp)
-	}
-	for i, zone := range zones {
-		sy.add(newReplica(sy.record, fmt.Sprintf("i-plain%d", i+1), plainService, zone, false, 6))
-	}
-	for _, rp := range sy.replicas {
-		if rp.engine {
-			sy.startTender(rp)
-		}
-	}
-	sy.waitReady()
-	time.Sleep(3 * time.Second)
-}
-
 // partList returns a prompt of count parts of a token each, all of them new.
 func partList(number, count int) string {
 	var list strings.Builder
@@ -66,7 +43,7 @@
 	rc := sy.record
 	sy.store.put("op", "version/"+model, map[string]any{"model": model, "version": 1})
 	sy.store.put("op", "config", config(7, tenant{name: "shops", key: "shops-key"}, tenant{name: "press", key: "press-key"}))
-	startSmall(sy, nil)
+	startSmall(sy, 1, nil)
 	began := time.Now()
 	var wg sync.WaitGroup
 	var mu sync.Mutex
--- a/review/standin-2/replica.go
+++ b/review/standin-2/replica.go
@@ -33,7 +33,9 @@
 	events          int
 	work            time.Duration
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// down is set while the replica does not run; it then writes no entry.
+	down     bool
 	software string
 	seq      int
 	active   int
@@ -59,9 +61,10 @@
 	}
 	lis, err := net.Listen("tcp", address)
 	check(err)
-	rp.address, rp.born = lis.Addr().String(), time.Now().UnixMilli()
-	rp.server = &http.Server{Handler: http.HandlerFunc(rp.handle)}
-	srv := rp.server
+	srv := &http.Server{Handler: http.HandlerFunc(rp.handle)}
+	rp.mu.Lock()
+	rp.address, rp.born, rp.server, rp.down = lis.Addr().String(), time.Now().UnixMilli(), srv, false
+	rp.mu.Unlock()
 	go func() { _ = srv.Serve(lis) }()
 }
 
@@ -162,6 +165,16 @@
 		wr.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if named := hr.Header.Get("X-Model"); rp.engine && named != model {
+		// All responses carry the version of the weights.
+		weights := rp.weights
+		rp.mu.Unlock()
+		wr.Header().Set("X-Server-Seal", "seal."+rp.id+"."+id)
+		wr.Header().Set("X-Weight-Versions", strconv.Itoa(weights))
+		wr.Header().Set("Content-Length", "0")
+		wr.WriteHeader(http.StatusNotFound)
+		return
+	}
 	if rp.active >= rp.slots+96 {
 		rp.mu.Unlock()
 		wr.Header().Set("X-Not-Executed", "1")
--- a/review/standin-2/system.go
+++ b/review/standin-2/system.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -64,9 +65,10 @@
 
 // process is a process of the project.
 type process struct {
-	name, address, ready, peer string
-	cmd                        *exec.Cmd
-	exited                     chan struct{}
+	name, zone, address, ready, peer string
+	cmd                              *exec.Cmd
+	settings                         map[string]string
+	exited                           chan struct{}
 }
 
 // system is a small deployment: the stand-ins, and the project's processes.
@@ -79,6 +81,9 @@
 	gates     []*process
 	tenders   []*process
 	replicas  []*replica
+	// seeds are the peer addresses of the first gates.
+	seeds        []string
+	gatesStarted int
 	// memoryMB is the memory that gates are told.
 	memoryMB int
 	// maxFiles is the number of descriptors that gates may have, or zero for no bound.
@@ -140,7 +145,7 @@
 	check(os.WriteFile(boot, []byte("SHALLOTCLEAT_ADDRESS_REUSE=2s\n"), 0o600))
 	settings["SHALLOTCLEAT_NAME"], settings["SHALLOTCLEAT_STORE"], settings["SHALLOTCLEAT_BOOT"] = name, sy.storeAddr, boot
 	settings["SHALLOTCLEAT_METRICS"] = freeAddress()
-	pr := &process{name: name, cmd: exec.Command(sy.program, role), exited: make(chan struct{})}
+	pr := &process{name: name, settings: settings, cmd: exec.Command(sy.program, role), exited: make(chan struct{})}
 	if role == "gate" && sy.maxFiles > 0 {
 		// The shell bounds the descriptors and becomes the program.
 		pr.cmd = exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d && exec \"$0\" %s", sy.maxFiles, role), sy.program)
@@ -155,7 +160,7 @@
 	logs, err := os.Create(filepath.Join(sy.dir, name+".log"))
 	check(err)
 	pr.cmd.Stdout, pr.cmd.Stderr = logs, logs
-	check(pr.cmd.Start())
+	check(start(pr.cmd))
 	go func() {
 		err := pr.cmd.Wait()
 		_ = logs.Close()
@@ -165,33 +170,55 @@
 	return pr
 }
 
+// starts receives the commands that are to be started.
+var starts = make(chan startRequest)
+
+type startRequest struct {
+	cmd  *exec.Cmd
+	done chan error
+}
+
+// startCommands starts commands on a thread that lives as long as the program: the kernel ends a process when the thread ends that started it.
+func startCommands() {
+	runtime.LockOSThread()
+	for rq := range starts {
+		rq.done <- rq.cmd.Start()
+	}
+}
+
+func start(cmd *exec.Cmd) error {
+	rq := startRequest{cmd: cmd, done: make(chan error, 1)}
+	starts <- rq
+	return <-rq.done
+}
+
 // startGates starts gates in a zone each.
 func (sy *system) startGates(zones ...string) {
-	var seeds []string
+	var peers []string
 	for range zones {
-		seeds = append(seeds, freeAddress())
+		peers = append(peers, freeAddress())
+	}
+	if len(sy.seeds) == 0 {
+		sy.seeds = peers
 	}
 	for i, zone := range zones {
+		sy.gatesStarted++
 		settings := map[string]string{
-			"SHALLOTCLEAT_ZONE": zone, "SHALLOTCLEAT_LISTEN": freeAddress(), "SHALLOTCLEAT_READY": freeAddress(), "SHALLOTCLEAT_PEER": seeds[i],
-			"SHALLOTCLEAT_GATES": strings.Join(seeds, ","), "SHALLOTCLEAT_MEMORY": strconv.Itoa(sy.memoryMB), "SHALLOTCLEAT_CPU": "0.304",
+			"SHALLOTCLEAT_ZONE": zone, "SHALLOTCLEAT_LISTEN": freeAddress(), "SHALLOTCLEAT_READY": freeAddress(), "SHALLOTCLEAT_PEER": peers[i],
+			"SHALLOTCLEAT_GATES": strings.Join(sy.seeds, ","), "SHALLOTCLEAT_MEMORY": strconv.Itoa(sy.memoryMB), "SHALLOTCLEAT_CPU": "0.304",
 			"SHALLOTCLEAT_STOP_TIMEOUT": "8s", "SHALLOTCLEAT_RETRY_SPAN": "10s", "SHALLOTCLEAT_RETRY_RATIO": "0.2", "SHALLOTCLEAT_RETRY_ALLOWANCE": "56",
 			"SHALLOTCLEAT_OLD_WEIGHTS": "12000ms", "SHALLOTCLEAT_SETTLE": "3000ms", "SHALLOTCLEAT_CONFIG_DEADLINE": "2000ms", "SHALLOTCLEAT_DRAIN_DEADLINE": "2000ms",
 		}
-		pr := sy.run("gate", fmt.Sprintf("gate-%d", i+1), settings)
-		pr.address, pr.ready, pr.peer = settings["SHALLOTCLEAT_LISTEN"], settings["SHALLOTCLEAT_READY"], settings["SHALLOTCLEAT_PEER"]
+		pr := sy.run("gate", fmt.Sprintf("gate-%d", sy.gatesStarted), settings)
+		pr.zone, pr.address, pr.ready, pr.peer = zone, settings["SHALLOTCLEAT_LISTEN"], settings["SHALLOTCLEAT_READY"], settings["SHALLOTCLEAT_PEER"]
 		sy.gates = append(sy.gates, pr)
 	}
 }
 
 // startTender starts the tender of a model replica.
 func (sy *system) startTender(rp *replica) *process {
-	var seeds []string
-	for _, gt := range sy.gates {
-		seeds = append(seeds, gt.peer)
-	}
 	pr := sy.run("tender", "tender-"+rp.id, map[string]string{"SHALLOTCLEAT_ZONE": rp.zone, "SHALLOTCLEAT_ENGINE": rp.address, "SHALLOTCLEAT_SERVICE": rp.service,
-		"SHALLOTCLEAT_GATES": strings.Join(seeds, ","), "SHALLOTCLEAT_MEMORY": "216"})
+		"SHALLOTCLEAT_GATES": strings.Join(sy.seeds, ","), "SHALLOTCLEAT_MEMORY": "216"})
 	sy.tenders = append(sy.tenders, pr)
 	return pr
 }
@@ -200,19 +227,29 @@
 func (sy *system) add(rp *replica) {
 	rp.start("")
 	sy.replicas = append(sy.replicas, rp)
-	sy.store.put("servers", rp.id, rp.entry("ready"))
+	sy.writeEntry(rp)
 	go func() {
 		for {
 			select {
 			case <-sy.done:
 				return
 			case <-time.After(1200 * time.Millisecond):
-				sy.store.put("servers", rp.id, rp.entry("ready"))
+				sy.writeEntry(rp)
 			}
 		}
 	}()
 }
 
+// writeEntry writes the entry of a replica unless it is down.
+func (sy *system) writeEntry(rp *replica) {
+	rp.mu.Lock()
+	down := rp.down
+	rp.mu.Unlock()
+	if !down {
+		sy.store.put("servers", rp.id, rp.entry("ready"))
+	}
+}
+
 // waitReady waits until all gates are ready.
 func (sy *system) waitReady() {
 	for _, gt := range sy.gates {
@@ -335,3 +372,26 @@
 		"tenants": list,
 	}
 }
+
+// startSmall starts a small deployment: a gate in each of three zones, model replicas with their tenders in each and a plain service.
+func startSmall(sy *system, enginesInZone int, prepare func(rp *replica)) {
+	zones := []string{"praha-a", "praha-b", "brno-c"}
+	sy.startGates(zones...)
+	for i := range enginesInZone * len(zones) {
+		rp := newReplica(sy.record, fmt.Sprintf("i-model%d", i+1), engineService, zones[i%len(zones)], true, 64)
+		if prepare != nil {
+			prepare(rp)
+		}
+		sy.add(rp)
+	}
+	for i, zone := range zones {
+		sy.add(newReplica(sy.record, fmt.Sprintf("i-plain%d", i+1), plainService, zone, false, 6))
+	}
+	for _, rp := range sy.replicas {
+		if rp.engine {
+			sy.startTender(rp)
+		}
+	}
+	sy.waitReady()
+	time.Sleep(3 * time.Second)
+}
--- a/review/standin-2/wall.go
+++ b/review/standin-2/wall.go
@@ -13,7 +13,7 @@
 	sy.store.put("op", "version/"+model, map[string]any{"model": model, "version": 1})
 	north, south := tenant{name: "north", key: "north-key"}, tenant{name: "south", key: "south-key"}
 	sy.store.put("op", "config", config(7, north, south))
-	startSmall(sy, nil)
+	startSmall(sy, 1, nil)
 	number := 0
 	ask := func(tn tenant, count int) {
 		for range count {
