--- a/core/route/table.go
+++ b/core/route/table.go
@@ -184,6 +184,8 @@
 	routesByHost    map[string][]*Route
 	services        map[string]*Service
 	workspacesByKey map[string]*Workspace
+	// isolated holds the names of the isolated workspaces, sorted.
+	isolated []string
 	// requiresKey is set if the configuration has workspaces; calls of routes that are not anonymous then need an API key.
 	requiresKey bool
 }
@@ -211,16 +213,23 @@
 	}
 	for _, wsp := range sp.Workspaces {
 		ws := &Workspace{spec: wsp}
+		if wsp.Isolated {
+			tb.isolated = append(tb.isolated, wsp.Name)
+		}
 		for _, key := range wsp.Keys {
 			tb.workspacesByKey[key] = ws
 		}
 	}
+	slices.Sort(tb.isolated)
 	return tb
 }
 
 // Version returns the version of the configuration.
 func (tb *Table) Version() uint64 { return tb.version }
 
+// IsolatedWorkspaces returns the sorted names of the workspaces that share no cached prompt prefixes with others.
+func (tb *Table) IsolatedWorkspaces() []string { return tb.isolated }
+
 // Limits returns the request limits of the configuration.
 func (tb *Table) Limits() Limits { return tb.limits }
 
--- a/io/gate/finish.go
+++ b/io/gate/finish.go
@@ -212,7 +212,7 @@
 	gt.log.WithFields(fields).Info("attempt failed")
 }
 
-// addSendFields adds whether the request must not run twice, and of its last attempt: how its answer was framed and ended, and over which connection
+// addSendFields adds whether the request must not run twice, and of its last attempt: the salt of its cached parts, how its answer was framed and ended, and over which connection
 // it was sent: a new or a kept one, for how long it was idle, how many requests it carried before, and how many responses to other requests came first.
 func (rq *request) addSendFields(fields logrus.Fields) {
 	if count := len(rq.log.answers); count > 0 {
@@ -221,6 +221,9 @@
 	if rq.route != nil {
 		fields["at_most_once"] = rq.route.AtMostOnce()
 	}
+	if rq.log.cacheSalt != "" {
+		fields["cache_salt"] = rq.log.cacheSalt
+	}
 	cu := rq.log.connUse
 	if cu == nil {
 		return
--- a/io/gate/handle.go
+++ b/io/gate/handle.go
@@ -77,6 +77,8 @@
 	// answers describes the answers of all attempts.
 	answers       []*answerLog
 	weightVersion uint64
+	// cacheSalt is the text under which the engine of the last attempt reads and makes cached parts of the prompt, or "".
+	cacheSalt     string
 	cachedParts   int
 	cacheSourceID string
 	// zoneExit is why the last attempt went to another zone, or "".
--- a/io/gate/run.go
+++ b/io/gate/run.go
@@ -202,6 +202,7 @@
 	if rq.service.IsEngine() {
 		info.WeightVersion = ch.Version()
 		info.CacheSalt = cacheSalt(rq, ch.Version())
+		rq.log.cacheSalt = info.CacheSalt
 		info.CacheSaveAddress = ch.SaveAddress()
 		if sv := ch.CacheSource(); sv != nil {
 			info.CacheSourceAddress = sv.Address()
--- a/io/gate/watcher.go
+++ b/io/gate/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -119,6 +120,9 @@
 	wt.gate.releases.setRoutes(tb)
 	wt.gate.routes.Store(tb)
 	wt.gate.logQuotaProblems(sp)
+	if old != nil {
+		wt.gate.logIsolation(old, tb)
+	}
 	wt.gate.picker.SetCacheStores(cacheStores(sp))
 	wt.gate.picker.SetTokenBytes(tokenBytes(sp))
 	if wt.gate.opts.Moves != nil {
@@ -128,6 +132,30 @@
 		Info("configuration adopted")
 }
 
+// maxLoggedWorkspaces bounds the names of workspaces in a log entry.
+const maxLoggedWorkspaces = 16
+
+// logIsolation logs which workspaces a configuration isolates that the one before did not, and the other way round.
+func (gt *Gate) logIsolation(old, tb *route.Table) {
+	missingFrom := func(names, other []string) []string {
+		var missing []string
+		for _, name := range names {
+			if _, found := slices.BinarySearch(other, name); !found {
+				missing = append(missing, name)
+			}
+		}
+		return missing
+	}
+	began := missingFrom(tb.IsolatedWorkspaces(), old.IsolatedWorkspaces())
+	ended := missingFrom(old.IsolatedWorkspaces(), tb.IsolatedWorkspaces())
+	if len(began)+len(ended) == 0 {
+		return
+	}
+	gt.log.WithFields(logrus.Fields{"event": "isolation_changed", "config_version": tb.Version(), "began": began[:min(len(began), maxLoggedWorkspaces)],
+		"began_count": len(began), "ended": ended[:min(len(ended), maxLoggedWorkspaces)], "ended_count": len(ended)}).
+		Info("workspaces became isolated, or are so no longer")
+}
+
 // cacheStores returns the cache stores of a configuration. Their rates in tokens are those of the engines with the largest tokens.
 func cacheStores(sp route.Spec) []pick.CacheStore {
 	tokenBytes := 1
