core/scope: requests find no parts from before a workspace was isolated

Cause: the salt of all workspaces that are not isolated was the weight version alone. Nothing in it changed when one of them became isolated, and no process need remember that it once was not.

Change: one package, core/scope, decides with whom a request shares; salts, the keys of placement and the tables of tenders come from its Scope. The scope of the others names the set of isolated workspaces by a hash. Parts under it were made only by workspaces outside the set, and it is used only while that set is in force, whatever a process has seen or missed before; so no history is needed. It stays the same when a change isolates no one, and comes back when the set does. The names of isolated workspaces are escaped: no name can give the text of another scope, and none can be changed by a header's rules. A workspace that is no longer configured shares with none.

While no workspace is isolated, the text is that of before (v1), which is safe beside gates of the earlier build: nobody is isolated then. Tenders of the earlier build ignore events under the new texts, which costs precision only.

--- a/core/pick/bench_test.go
+++ b/core/pick/bench_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"shallotcleat/core/fleet"
+	"shallotcleat/core/scope"
 )
 
 // benchPicker returns the picker of one of 420 gates, 70 of them in its zone, with servers spread evenly over services.
@@ -31,7 +32,7 @@
 			now := time.Unix(1000, 0)
 			for i := range b.N {
 				now = now.Add(10 * time.Millisecond)
-				cl := NewCall("chat-0", testModel, "",
+				cl := NewCall("chat-0", testModel, scope.Scope{},
 					[]Part{NewPart("system", 500), NewPart(fmt.Sprint("s", i%500), 5000), NewPart("own", 1000)}, 6500, true)
 				ch, ok := pk.Choose(now, cl, nil)
 				if !ok {
--- a/core/pick/cachechange_test.go
+++ b/core/pick/cachechange_test.go
@@ -3,14 +3,16 @@
 import (
 	"testing"
 	"time"
+
+	"shallotcleat/core/scope"
 )
 
 // A server counts as having the parts that its tender reports, from the first part on, until it reports an eviction; a part that was sent
 // right before the report of its eviction may be cached again.
 func TestReportedCacheChanges(t *testing.T) {
 	start := time.Unix(1000, 0)
-	cl := NewCall("chat", testModel, "", []Part{NewPart("a", 800), NewPart("b", 400), NewPart("own", 250)}, 1450, false)
-	first, second := PartKey(testModel, "", "a"), PartKey(testModel, "", "b")
+	cl := NewCall("chat", testModel, scope.Scope{}, []Part{NewPart("a", 800), NewPart("b", 400), NewPart("own", 250)}, 1450, false)
+	first, second := scope.Scope{}.PartKey(testModel, "a"), scope.Scope{}.PartKey(testModel, "b")
 	long := cachedTTL + time.Second
 	for _, tt := range []struct {
 		name             string
@@ -63,17 +65,3 @@
 	ch, _ := pk.Choose(now, cl, nil)
 	serve(pk, now, cl, ch)
 }
-
-// The salt under which parts are cached tells their weight version and scope.
-func TestCacheSalt(t *testing.T) {
-	for _, scope := range []string{"", "walled", "a/b"} {
-		if version, got, ok := ParseCacheSalt(CacheSalt(7, scope)); version != 7 || got != scope || !ok {
-			t.Errorf("scope %q: got version %d, scope %q, %t", scope, version, got, ok)
-		}
-	}
-	for _, salt := range []string{"", "v", "rid-1", "v-1", "7"} {
-		if _, _, ok := ParseCacheSalt(salt); ok {
-			t.Errorf("salt %q was parsed", salt)
-		}
-	}
-}
--- a/core/pick/call.go
+++ b/core/pick/call.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"shallotcleat/core/fleet"
+	"shallotcleat/core/scope"
 )
 
 // Part is a part of a prompt that engines cache as a unit.
@@ -39,6 +40,8 @@
 	requestBytes int
 	// copied is set if the server has a copy of the running call.
 	copied bool
+	// scope is that of the cached parts that the call may use.
+	scope scope.Scope
 	// keys are those of the parts that other calls may share; partTokens are the lengths of these parts. The last part of a prompt
 	// belongs to the call or its conversation alone and has no key.
 	keys       []uint64
@@ -46,17 +49,24 @@
 }
 
 // NewCall returns a call of a service. Calls without a model have no parts. tokens is the length of the prompt, and
-// atMostOnce means that the call must not be repeated. A call shares cached parts only with calls of the same cacheScope,
-// which is empty for most workspaces.
-func NewCall(service, model, cacheScope string, parts []Part, tokens int, atMostOnce bool) Call {
-	cl := Call{service: service, model: model, tokens: tokens, atMostOnce: atMostOnce}
+// atMostOnce means that the call must not be repeated. A call shares cached parts only with calls of the same scope.
+func NewCall(service, model string, sc scope.Scope, parts []Part, tokens int, atMostOnce bool) Call {
+	return Call{service: service, model: model, tokens: tokens, atMostOnce: atMostOnce}.WithScope(sc, parts)
+}
+
+// WithScope returns the call with another scope; parts are those of its prompt.
+func (cl Call) WithScope(sc scope.Scope, parts []Part) Call {
+	cl.scope, cl.keys, cl.partTokens = sc, nil, nil
 	for _, pt := range parts[:max(len(parts)-1, 0)] {
-		cl.keys = append(cl.keys, PartKey(model, cacheScope, pt.id))
+		cl.keys = append(cl.keys, sc.PartKey(cl.model, pt.id))
 		cl.partTokens = append(cl.partTokens, pt.tokens)
 	}
 	return cl
 }
 
+// Scope returns the scope of the cached parts that the call may use.
+func (cl Call) Scope() scope.Scope { return cl.scope }
+
 // WithPriority returns the call with a priority, 0 being the most urgent; engines start more urgent calls first.
 func (cl Call) WithPriority(priority int) Call {
 	cl.priority = priority
--- a/core/pick/cost_test.go
+++ b/core/pick/cost_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"shallotcleat/core/scope"
 )
 
 // A long call avoids a server that is about to load weights; a short one does not.
@@ -33,7 +35,7 @@
 	pk := New("a", time.Minute, 1)
 	pk.SetView(viewOf("a", "a"))
 	// The prefill of the shared parts takes 3 ms.
-	cl := NewCall("chat", testModel, "", []Part{NewPart("system", 300), NewPart("own", 50)}, 350, false)
+	cl := NewCall("chat", testModel, scope.Scope{}, []Part{NewPart("system", 300), NewPart("own", 50)}, 350, false)
 	home, _ := pk.Choose(now, cl, nil)
 	pk.SetUtilization(home.Server().ID(), NewUtilization(20, 0, 1<<20, 1<<20, now))
 	if ch, _ := pk.Choose(now, cl, nil); ch.Server() != home.Server() {
--- a/core/pick/explain_test.go
+++ b/core/pick/explain_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"shallotcleat/core/scope"
 )
 
 // An explanation must name the server that a call is then sent to, and asking must not change where later calls go.
@@ -51,7 +53,7 @@
 	pk.MarkLeaving(now, vw.Server("server-0"))
 	pk.SetWeights(now, "server-1", testModel, 1, true)
 	want := map[string]Obstacle{"server-0": Leaving, "server-1": LoadingWeights, "server-2": "", "server-3": CostsMore}
-	ex := pk.Explain(now, NewCall("chat", testModel, "", nil, 100, false))
+	ex := pk.Explain(now, NewCall("chat", testModel, scope.Scope{}, nil, 100, false))
 	if len(ex.Assessments()) != len(want) {
 		t.Fatalf("%d assessments", len(ex.Assessments()))
 	}
--- a/core/pick/load_test.go
+++ b/core/pick/load_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"shallotcleat/core/fleet"
+	"shallotcleat/core/scope"
 	"shallotcleat/core/share"
 	"shallotcleat/core/speed"
 )
@@ -149,7 +150,7 @@
 		sm.callCount++
 		gate, workspace, rank := sm.nextCall()
 		subject := fmt.Sprint("subject-", sm.random.IntN(400))
-		cl := NewCall("chat", testModel, "", []Part{NewPart(subject, 400), NewPart("own", simPromptTokens-400)}, simPromptTokens, true).WithPriority(rank)
+		cl := NewCall("chat", testModel, scope.Scope{}, []Part{NewPart(subject, 400), NewPart("own", simPromptTokens-400)}, simPromptTokens, true).WithPriority(rank)
 		ch, ok := sm.gates[gate].Choose(sm.now, cl, nil)
 		if !ok {
 			sm.shedCount++
@@ -336,7 +337,7 @@
 	now := time.Unix(1000, 0)
 	pk := New("a", time.Minute, 1)
 	pk.SetView(viewOf("a", "a"))
-	long := NewCall("chat", testModel, "", []Part{NewPart("system", 500), NewPart("own", 80_000)}, 80_500, true)
+	long := NewCall("chat", testModel, scope.Scope{}, []Part{NewPart("system", 500), NewPart("own", 80_000)}, 80_500, true)
 	ch, _ := pk.Choose(now, long, nil)
 	if _, shed := ch.Shed(300*time.Millisecond, 1, 0); shed {
 		t.Errorf("a long prompt was rejected by idle engines: expected time to first event %s", ch.TimeToFirstEvent())
--- a/core/pick/picker_test.go
+++ b/core/pick/picker_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"shallotcleat/core/fleet"
+	"shallotcleat/core/scope"
 )
 
 const testModel = "llm"
@@ -22,7 +23,7 @@
 
 // promptCall returns a call with one part shared by all calls and one shared by the calls with the same subject.
 func promptCall(subject string, atMostOnce bool) Call {
-	return NewCall("chat", testModel, "",
+	return NewCall("chat", testModel, scope.Scope{},
 		[]Part{NewPart("system", 500), NewPart(subject, 5000), NewPart("own", 1000)}, 6500, atMostOnce)
 }
 
--- a/core/pick/rollout_test.go
+++ b/core/pick/rollout_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"shallotcleat/core/fleet"
+	"shallotcleat/core/scope"
 	"shallotcleat/core/weight"
 )
 
@@ -135,7 +136,7 @@
 	if ro.random.IntN(6) == 0 {
 		tokens, output, run = 10_000, 400, time.Duration(1500+ro.random.IntN(3000))*time.Millisecond
 	}
-	cl := NewCall("chat", testModel, "", []Part{NewPart("own", tokens)}, tokens, true).WithOutput(output)
+	cl := NewCall("chat", testModel, scope.Scope{}, []Part{NewPart("own", tokens)}, tokens, true).WithOutput(output)
 	pk := ro.gates[ro.random.IntN(len(ro.gates))]
 	if counted {
 		ro.callCount++
--- a/core/pick/staging_test.go
+++ b/core/pick/staging_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"shallotcleat/core/fleet"
+	"shallotcleat/core/scope"
 	"shallotcleat/core/stage"
 )
 
@@ -49,7 +50,7 @@
 }
 
 func stagedCall(tokens int) Call {
-	return NewCall("chat", testModel, "", nil, tokens, true).WithOutput(42)
+	return NewCall("chat", testModel, scope.Scope{}, nil, tokens, true).WithOutput(42)
 }
 
 // Guards against long prompts at engines for streams while others are free, and against roles that forbid an engine: while all that read
--- a/core/pick/store_test.go
+++ b/core/pick/store_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"shallotcleat/core/scope"
 )
 
 const testStoreAddress = "172.20.0.2:80"
@@ -163,7 +165,7 @@
 func TestStoreKeepsWorkspacesApart(t *testing.T) {
 	pk, now := newStorePicker(), time.Unix(1000, 0)
 	parts := []Part{NewPart("system", 500), NewPart("s", 5000), NewPart("own", 1000)}
-	open, isolated := NewCall("chat", testModel, "", parts, 6500, false), NewCall("chat", testModel, "walled", parts, 6500, false)
+	open, isolated := NewCall("chat", testModel, scope.Scope{}, parts, 6500, false), NewCall("chat", testModel, scope.Own("walled"), parts, 6500, false)
 	serveChosen(t, pk, now, open, nil)
 	serveChosen(t, pk, now.Add(time.Second), open, nil)
 	if ch := serveChosen(t, pk, now.Add(20*time.Second), isolated, nil); ch.CacheSource() != nil {
--- a/core/pick/zone_test.go
+++ b/core/pick/zone_test.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 
 	"shallotcleat/core/fleet"
+	"shallotcleat/core/scope"
 	"shallotcleat/core/zone"
 )
 
@@ -262,7 +263,7 @@
 	// Lower numbers are more frequent.
 	subject := fmt.Sprint(kind.name, "-", int(zoneSimSubjects*math.Pow(sm.random.Float64(), 2)))
 	tokens := kind.shared + kind.own
-	cl := NewCall("chat", testModel, "", []Part{NewPart(subject, kind.shared), NewPart("own", kind.own)}, tokens, false).
+	cl := NewCall("chat", testModel, scope.Scope{}, []Part{NewPart(subject, kind.shared), NewPart("own", kind.own)}, tokens, false).
 		WithOutput(kind.output).WithRequest(fmt.Sprint("request-", z, "-", sm.calls[z], "-", sm.now.UnixNano()), tokens*zoneSimPromptBytes)
 	ch, ok := pk.Choose(sm.now, cl, nil)
 	if !ok {
@@ -568,7 +569,7 @@
 	pk.SetZonePrice(zone.NewPrice(500*time.Microsecond, 200*time.Millisecond))
 	pk.SetUtilization("server-0", NewUtilization(6, 5, 1<<20, 1<<20, now))
 	pk.SetUtilization("server-1", NewUtilization(0, 0, 1<<20, 1<<20, now))
-	cl := NewCall("chat", testModel, "", nil, 100, false)
+	cl := NewCall("chat", testModel, scope.Scope{}, nil, 100, false)
 	if ch, _ := pk.Choose(now, cl.WithRequest("r", 1000), nil); ch.Server().Zone() != "b" || ch.ExitReason() != ExitCost {
 		t.Errorf("a small request stayed in its zone to wait 130 ms: %s %q", ch.Server().Zone(), ch.ExitReason())
 	}
@@ -650,7 +651,7 @@
 					pk.MarkUnreachable(now, id)
 				}
 			}
-			cl := NewCall("chat", testModel, "", nil, 100, false).WithRequest(now.String(), 0)
+			cl := NewCall("chat", testModel, scope.Scope{}, nil, 100, false).WithRequest(now.String(), 0)
 			if ch, ok := pk.Choose(now, cl, nil); !ok || ch.Server().Zone() != "a" {
 				left++
 			}
--- a/core/route/spec.go
+++ b/core/route/spec.go
@@ -81,7 +81,7 @@
 	// Priority overrides the priority of the route if HasPriority is set.
 	Priority    int
 	HasPriority bool
-	// Isolated is set if the workspace shares no cached prompt prefixes with others.
+	// Isolated is set if the workspace shares no cached parts of prompts with others.
 	Isolated bool
 	// Quota limits what the workspace may use over all gates.
 	Quota QuotaSpec
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"shallotcleat/core/scope"
 )
 
 // Route is a compiled route; it is immutable.
@@ -163,9 +165,6 @@
 // Name returns the workspace's name; it is empty for anonymous callers.
 func (ws *Workspace) Name() string { return ws.spec.Name }
 
-// Isolated reports whether the workspace shares no cached prompt prefixes with others.
-func (ws *Workspace) Isolated() bool { return ws.spec.Isolated }
-
 // Quota returns the limit of the workspace.
 func (ws *Workspace) Quota() QuotaSpec { return ws.spec.Quota }
 
@@ -184,8 +183,7 @@
 	routesByHost    map[string][]*Route
 	services        map[string]*Service
 	workspacesByKey map[string]*Workspace
-	// isolated holds the names of the isolated workspaces, sorted.
-	isolated []string
+	sharing         scope.Sharing
 	// requiresKey is set if the configuration has workspaces; calls of routes that are not anonymous then need an API key.
 	requiresKey bool
 }
@@ -211,24 +209,31 @@
 	for _, ss := range sp.Services {
 		tb.services[ss.Name] = &Service{spec: ss}
 	}
+	isolated := make(map[string]bool, len(sp.Workspaces))
 	for _, wsp := range sp.Workspaces {
 		ws := &Workspace{spec: wsp}
-		if wsp.Isolated {
-			tb.isolated = append(tb.isolated, wsp.Name)
-		}
+		isolated[wsp.Name] = isolated[wsp.Name] || wsp.Isolated
 		for _, key := range wsp.Keys {
 			tb.workspacesByKey[key] = ws
 		}
 	}
-	slices.Sort(tb.isolated)
+	tb.sharing = scope.NewSharing(isolated)
 	return tb
 }
 
 // Version returns the version of the configuration.
 func (tb *Table) Version() uint64 { return tb.version }
 
-// IsolatedWorkspaces returns the sorted names of the workspaces that share no cached prompt prefixes with others.
-func (tb *Table) IsolatedWorkspaces() []string { return tb.isolated }
+// IsolatedWorkspaces returns the sorted names of the workspaces that share no cached parts of prompts with others.
+func (tb *Table) IsolatedWorkspaces() []string { return tb.sharing.Isolated() }
+
+// Scope returns the scope of a workspace's cached parts of prompts. The workspace may be one of an earlier configuration.
+func (tb *Table) Scope(ws *Workspace) scope.Scope {
+	if ws == anonymous {
+		return tb.sharing.Shared()
+	}
+	return tb.sharing.Of(ws.Name())
+}
 
 // Limits returns the request limits of the configuration.
 func (tb *Table) Limits() Limits { return tb.limits }
--- a/core/stage/sim_test.go
+++ b/core/stage/sim_test.go
@@ -9,6 +9,7 @@
 
 	"shallotcleat/core/fleet"
 	"shallotcleat/core/pick"
+	"shallotcleat/core/scope"
 	"shallotcleat/core/stage"
 )
 
@@ -175,7 +176,7 @@
 		shared, own, rn.output, rn.prefix = 5382, 6610, 42, fmt.Sprint("long-", sm.random.IntN(simPrefixes))
 	}
 	rn.tokens = shared + own
-	rn.call = pick.NewCall("chat", "m", "", []pick.Part{pick.NewPart(rn.prefix, shared), pick.NewPart("own", own)}, rn.tokens, true).
+	rn.call = pick.NewCall("chat", "m", scope.Scope{}, []pick.Part{pick.NewPart(rn.prefix, shared), pick.NewPart("own", own)}, rn.tokens, true).
 		WithOutput(rn.output)
 	pk := sm.gates[rn.gate]
 	ch, ok := pk.Choose(sm.now, rn.call, nil)
--- a/io/gate/handle.go
+++ b/io/gate/handle.go
@@ -237,17 +237,8 @@
 	if sv.IsEngine() {
 		model = rq.info.Model
 	}
-	rq.call = pick.NewCall(sv.Name(), model, cacheScope(rq.workspace), rq.info.PromptParts, rq.info.PromptTokens,
+	rq.call = pick.NewCall(sv.Name(), model, rq.routes.Scope(rq.workspace), rq.info.PromptParts, rq.info.PromptTokens,
 		rq.route.AtMostOnce()).WithPriority(rq.workspace.Priority(rq.route)).WithOutput(rq.info.ExpectedTokens).
 		WithRequest(rq.info.RequestID, len(rq.body))
 	rq.suspectKeys = suspectKeys(rq.key, model, rq.info.PromptParts)
 }
-
-// cacheScope returns the scope within which a workspace shares cached prompt prefixes. It is empty unless the workspace is
-// isolated.
-func cacheScope(ws *route.Workspace) string {
-	if ws.Isolated() {
-		return ws.Name()
-	}
-	return ""
-}
--- a/io/gate/run.go
+++ b/io/gate/run.go
@@ -9,6 +9,7 @@
 
 	"shallotcleat/core/answer"
 	"shallotcleat/core/pick"
+	"shallotcleat/core/scope"
 	"shallotcleat/io/client"
 	"shallotcleat/io/intake"
 	"shallotcleat/io/link"
@@ -253,13 +254,12 @@
 	return nil
 }
 
-// cacheSalt returns a salt that separates cached prompt prefixes of different weight versions and of isolated workspaces. If the
-// version is unknown, the salt is unique to the request, so that nothing is shared.
+// cacheSalt returns the salt of the request's cached parts. If the version of the weights is unknown, the request shares with no other.
 func cacheSalt(rq *request, version uint64) string {
 	if version == 0 {
-		return "r" + rq.info.RequestID
+		return scope.CallSalt(rq.workspace.Name(), rq.info.RequestID)
 	}
-	return pick.CacheSalt(version, cacheScope(rq.workspace))
+	return rq.call.Scope().Salt(version)
 }
 
 // endNoResponse ends an attempt that got no response.
--- a/io/tend/cache.go
+++ b/io/tend/cache.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"shallotcleat/core/pick"
+	"shallotcleat/core/scope"
 	"shallotcleat/io/timer"
 )
 
@@ -65,11 +65,11 @@
 		cc.evicted = make(map[cachedPart]bool)
 	}
 	for _, ev := range events {
-		version, scope, ok := pick.ParseCacheSalt(ev.Salt)
+		version, sc, ok := scope.ParseSalt(ev.Salt)
 		if !ok {
 			continue
 		}
-		pt := cachedPart{version: version, key: pick.PartKey(ev.Model, scope, ev.PartID)}
+		pt := cachedPart{version: version, key: sc.PartKey(ev.Model, ev.PartID)}
 		if _, known := cc.evicted[pt]; known || len(cc.evicted) < maxCacheChanges {
 			cc.evicted[pt] = ev.Evicted
 		}
--- a/io/tend/cache_test.go
+++ b/io/tend/cache_test.go
@@ -5,7 +5,7 @@
 	"slices"
 	"testing"
 
-	"shallotcleat/core/pick"
+	"shallotcleat/core/scope"
 )
 
 // Gates are told of the last change of each part under the present weights, once.
@@ -19,11 +19,11 @@
 		event("rid-1", "d", false), {},
 	})
 	cached, evicted := cc.take(2)
-	if !slices.Equal(cached, []uint64{pick.PartKey("m1", "", "a")}) {
+	if !slices.Equal(cached, []uint64{scope.Scope{}.PartKey("m1", "a")}) {
 		t.Errorf("cached: %x", cached)
 	}
 	slices.Sort(evicted)
-	want := []uint64{pick.PartKey("m1", "", "b"), pick.PartKey("m1", "walled", "a")}
+	want := []uint64{scope.Scope{}.PartKey("m1", "b"), scope.Own("walled").PartKey("m1", "a")}
 	if slices.Sort(want); !slices.Equal(evicted, want) {
 		t.Errorf("evicted: %x, want %x", evicted, want)
 	}
