io/gate: attempts use the scope that is in force when they are sent

What callers would see: a request that was admitted before a workspace became isolated and is sent, or sent again, after that used the scope from before: it read and made parts with others across the wall.

Cause: the call of a request, with its scope, was made once, at its admission, from the routing table of that time.

Change: each attempt takes the scope from the routing table in force, and once more right before the request is written, since a connection may take a while. An attempt with an outdated scope is not sent; the next one may go to the same server. A run that is continued from a copy keeps the scope under which it read its prompt. Calls of plain services have no parts and are not affected.

TestRetryAfterIsolationUsesNewScope failed before (both attempts under v1) and passes; TestAttemptIsNotSentUnderOutdatedScope covers the time while the connection is established.

--- a/core/pick/call.go
+++ b/core/pick/call.go
@@ -99,6 +99,9 @@
 	return cl
 }
 
+// IsCopied reports whether its server has a copy of the running call.
+func (cl Call) IsCopied() bool { return cl.copied }
+
 // PrefillTokens returns the number of prompt tokens that any server must prefill for the call: those that no other call shares.
 func (cl Call) PrefillTokens() int { return max(cl.tokens-cl.tokensAfter(0), 0) }
 
--- a/io/gate/finish.go
+++ b/io/gate/finish.go
@@ -201,7 +201,7 @@
 		"address":     ch.Server().Address(),
 		"weights":     ch.Version(),
 		"send":        rq.sends,
-		"may_repeat":  result == notRun || !rq.route.AtMostOnce(),
+		"may_repeat":  result.isNotRun() || !rq.route.AtMostOnce(),
 		"outcome":     string(er.Outcome()),
 		"reason":      er.Message(),
 	}
--- a/io/gate/handle.go
+++ b/io/gate/handle.go
@@ -25,7 +25,7 @@
 const maxPriority = 9
 
 // request is the state of one request of a caller; the handler's goroutine owns it. It uses the same routing table throughout,
-// even if the configuration changes meanwhile.
+// even if the configuration changes meanwhile, except for the scope of its call: each attempt that begins anew has that of the newest one.
 type request struct {
 	info      RequestInfo
 	routes    *route.Table
@@ -242,3 +242,10 @@
 		WithRequest(rq.info.RequestID, len(rq.body))
 	rq.suspectKeys = suspectKeys(rq.key, model, rq.info.PromptParts)
 }
+
+// updateScope gives the call of a request the scope that its workspace has in the routing table that is in force.
+func (rq *request) updateScope(tb *route.Table) {
+	if sc := tb.Scope(rq.workspace); sc != rq.call.Scope() {
+		rq.call = rq.call.WithScope(sc, rq.info.PromptParts)
+	}
+}
--- a/io/gate/run.go
+++ b/io/gate/run.go
@@ -42,6 +42,8 @@
 	responded attemptResult = iota
 	// notRun means that the server did not run the request.
 	notRun
+	// scopeChanged means that the request was not sent, since its call has an outdated scope. The server takes it all the same.
+	scopeChanged
 	// mayHaveRun means that the request may have run, or that its response is incomplete.
 	mayHaveRun
 	// stopped means that the run was stopped so that another server continues it.
@@ -50,6 +52,9 @@
 	serverError
 )
 
+// isNotRun reports whether the request certainly did not run.
+func (ar attemptResult) isNotRun() bool { return ar == notRun || ar == scopeChanged }
+
 // run sends the request to one server after another until one responds, and returns an error if none does.
 func (gt *Gate) run(parent context.Context, rq *request) *answer.Error {
 	ctx, cancel := context.WithDeadline(parent, rq.deadline)
@@ -71,6 +76,7 @@
 		if er := gt.crashes.check(ctx, now, rq); er != nil {
 			return worseError(last, er)
 		}
+		rq.updateScope(gt.routes.Load())
 		ch, ok := gt.picker.Choose(now, rq.call, rq.excluded)
 		if !ok {
 			return gt.noServerError(now, rq, last)
@@ -107,7 +113,9 @@
 		if !gt.canRetry(ctx, rq, result) {
 			return last
 		}
-		rq.excluded[ch.Server().ID()] = true
+		if result != scopeChanged {
+			rq.excluded[ch.Server().ID()] = true
+		}
 	}
 }
 
@@ -133,7 +141,7 @@
 // canRetry reports whether a request may be sent to another server after an attempt with the given result. It counts the possible
 // runs of the request.
 func (gt *Gate) canRetry(ctx context.Context, rq *request, result attemptResult) bool {
-	if result != notRun {
+	if !result.isNotRun() {
 		rq.possibleRuns++
 		if rq.trial || rq.route.AtMostOnce() || rq.possibleRuns >= rq.route.MaxAttempts() {
 			return false
@@ -232,6 +240,7 @@
 var (
 	errServerRestricted = errors.New("server is leaving or has asked for a pause")
 	errWeightsExpired   = errors.New("the server's weights have expired")
+	errScopeChanged     = errors.New("a configuration has changed with whom the request shares cached parts")
 )
 
 // permit checks, right before a request is sent, that its caller still waits and its server still takes requests: the connection may
@@ -248,6 +257,8 @@
 		return nil
 	case !gt.picker.AcceptsCalls(now, ch.Server().ID()):
 		return errServerRestricted
+	case rq.call.Model() != "" && !rq.call.IsCopied() && gt.routes.Load().Scope(rq.workspace) != rq.call.Scope():
+		return errScopeChanged
 	case rq.call.Model() != "" && gt.picker.WeightsExpired(now, rq.call.Model(), ch.Version()):
 		return errWeightsExpired
 	}
@@ -270,6 +281,9 @@
 	switch {
 	case errors.As(err, &nse):
 		at.pickAttempt.End(now, pick.Abandoned)
+		if errors.Is(err, errScopeChanged) {
+			return scopeChanged, answer.NewError(answer.Overloaded, answer.NotRun, busyRetryAfter, "%v", err)
+		}
 		if errors.Is(err, errServerRestricted) || errors.Is(err, errWeightsExpired) {
 			return notRun, answer.NewError(answer.Overloaded, answer.NotRun, busyRetryAfter, "%v", err)
 		}
