core/pick: recording a part takes the same time whatever is known, and unused parts are forgotten

And parts under a scope that nobody uses any more stayed in the tables of servers until 8,192 others had come.

Cause: at its bound each table was searched as a whole for outdated entries, once for each new part, under the picker's lock; below the bound nothing left.

Change: the tables of sent, saved and seen parts are one type, useTable, over the LRU of golang-lru: entries are in the order of their last use, each new one removes at most two that say nothing any more, and a full table forgets the oldest. What is forgotten had no effect before either, except at the bound, where the order was random. The table of saves in progress, which had no bound, is one too.

--- a/core/pick/attempt.go
+++ b/core/pick/attempt.go
@@ -56,16 +56,16 @@
 		sg.planner.Observe(now, tokens)
 	}
 	if len(cl.keys) > 0 {
-		pk.recordSeen(now, cl.affinityKey())
+		pk.seen.set(now, cl.affinityKey(), now)
 	}
 	for _, key := range cl.keys {
 		pf := prefixKey{key: key, version: ch.version}
 		if ch.saveStore != nil {
-			ch.saveStore.saving[pf] = now
+			ch.saveStore.saving.set(now, pf, now)
 		}
-		us := st.prefixes[pf]
+		us, _ := st.prefixes.get(pf)
 		us.sentAt = now
-		st.recordUse(pf, us)
+		st.prefixes.set(now, pf, us)
 	}
 	att := &Attempt{picker: pk, id: ch.server.ID(), keys: cl.keys, model: cl.model, version: ch.version, tokens: tokens,
 		priority: cl.priority, sentAt: now, saveStore: ch.saveStore, expectedTime: pk.expectedTime(now, st, pk.prefillRate(now, ch.server, st), tokens, cl.tokens)}
@@ -120,10 +120,10 @@
 
 // undoUse records that a server did not prefill a prefix that was sent to it.
 func (st *state) undoUse(key prefixKey) {
-	if us := st.prefixes[key]; us.prefilledAt.IsZero() {
-		delete(st.prefixes, key)
+	if us, _ := st.prefixes.get(key); us.prefilledAt.IsZero() {
+		st.prefixes.remove(key)
 	} else {
-		st.prefixes[key] = prefixUse{sentAt: us.prefilledAt, prefilledAt: us.prefilledAt}
+		st.prefixes.set(us.prefilledAt, key, prefixUse{sentAt: us.prefilledAt, prefilledAt: us.prefilledAt})
 	}
 }
 
--- a/core/pick/cachechange.go
+++ b/core/pick/cachechange.go
@@ -15,14 +15,14 @@
 	st := pk.state(id)
 	for _, key := range evicted {
 		pf := prefixKey{key: key, version: version}
-		if us, ok := st.prefixes[pf]; ok && now.Sub(us.sentAt) > evictionLag {
-			delete(st.prefixes, pf)
+		if us, ok := st.prefixes.get(pf); ok && now.Sub(us.sentAt) > evictionLag {
+			st.prefixes.remove(pf)
 		}
 	}
 	for _, key := range cached {
 		pf := prefixKey{key: key, version: version}
-		us := st.prefixes[pf]
+		us, _ := st.prefixes.get(pf)
 		us.prefilledAt, us.reported = now, true
-		st.recordUse(pf, us)
+		st.prefixes.set(now, pf, us)
 	}
 }
--- a/core/pick/hint.go
+++ b/core/pick/hint.go
@@ -67,7 +67,7 @@
 // depth returns the number of a call's first shared parts whose uses qualify: an engine uses a cached part only after all parts before it.
 func (st *state) depth(cl Call, version uint64, qualifies func(prefixUse) bool) int {
 	for depth, key := range cl.keys {
-		if us, ok := st.prefixes[prefixKey{key: key, version: version}]; !ok || !qualifies(us) {
+		if us, ok := st.prefixes.get(prefixKey{key: key, version: version}); !ok || !qualifies(us) {
 			return depth
 		}
 	}
@@ -95,23 +95,11 @@
 		return
 	}
 	st := pk.state(id)
-	if now.Sub(st.prefixes[key].prefilledAt) > hintInterval && len(pk.hints) < maxPendingHints {
+	last, _ := st.prefixes.get(key)
+	if now.Sub(last.prefilledAt) > hintInterval && len(pk.hints) < maxPendingHints {
 		pk.hints = append(pk.hints, NewHint(sv.Hash(), key.key, key.version))
 	}
-	st.recordUse(key, prefixUse{sentAt: now, prefilledAt: now, reported: st.prefixes[key].reported})
-}
-
-// recordUse records a use of a prefix. At the limit it drops the prefixes that the engine has likely evicted, and at
-// least one.
-func (st *state) recordUse(key prefixKey, us prefixUse) {
-	if _, ok := st.prefixes[key]; !ok && len(st.prefixes) >= maxRecentPrefixes {
-		for old, last := range st.prefixes {
-			if us.sentAt.Sub(last.sentAt) >= sourceTTL || len(st.prefixes) >= maxRecentPrefixes {
-				delete(st.prefixes, old)
-			}
-		}
-	}
-	st.prefixes[key] = us
+	st.prefixes.set(now, key, prefixUse{sentAt: now, prefilledAt: now, reported: last.reported})
 }
 
 // TakeHints returns the hints that were queued for the peers since the last call.
@@ -128,11 +116,11 @@
 	pk.mu.Lock()
 	defer pk.mu.Unlock()
 	for _, hn := range hints {
-		pk.recordSeen(now, hn.key)
+		pk.seen.set(now, hn.key, now)
 		if st, ok := pk.stores[hn.server]; ok {
-			st.recordSaved(now, prefixKey{key: hn.key, version: hn.version})
+			st.saved.set(now, prefixKey{key: hn.key, version: hn.version}, now)
 		} else if sv := pk.view.ByHash(hn.server); sv != nil {
-			pk.state(sv.ID()).recordUse(prefixKey{key: hn.key, version: hn.version}, prefixUse{sentAt: now, prefilledAt: now})
+			pk.state(sv.ID()).prefixes.set(now, prefixKey{key: hn.key, version: hn.version}, prefixUse{sentAt: now, prefilledAt: now})
 		}
 	}
 }
--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -78,7 +78,7 @@
 	restrictions map[string]restriction
 	// stores holds the cache stores by the hash of their ids, and seen the last use of each prefix under any weights.
 	stores map[uint64]*storeState
-	seen   map[uint64]time.Time
+	seen   useTable[uint64, time.Time]
 	// zones holds, by service, what decides on leaving the zone; price is the cost of doing so, and tokenBytes the size of the cached
 	// prefix of one token.
 	zones map[string]*serviceZones
@@ -106,7 +106,7 @@
 		speeds:          speed.NewFleet(),
 		restrictions:    make(map[string]restriction),
 		stores:          make(map[uint64]*storeState),
-		seen:            make(map[uint64]time.Time),
+		seen:            newUseTable[uint64, time.Time](maxSeenPrefixes, reuseTTL),
 		zones:           make(map[string]*serviceZones),
 		stagings:        make(map[string]*staging),
 		targets:         make(map[string][]announcedVersion),
--- a/core/pick/source.go
+++ b/core/pick/source.go
@@ -71,7 +71,7 @@
 	if (saved > bestDepth || best != nil && saved == bestDepth && now.Sub(bestPrefilledAt) > recentTTL) &&
 		pk.copyPays(now, cl, ch, st.store.server, cached, saved) {
 		for _, key := range cl.keys[:saved] {
-			st.recordSaved(now, prefixKey{key: key, version: ch.version})
+			st.saved.set(now, prefixKey{key: key, version: ch.version}, now)
 		}
 		return st.store.server
 	}
--- a/core/pick/state.go
+++ b/core/pick/state.go
@@ -37,7 +37,7 @@
 	consecutiveFailures int
 	backoffUntil        time.Time
 	// prefixes holds the last uses of prefixes at the server, by this process or according to its peers.
-	prefixes map[prefixKey]prefixUse
+	prefixes useTable[prefixKey, prefixUse]
 	// utilization is the last report of the server's tender.
 	utilization Utilization
 	// pending holds this process's calls with uncached tokens that have had no event yet, in the order in which they
@@ -94,7 +94,7 @@
 
 // newState returns the initial state of a server, which may be nil.
 func newState(sv *fleet.Server) *state {
-	st := &state{weights: make(map[string]weightsState), prefixes: make(map[prefixKey]prefixUse), slowdown: 1, prefillRate: defaultPrefillRate,
+	st := &state{weights: make(map[string]weightsState), prefixes: newUseTable[prefixKey, prefixUse](maxRecentPrefixes, sourceTTL), slowdown: 1, prefillRate: defaultPrefillRate,
 		meanUncachedTokens: initialUncachedTokens, meanPromptTokens: initialUncachedTokens, meanRunTime: initialRunTime}
 	if sv != nil {
 		st.startUnixMilli = sv.StartUnixMilli()
--- a/core/pick/store.go
+++ b/core/pick/store.go
@@ -47,9 +47,9 @@
 type storeState struct {
 	store CacheStore
 	// saved holds the last use of each prefix that was saved, by this process or according to its peers.
-	saved map[prefixKey]time.Time
+	saved useTable[prefixKey, time.Time]
 	// saving holds the prefixes that this process is saving, with the time at which the save began.
-	saving map[prefixKey]time.Time
+	saving useTable[prefixKey, time.Time]
 	// saveCredit is the link time that this process may use for saves, as of creditAt.
 	saveCredit time.Duration
 	creditAt   time.Time
@@ -92,8 +92,8 @@
 			st.downUntil = now.Add(downTTL)
 		default:
 			if st.run != 0 && st.run != cs.run {
-				clear(st.saved)
-				clear(st.saving)
+				st.saved.clear()
+				st.saving.clear()
 			}
 			st.run, st.downUntil = cs.run, time.Time{}
 		}
@@ -119,7 +119,8 @@
 	for _, cs := range stores {
 		st, ok := pk.stores[cs.server.Hash()]
 		if !ok {
-			st = &storeState{saved: make(map[prefixKey]time.Time), saving: make(map[prefixKey]time.Time)}
+			st = &storeState{saved: newUseTable[prefixKey, time.Time](maxSeenPrefixes, savedTTL),
+				saving: newUseTable[prefixKey, time.Time](maxSeenPrefixes, savingTTL)}
 		}
 		st.store = cs
 		states[cs.server.Hash()] = st
@@ -149,26 +150,13 @@
 // savedDepth returns how many of a call's shared parts the store is assumed to have under a weight version.
 func (st *storeState) savedDepth(now time.Time, cl Call, version uint64) int {
 	for depth, key := range cl.keys {
-		if usedAt, ok := st.saved[prefixKey{key: key, version: version}]; !ok || now.Sub(usedAt) >= savedTTL {
+		if usedAt, ok := st.saved.get(prefixKey{key: key, version: version}); !ok || now.Sub(usedAt) >= savedTTL {
 			return depth
 		}
 	}
 	return len(cl.keys)
 }
 
-// recordSaved records that the store has a prefix. At the limit it drops the prefixes that the store has likely evicted, and at least
-// one.
-func (st *storeState) recordSaved(now time.Time, key prefixKey) {
-	if _, ok := st.saved[key]; !ok && len(st.saved) >= maxSeenPrefixes {
-		for old, usedAt := range st.saved {
-			if now.Sub(usedAt) >= savedTTL || len(st.saved) >= maxSeenPrefixes {
-				delete(st.saved, old)
-			}
-		}
-	}
-	st.saved[key] = now
-}
-
 // saveStore returns the store to which the engine of a choice is to save the call's prefix, or nil: the store lacks it, and saves use less
 // than their share of the store's link. The caller holds mu.
 func (pk *Picker) saveStore(now time.Time, cl Call, ch Choice) *storeState {
@@ -177,7 +165,7 @@
 		return nil
 	}
 	key := prefixKey{key: cl.affinityKey(), version: ch.version}
-	if startedAt, ok := st.saving[key]; ok && now.Sub(startedAt) < savingTTL {
+	if startedAt, ok := st.saving.get(key); ok && now.Sub(startedAt) < savingTTL {
 		return nil
 	}
 	if !st.takeSaveCredit(now, cl.tokens, pk.processCount, pk.isReused(now, cl)) {
@@ -201,30 +189,18 @@
 
 // isReused reports whether a call with the same shared parts was seen lately, under any weights. The caller holds mu.
 func (pk *Picker) isReused(now time.Time, cl Call) bool {
-	seenAt, ok := pk.seen[cl.affinityKey()]
+	seenAt, ok := pk.seen.get(cl.affinityKey())
 	return ok && now.Sub(seenAt) < reuseTTL
 }
 
-// recordSeen records the use of a prefix, by this process or a peer. The caller holds mu.
-func (pk *Picker) recordSeen(now time.Time, key uint64) {
-	if _, ok := pk.seen[key]; !ok && len(pk.seen) >= maxSeenPrefixes {
-		for old, seenAt := range pk.seen {
-			if now.Sub(seenAt) >= reuseTTL || len(pk.seen) >= maxSeenPrefixes {
-				delete(pk.seen, old)
-			}
-		}
-	}
-	pk.seen[key] = now
-}
-
 // recordSave records that a store has the prefixes of an attempt, and queues hints for the peers. The caller holds mu.
 func (pk *Picker) recordSave(now time.Time, st *storeState, keys []uint64, version uint64) {
 	for _, key := range keys {
 		pf := prefixKey{key: key, version: version}
-		delete(st.saving, pf)
-		if _, ok := st.saved[pf]; !ok && len(pk.hints) < maxPendingHints {
+		st.saving.remove(pf)
+		if _, ok := st.saved.get(pf); !ok && len(pk.hints) < maxPendingHints {
 			pk.hints = append(pk.hints, NewHint(st.store.server.Hash(), key, version))
 		}
-		st.recordSaved(now, pf)
+		st.saved.set(now, pf, now)
 	}
 }
--- a/io/gate/watcher.go
+++ b/io/gate/watcher.go
@@ -20,6 +20,8 @@
 // Intervals and timeouts of the table watcher.
 const (
 	expireInterval = 200 * time.Millisecond
+	// forgetInterval is the time between removals of what is known of parts that are no longer used.
+	forgetInterval = time.Second
 	// expireAttemptsInterval is the time between checks for attempts whose servers' weights have expired.
 	expireAttemptsInterval = 50 * time.Millisecond
 	pullInterval           = 250 * time.Millisecond
@@ -319,6 +321,7 @@
 		wg.Go(func() { <-ctx.Done(); cancel() })
 	}
 	every(expireInterval, gt.watcher.expire)
+	every(forgetInterval, func() { gt.picker.ForgetUnused(time.Now()) })
 	every(expireAttemptsInterval, func() { gt.picker.ExpireAttempts(time.Now()) })
 	wg.Go(func() { <-ctx.Done(); gt.hints.calls.Wait() })
 	every(quota.TickInterval, gt.tickQuotas)
