core/prefix: seeds take a scope, so that entries and gates share one decision

Entries put each workspace's name into the seed of its keys and salts themselves. They now name the scope of core/scope, which for them is that of the workspace alone, so that one package decides with whom a request shares in both products. The salts of entries have another text than before: engines read the parts anew once after an upgrade.

--- a/core/prefix/prefix.go
+++ b/core/prefix/prefix.go
@@ -5,29 +5,31 @@
 	"encoding/hex"
 
 	"github.com/cespare/xxhash/v2"
+
+	"shallotcleat/core/scope"
 )
 
 // Key identifies a prefix of a prompt within one seed.
 type Key uint64
 
-// Seed gives the prefixes of different workspaces, models, adapters and weight versions different keys.
+// Seed gives the prefixes of different scopes, models, adapters and weight versions different keys.
 type Seed struct {
-	workspace     string
+	scope         scope.Scope
 	model         string
 	adapter       string
 	weightVersion string
 }
 
-// NewSeed returns the seed of a workspace's prompts for one model, adapter and weight version.
-func NewSeed(workspace, model, adapter, weightVersion string) Seed {
-	return Seed{workspace: workspace, model: model, adapter: adapter, weightVersion: weightVersion}
+// NewSeed returns the seed of the prompts in a scope for one model, adapter and weight version.
+func NewSeed(sc scope.Scope, model, adapter, weightVersion string) Seed {
+	return Seed{scope: sc, model: model, adapter: adapter, weightVersion: weightVersion}
 }
 
 // sum hashes the fields of the seed with their lengths, so that ("ab", "c") and ("a", "bc") differ.
 func (sd Seed) sum() uint64 {
 	dg := xxhash.New()
 	var size [8]byte
-	for _, part := range []string{sd.workspace, sd.model, sd.adapter, sd.weightVersion} {
+	for _, part := range []string{sd.scope.String(), sd.model, sd.adapter, sd.weightVersion} {
 		binary.LittleEndian.PutUint64(size[:], uint64(len(part)))
 		_, _ = dg.Write(size[:])
 		_, _ = dg.WriteString(part)
@@ -37,11 +39,11 @@
 
 // Salt returns the cache salt that an engine receives with each request of this seed.
 //
-// Unlike keys, which only affect placement, the salt isolates workspaces inside an engine. It therefore contains the
+// Unlike keys, which only affect placement, the salt separates scopes inside an engine. It therefore contains the
 // fields in full instead of a 64-bit hash, which could collide.
 func (sd Seed) Salt() string {
 	var out []byte
-	for _, part := range []string{sd.workspace, sd.model, sd.adapter, sd.weightVersion} {
+	for _, part := range []string{sd.scope.String(), sd.model, sd.adapter, sd.weightVersion} {
 		out = binary.AppendUvarint(out, uint64(len(part)))
 		out = append(out, part...)
 	}
--- a/core/prefix/prefix_test.go
+++ b/core/prefix/prefix_test.go
@@ -3,17 +3,19 @@
 import (
 	"strings"
 	"testing"
+
+	"shallotcleat/core/scope"
 )
 
 func TestSeedsHaveDistinctKeys(t *testing.T) {
 	prompt := strings.Repeat("the same text ", 100)
 	seeds := []Seed{
-		NewSeed("mchanga", "m", "", "v1"),
-		NewSeed("hradek", "m", "", "v1"),
-		NewSeed("mchanga", "m", "", "v2"),
-		NewSeed("mchanga", "m", "a", "v1"),
-		NewSeed("mchanga", "n", "", "v1"),
-		NewSeed("mchang", "am", "", "v1"),
+		NewSeed(scope.Own("mchanga"), "m", "", "v1"),
+		NewSeed(scope.Own("hradek"), "m", "", "v1"),
+		NewSeed(scope.Own("mchanga"), "m", "", "v2"),
+		NewSeed(scope.Own("mchanga"), "m", "a", "v1"),
+		NewSeed(scope.Own("mchanga"), "n", "", "v1"),
+		NewSeed(scope.Own("mchang"), "am", "", "v1"),
 	}
 	owner := make(map[Key]int)
 	salts := make(map[string]int)
@@ -32,7 +34,7 @@
 }
 
 func TestKeysDependOnPrefix(t *testing.T) {
-	sd := NewSeed("mchanga", "m", "", "v1")
+	sd := NewSeed(scope.Own("mchanga"), "m", "", "v1")
 	short := Keys(sd, strings.Repeat("a", 256), 64)
 	long := Keys(sd, strings.Repeat("a", 256)+strings.Repeat("b", 200), 64)
 	if len(short) != 4 || len(long) != 7 {
@@ -50,7 +52,7 @@
 
 // BenchmarkKeys measures the keys of a prompt of 16,000 tokens.
 func BenchmarkKeys(b *testing.B) {
-	sd := NewSeed("mchanga", "m", "", "v1")
+	sd := NewSeed(scope.Own("mchanga"), "m", "", "v1")
 	prompt := strings.Repeat("x", 64_000)
 	b.SetBytes(int64(len(prompt)))
 	b.ReportAllocs()
--- a/io/entry/modelcall.go
+++ b/io/entry/modelcall.go
@@ -21,6 +21,7 @@
 	"shallotcleat/core/memory"
 	"shallotcleat/core/place"
 	"shallotcleat/core/prefix"
+	"shallotcleat/core/scope"
 	"shallotcleat/core/usage"
 	"shallotcleat/io/link"
 	"shallotcleat/io/trace"
@@ -146,7 +147,7 @@
 func (en *Entry) setWeightVersion(call *modelCall, version string) {
 	rq, sv := call.rq, call.service
 	call.weightVersion = version
-	call.seed = prefix.NewSeed(rq.workspace.Name(), sv.Model(), sv.Adapter(), version)
+	call.seed = prefix.NewSeed(scope.Own(rq.workspace.Name()), sv.Model(), sv.Adapter(), version)
 	pieceTokens := en.opts.PieceTokens
 	keys := prefix.Keys(call.seed, call.prompt.text, pieceTokens*bytesPerToken)
 	recomputePrice := rq.snapshot.Preset().RecomputePrice()
--- a/io/entry/modelcall_test.go
+++ b/io/entry/modelcall_test.go
@@ -20,6 +20,7 @@
 	"shallotcleat/core/config"
 	"shallotcleat/core/member"
 	"shallotcleat/core/prefix"
+	"shallotcleat/core/scope"
 	"shallotcleat/core/stamp"
 	"shallotcleat/io/link"
 	"shallotcleat/io/logs"
@@ -238,7 +239,7 @@
 		var want []submission
 		for _, version := range []string{"v1", "v2"} {
 			want = append(want, submission{agent: ag.agents[0].address, weights: version, accepted: version == "v2",
-				salt: prefix.NewSeed(testWorkspace, testModel, "", version).Salt()})
+				salt: prefix.NewSeed(scope.Own(testWorkspace), testModel, "", version).Salt()})
 		}
 		if !slices.Equal(got, want) {
 			t.Errorf("attempts %+v, want %+v", got, want)
