core/pick: a gate holds no models that only callers name

Cause: a response names the version of the weights of the requested model, whether that exists or not; the picker kept an entry for each name and server, without a bound.

Change: what a response says of a model is recorded only if the server's entry, its tender or an announcement names the model too.

--- a/core/pick/weights.go
+++ b/core/pick/weights.go
@@ -80,11 +80,32 @@
 	}
 }
 
-// SetWeights records the version of a model's weights at a server; versions older than the known one are ignored. While
-// the server loads other weights it gets no calls of the model, until loadingTTL has passed without another report.
+// SetWeights records the version of a model's weights at a server, as its tender reports; versions older than the known one are ignored.
+// While the server loads other weights it gets no calls of the model, until loadingTTL has passed without another report.
 func (pk *Picker) SetWeights(now time.Time, id, model string, version uint64, loading bool) {
 	pk.mu.Lock()
 	defer pk.mu.Unlock()
+	pk.setWeights(now, id, model, version, loading)
+}
+
+// ObserveWeights records the version of a model's weights that a response of a server names. The model is one that a caller has named: it is
+// ignored unless the server's entry, its tender or an announcement names it too, so that callers cannot make the picker hold models.
+func (pk *Picker) ObserveWeights(now time.Time, id, model string, version uint64) {
+	pk.mu.Lock()
+	defer pk.mu.Unlock()
+	sv := pk.view.Server(id)
+	if sv == nil {
+		return
+	}
+	_, listed := sv.WeightVersions()[model]
+	_, reported := pk.state(id).weights[model]
+	if listed || reported || len(pk.targets[model]) > 0 {
+		pk.setWeights(now, id, model, version, false)
+	}
+}
+
+// setWeights is SetWeights; the caller holds mu.
+func (pk *Picker) setWeights(now time.Time, id, model string, version uint64, loading bool) {
 	st := pk.state(id)
 	if version < st.weights[model].version {
 		// A late report from before the last load.
--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -93,7 +93,7 @@
 	}
 	at.recordRestrictions(info)
 	if info.WeightVersion > 0 && rq.call.Model() != "" && !info.NotExecuted {
-		gt.picker.SetWeights(time.Now(), id, rq.call.Model(), info.WeightVersion, false)
+		gt.picker.ObserveWeights(time.Now(), id, rq.call.Model(), info.WeightVersion)
 	}
 	if _, handle := rq.copySource(); handle != "" && resp.Status == http.StatusServiceUnavailable {
 		// A handle works once; whoever does not know it runs nothing.
@@ -172,7 +172,7 @@
 	case info.ServerID != "" && info.ServerID != id:
 		at.gate.picker.MarkReplaced(id)
 	case info.WeightVersion > 0:
-		at.gate.picker.SetWeights(time.Now(), id, at.rq.call.Model(), info.WeightVersion, false)
+		at.gate.picker.ObserveWeights(time.Now(), id, at.rq.call.Model(), info.WeightVersion)
 	}
 	return notRun, answer.NewError(answer.Overloaded, answer.NotRun, busyRetryAfter,
 		"server %s rejected the request with status %d", at.choice.Server().ID(), resp.Status)
