io/gate: connections of callers leave descriptors for others

Cause: only memory bounded callers' connections. Without a descriptor, accepting fails and net/http waits longer and longer; dialling servers and the store fails too.

When that is used up it closes the connections that have been idle for the longest time, a sixteenth at once, so that one search serves many, and none with a request. If none is idle, requests of a sixteenth more connections are refused with 503 and a time to come back; others are closed.

TestIdleConnectionsMakeRoomForNewOnes cannot be built before it, as the bound did not exist.

--- a/io/cmds/gate.go
+++ b/io/cmds/gate.go
@@ -4,12 +4,16 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"shallotcleat/core/quota"
 	"shallotcleat/core/zone"
 	"shallotcleat/io/gate"
+	"shallotcleat/io/intake"
 	"shallotcleat/io/link"
 	"shallotcleat/io/timer"
 	"shallotcleat/platform"
@@ -29,6 +33,7 @@
 	Ready          string `long:"ready" env:"SHALLOTCLEAT_READY" description:"IP address and port for the load balancer's readiness checks"`
 	Peer           string `long:"peer" env:"SHALLOTCLEAT_PEER" description:"IP address and port at which other gates and tenders reach this gate"`
 	CPU            string `long:"cpu" env:"SHALLOTCLEAT_CPU" description:"processor time of this VM in cores; gates with more do more of the work that one gate does for all" default:"1"`
+	Descriptors    string `long:"descriptors" env:"SHALLOTCLEAT_DESCRIPTORS" description:"number of descriptors that this process may open, if that is less than the system's limit"`
 	StopTimeout    string `long:"stop-timeout" env:"SHALLOTCLEAT_STOP_TIMEOUT" description:"time from the stop signal until the process is killed; the graceful stop ends earlier" default:"8s"`
 	RetryWindow    string `long:"retry-span" env:"SHALLOTCLEAT_RETRY_SPAN" description:"period over which retries are counted" default:"10s"`
 	RetryRatio     string `long:"retry-ratio" env:"SHALLOTCLEAT_RETRY_RATIO" description:"retries allowed for each first attempt of a service" default:"0.2"`
@@ -68,6 +73,25 @@
 	return bd
 }
 
+// minDescriptors is the least number of descriptors with which a gate can work.
+const minDescriptors = 64
+
+// maxCallers returns the number of callers' connections for which there are descriptors, or zero if that is unknown. most is the number of
+// descriptors that the settings allow, or zero.
+func maxCallers(lg *logrus.Entry, most int) int {
+	limit, err := intake.DescriptorLimit()
+	if err != nil {
+		lg.WithError(err).Warn("the system's limit of descriptors is unknown")
+		limit = most
+	}
+	if most > 0 {
+		limit = min(limit, most)
+	}
+	callers := intake.MaxConnections(limit)
+	lg.WithFields(logrus.Fields{"event": "descriptors", "limit": limit, "callers": callers}).Info("descriptors are shared between callers and others")
+	return callers
+}
+
 func (cm *gateCommand) run(ctx context.Context, _ io.Writer) error {
 	var vd validator
 	stopTimeout := vd.duration("stop-timeout", cm.StopTimeout, 2*time.Second, time.Hour)
@@ -98,6 +122,10 @@
 		RandomSeed:    randomNonZero(),
 	}
 	handOver := vd.oneOf("hand-over", cm.HandOver, "on", "off") == "on"
+	descriptors := 0
+	if cm.Descriptors != "" {
+		descriptors = vd.integer("descriptors", cm.Descriptors, minDescriptors, math.MaxInt32)
+	}
 	vd.address("listen", cm.Listen)
 	vd.address("ready", cm.Ready)
 	deps, err := cm.dependencies(&vd, "gate")
@@ -110,6 +138,7 @@
 		opts.Moves = platform.NewMoves()
 	}
 	opts.MemoryBytes = deps.memoryBytes
+	opts.MaxCallers = maxCallers(deps.recorder.Log(), descriptors)
 	opts.Source, opts.Store, opts.SeedPeers, opts.Recorder = store, store, deps.seedGates, deps.recorder
 	var listeners [3]net.Listener
 	for i, address := range []string{cm.Listen, cm.Ready, cm.Peer} {
--- a/io/gate/callers.go
+++ b/io/gate/callers.go
@@ -9,7 +9,9 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -36,12 +38,23 @@
 	idleMargin   = 5 * time.Second
 	// lastReadTimeout is the time for a last read after a timeout. It finds bytes that arrived while the process did not run.
 	lastReadTimeout = 100 * time.Millisecond
+	// evictReadTimeout is that time for an idle connection whose descriptor is needed.
+	evictReadTimeout = 5 * time.Millisecond
 	// rejectTimeout and maxRejectedBytes bound what is read of a rejected caller. A connection that is closed with unread bytes is
 	// reset, and the caller might not receive the response.
 	rejectTimeout    = 500 * time.Millisecond
 	maxRejectedBytes = 256 << 10
 )
 
+// Bounds on callers' connections when descriptors are short.
+const (
+	// evictedPart is the part of the connections that are closed at once, the longest idle ones first, when there is no room for another one.
+	// Looking for them takes time for each connection, so that many are closed for one search.
+	evictedPart = 16
+	// refusedPart is the part by which connections may exceed their number so that their callers get an answer.
+	refusedPart = 16
+)
+
 // callerLimits returns the limits of callers by a routing table, which may be nil.
 func callerLimits(tb *route.Table) route.Limits {
 	var lm route.Limits
@@ -71,6 +84,7 @@
 	closedHeaderLate     closeReason = "header_timeout"
 	closedHeaderTooLarge closeReason = "header_too_large"
 	closedMemory         closeReason = "memory_short"
+	closedDescriptors    closeReason = "descriptors_short"
 )
 
 // callerConns applies the limits in force to the callers' connections, because net/http reads its own limits without
@@ -81,6 +95,10 @@
 	memory *memory.Budget
 	now    func() time.Time
 	log    *logrus.Entry
+	// maxOpen is the number of connections for which there are descriptors, or zero if it is unknown.
+	maxOpen int
+	// evicted is the number of open connections that are being closed since descriptors are short.
+	evicted atomic.Int64
 
 	// mu guards the fields below. It is locked before that of a connection.
 	mu   sync.Mutex
@@ -94,8 +112,8 @@
 	leaving, lateHeaders bool
 }
 
-func newCallerConns(limits func() route.Limits, bg *memory.Budget, now func() time.Time, lg *logrus.Entry) *callerConns {
-	return &callerConns{limits: limits, memory: bg, now: now, log: lg, open: make(map[*callerConn]struct{}), closed: make(map[closeReason]int)}
+func newCallerConns(limits func() route.Limits, bg *memory.Budget, maxOpen int, now func() time.Time, lg *logrus.Entry) *callerConns {
+	return &callerConns{limits: limits, memory: bg, maxOpen: maxOpen, now: now, log: lg, open: make(map[*callerConn]struct{}), closed: make(map[closeReason]int)}
 }
 
 // listener returns a listener whose connections have the limits. Their http.Server must call stateChanged and must have no limits of
@@ -169,8 +187,14 @@
 	}
 }
 
-// add returns an accepted connection with limits, or closes it and returns nil if there is no memory for it.
+// add returns an accepted connection with limits, or closes it and returns nil if there is no memory or descriptor for it.
 func (ccs *callerConns) add(tc *net.TCPConn) *callerConn {
+	room := ccs.makeRoom()
+	if room == noRoom {
+		ccs.countClosed(closedDescriptors)
+		_ = tc.Close()
+		return nil
+	}
 	claim, err := intake.OpenConn(ccs.memory, func() {
 		// Ends a read of a connection that is idle or receives a header. One that has ended needs no deadline.
 		_ = tc.SetReadDeadline(time.Unix(0, 0))
@@ -181,7 +205,7 @@
 		_ = tc.Close()
 		return nil
 	}
-	cc := &callerConn{TCPConn: tc, conns: ccs, claim: claim, since: ccs.now()}
+	cc := &callerConn{TCPConn: tc, conns: ccs, claim: claim, since: ccs.now(), refused: room == roomToRefuse}
 	ccs.mu.Lock()
 	defer ccs.mu.Unlock()
 	ccs.open[cc] = struct{}{}
@@ -191,12 +215,59 @@
 	return cc
 }
 
+// connRoom says what there are descriptors for.
+type connRoom int
+
+const (
+	roomToServe connRoom = iota
+	// roomToRefuse means that requests of another connection can only be refused.
+	roomToRefuse
+	noRoom
+)
+
+// makeRoom returns the room for another connection. If there is none, it closes those that have been idle for the longest time, but none with a
+// request; they leave within evictReadTimeout.
+func (ccs *callerConns) makeRoom() connRoom {
+	ccs.mu.Lock()
+	defer ccs.mu.Unlock()
+	if ccs.maxOpen <= 0 || ccs.staying() < ccs.maxOpen {
+		return roomToServe
+	}
+	type idleConn struct {
+		conn  *callerConn
+		since time.Time
+	}
+	var idle []idleConn
+	for cc := range ccs.open {
+		if since, ok := cc.idleSince(); ok {
+			idle = append(idle, idleConn{cc, since})
+		}
+	}
+	slices.SortFunc(idle, func(a, b idleConn) int { return a.since.Compare(b.since) })
+	for _, ic := range idle[:min(len(idle), max(ccs.maxOpen/evictedPart, 1))] {
+		ic.conn.evict()
+	}
+	switch staying := ccs.staying(); {
+	case staying < ccs.maxOpen:
+		return roomToServe
+	case staying < ccs.maxOpen+ccs.maxOpen/refusedPart:
+		return roomToRefuse
+	}
+	return noRoom
+}
+
 func (ccs *callerConns) remove(cc *callerConn) {
 	ccs.mu.Lock()
 	defer ccs.mu.Unlock()
 	delete(ccs.open, cc)
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	cc.setEvicted(false)
 }
 
+// staying returns the number of open connections that are not being closed since descriptors are short. The caller holds mu.
+func (ccs *callerConns) staying() int { return len(ccs.open) - int(ccs.evicted.Load()) }
+
 func (ccs *callerConns) countClosed(reason closeReason) {
 	ccs.mu.Lock()
 	defer ccs.mu.Unlock()
@@ -255,6 +326,48 @@
 	expired bool
 	// lateRead is set once a part of a header has been read after the timeout; no more is read of it.
 	lateRead bool
+	// evicted is set if the connection was idle when its descriptor was needed; its read deadline is then past.
+	evicted bool
+	// refused is set if there was no descriptor to serve the connection when it was accepted. It does not change.
+	refused bool
+}
+
+// idleSince returns since when the connection has been idle; ok is false if it is not, or is being closed.
+func (cc *callerConn) idleSince() (since time.Time, ok bool) {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	return cc.since, cc.phase == phaseIdle && !cc.evicted
+}
+
+// evict ends the read of the connection if it is idle.
+func (cc *callerConn) evict() {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	if cc.phase != phaseIdle || cc.evicted {
+		return
+	}
+	cc.setEvicted(true)
+	if err := cc.SetReadDeadline(time.Unix(0, 0)); err != nil {
+		// It has been closed.
+		cc.conns.log.WithError(err).Debug("cannot end the read of an idle connection")
+	}
+}
+
+// setEvicted sets whether the connection is being closed for its descriptor. The caller holds mu.
+func (cc *callerConn) setEvicted(evicted bool) {
+	switch {
+	case evicted && !cc.evicted:
+		cc.conns.evicted.Add(1)
+	case !evicted && cc.evicted:
+		cc.conns.evicted.Add(-1)
+	}
+	cc.evicted = evicted
+}
+
+func (cc *callerConn) isEvicted() bool {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	return cc.evicted
 }
 
 func (cc *callerConn) setPhase(phase connPhase) {
@@ -309,11 +422,18 @@
 		cc.conns.countClosed(closedMemory)
 		return 0, err
 	case timedOut:
-		if err = cc.SetReadDeadline(time.Now().Add(lastReadTimeout)); err == nil {
+		last := lastReadTimeout
+		if cc.isEvicted() {
+			last = evictReadTimeout
+		}
+		if err = cc.SetReadDeadline(time.Now().Add(last)); err == nil {
 			count, err = cc.TCPConn.Read(buffer)
 		}
 	}
-	if count > 0 && cc.claim.AddHeader(buffer[:count]) != nil {
+	switch {
+	case count > 0 && cc.refused:
+		return 0, cc.reject(closedDescriptors, http.StatusServiceUnavailable)
+	case count > 0 && cc.claim.AddHeader(buffer[:count]) != nil:
 		return 0, cc.reject(closedMemory, http.StatusServiceUnavailable)
 	}
 	switch {
@@ -324,7 +444,11 @@
 	case phase == phaseHeader:
 		return 0, cc.reject(closedHeaderLate, http.StatusRequestTimeout)
 	}
-	cc.conns.countClosed(closedIdle)
+	reason := closedIdle
+	if cc.isEvicted() {
+		reason = closedDescriptors
+	}
+	cc.conns.countClosed(reason)
 	return 0, err
 }
 
@@ -335,8 +459,10 @@
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
 	cc.headerBytes += count
-	hasDeadline := timedOut || cc.expired
+	hasDeadline := timedOut || cc.expired || cc.evicted
 	if cc.phase == phaseIdle {
+		// A request has come in time.
+		cc.setEvicted(false)
 		cc.phase, cc.since, cc.expired = phaseHeader, now, false
 	} else {
 		cc.lateRead = timedOut
--- a/io/gate/callers_test.go
+++ b/io/gate/callers_test.go
@@ -29,7 +29,7 @@
 		t.Fatal(err)
 	}
 	ct := &connTest{now: time.Unix(1000, 0), limits: route.Limits{MaxHeaderBytes: 1000, HeaderTimeout: 10 * time.Second, IdleTimeout: 100 * time.Second}}
-	ct.conns = newCallerConns(func() route.Limits { return ct.limits }, memory.NewBudget(512_000_000),
+	ct.conns = newCallerConns(func() route.Limits { return ct.limits }, memory.NewBudget(512_000_000), 0,
 		func() time.Time { return ct.now }, lg)
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -117,3 +117,92 @@
 		t.Error("a closed connection is still known")
 	}
 }
+
+// Guards against gates that take no new connection since callers keep all descriptors (RECOVER): the connections that have been idle for the
+// longest time are closed, but none with a request. If all have one, requests of some more are refused, and others see their connection end.
+func TestIdleConnectionsMakeRoomForNewOnes(t *testing.T) {
+	const maxOpen = 64
+	ct := newConnTest(t)
+	ct.conns.maxOpen = maxOpen
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepting := ct.conns.listener(lis)
+	t.Cleanup(func() { _ = lis.Close() })
+	dial := func() net.Conn {
+		caller, err := net.Dial("tcp", lis.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = caller.Close() })
+		return caller
+	}
+	accept := func() *callerConn {
+		conn, err := accepting.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return conn.(*callerConn)
+	}
+	conns := []*callerConn{ct.conn}
+	ct.conn.setPhase(phaseServing)
+	for len(conns) < maxOpen {
+		ct.now = ct.now.Add(time.Second)
+		dial()
+		conns = append(conns, accept())
+	}
+	dial()
+	newest := accept()
+	if conns[0].evicted || newest.refused {
+		t.Errorf("the connection with a request was closed: %t, the new one is refused: %t", conns[0].evicted, newest.refused)
+	}
+	for i, cc := range conns[1:] {
+		if want := i < maxOpen/evictedPart; cc.evicted != want {
+			t.Errorf("connection %d, which was idle for %d s: closed %t, want %t", i+1, maxOpen-i, cc.evicted, want)
+		}
+		if cc.evicted {
+			if _, err := cc.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("read of a connection that is closed for its descriptor: %v", err)
+			}
+			_ = cc.Close()
+		}
+	}
+	// All connections have a request now.
+	for cc := range ct.conns.open {
+		cc.setPhase(phaseServing)
+	}
+	for len(ct.conns.open) < maxOpen {
+		dial()
+		accept().setPhase(phaseServing)
+	}
+	caller := dial()
+	late := accept()
+	if !late.refused {
+		t.Error("a connection beyond the descriptors is served")
+	}
+	go func() { _, _ = late.Read(make([]byte, 100)) }()
+	_, _ = io.WriteString(caller, "GET / HTTP/1.1\r\n\r\n")
+	answer := make([]byte, 400)
+	count, err := caller.Read(answer)
+	if err != nil || !strings.HasPrefix(string(answer[:count]), "HTTP/1.1 503 ") || !strings.Contains(string(answer[:count]), "Retry-After: ") {
+		t.Errorf("got %q, %v", answer[:count], err)
+	}
+	// The connections beyond those that are refused are closed at once.
+	for len(ct.conns.open) < maxOpen+maxOpen/refusedPart {
+		dial()
+		accept().setPhase(phaseServing)
+	}
+	caller = dial()
+	go func() {
+		// Returns when the listener is closed.
+		_, _ = accepting.Accept()
+	}()
+	_ = caller.SetReadDeadline(time.Now().Add(testReadTimeout))
+	if _, err := caller.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("a connection for which there is no descriptor was not closed: %v", err)
+	}
+}
+
+// testReadTimeout bounds a read that is expected to fail at once.
+const testReadTimeout = 5 * time.Second
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -52,6 +52,8 @@
 	Capacity float64
 	// MemoryBytes is the memory available to the process, or zero if unknown; what callers can make it hold is bounded by it.
 	MemoryBytes int64
+	// MaxCallers is the number of callers' connections for which there are descriptors, or zero if unknown.
+	MaxCallers  int
 	Dialect     Dialect
 	Source      feed.Source
 	Store       table.Committer
@@ -210,7 +212,7 @@
 	wg.Go(func() { gt.servePeers(workCtx, peers) })
 	readiness := &http.Server{Handler: http.HandlerFunc(gt.serveReady), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
 	wg.Go(func() { gt.serveHTTP(readiness, ready) })
-	conns := newCallerConns(func() route.Limits { return callerLimits(gt.routes.Load()) }, gt.memory, gt.opts.Timer.Now, gt.log)
+	conns := newCallerConns(func() route.Limits { return callerLimits(gt.routes.Load()) }, gt.memory, gt.opts.MaxCallers, gt.opts.Timer.Now, gt.log)
 	// The limits of callers are applied by conns.
 	srv := &http.Server{Handler: http.HandlerFunc(gt.handle), ConnState: conns.stateChanged, ConnContext: withConn, MaxHeaderBytes: math.MaxInt32}
 	wg.Go(func() { gt.serveHTTP(srv, conns.listener(callers)) })
