--- a/core/route/table.go
+++ b/core/route/table.go
@@ -227,6 +227,9 @@
 // IsolatedWorkspaces returns the sorted names of the workspaces that share no cached parts of prompts with others.
 func (tb *Table) IsolatedWorkspaces() []string { return tb.sharing.Isolated() }
 
+// SharedScope returns the scope of the cached parts of prompts of all workspaces that are not isolated.
+func (tb *Table) SharedScope() scope.Scope { return tb.sharing.Shared() }
+
 // Scope returns the scope of a workspace's cached parts of prompts. The workspace may be one of an earlier configuration.
 func (tb *Table) Scope(ws *Workspace) scope.Scope {
 	if ws == anonymous {
--- a/io/gate/watcher.go
+++ b/io/gate/watcher.go
@@ -154,8 +154,9 @@
 		return
 	}
 	gt.log.WithFields(logrus.Fields{"event": "isolation_changed", "config_version": tb.Version(), "began": began[:min(len(began), maxLoggedWorkspaces)],
-		"began_count": len(began), "ended": ended[:min(len(ended), maxLoggedWorkspaces)], "ended_count": len(ended)}).
-		Info("workspaces became isolated, or are so no longer")
+		"began_count": len(began), "ended": ended[:min(len(ended), maxLoggedWorkspaces)], "ended_count": len(ended),
+		"shared_scope": tb.SharedScope().String(), "previous_scope": old.SharedScope().String()}).
+		Info("workspaces became isolated, or are so no longer; the others read their shared parts again under another salt")
 }
 
 // cacheStores returns the cache stores of a configuration. Their rates in tokens are those of the engines with the largest tokens.
