--- a/core/scope/scope.go
+++ b/core/scope/scope.go
@@ -8,13 +8,13 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// The first characters of the texts of scopes. The text of a scope contains no others of them, whatever the names of workspaces are.
+// Marks within salts. Names and ids are escaped, so that none of the marks can come from them.
 const (
 	// ownMark begins the text of the scope of one workspace.
 	ownMark = "/"
 	// sharedMark begins the text of the scope of all workspaces but some isolated ones.
 	sharedMark = "+"
-	// callMark separates the workspace from the id of a call in the salt of a call that shares with none.
+	// callMark separates the id from the workspace in the salt of a call that shares with no other.
 	callMark = "="
 )
 
