io/client: an error of writing counts as one of reading at the end of a connection

Callers with a long upload got a part of an answer as a whole one: a server answered at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the kernel reports an error of a connection once, to the call that comes first. Requests above 8 KB are written beside reading; when the write was told of the reset, reading ended like a connection that was closed in good order, and the server's health check then said that it ran. What the write had met was looked at for the reuse of the connection only. net/http below the agent's client of plain services reads and writes side by side in the same way.

Change: io/client's connections hold what writing met, and their reading fails with it at the end of the connection; a write that is pending at that moment is ended first, since it may have been told without having returned. core/whole says which of the two endings counts. Answers that are read to their end by a length or a last chunk do not reach the end of the connection. Errors of a connection other than a reset or a time-out no longer count as a malformed answer.

--- a/core/whole/answer.go
+++ b/core/whole/answer.go
@@ -26,7 +26,7 @@
 	return Connection
 }
 
-// Ending is how reading an answer ended. It is one of Finished, Cut, Reset, Silent, Interrupted and Malformed.
+// Ending is how reading an answer, or writing its request, ended. It is one of Finished, Cut, Reset, Silent, Interrupted and Malformed.
 type Ending interface {
 	isEnding()
 	// String returns the name of the ending in logs.
@@ -39,10 +39,10 @@
 // Cut means that the server closed the connection in good order before the end of the header, or of the body by its framing.
 type Cut struct{}
 
-// Reset means that the server reset the connection.
+// Reset means that the server reset the connection, or that it failed in another way.
 type Reset struct{}
 
-// Silent means that the server's kernel no longer acknowledged what was sent.
+// Silent means that the server's kernel no longer acknowledged what was sent, or cannot be reached.
 type Silent struct{}
 
 // Interrupted means that the reader stopped: at a deadline, since its caller left, or since the answer was of no use any more.
@@ -51,6 +51,20 @@
 // Malformed means that what the server sent is no answer, or one beyond a limit.
 type Malformed struct{}
 
+// Combine returns how a connection ended whose two directions ended in these ways. The kernel reports an error of a connection once, to whichever of
+// reading and writing calls it first, and the other direction then seems to end in good order: an error of writing counts as one of reading. It says
+// nothing about an answer that was read to its end by a length or a last chunk, so that the end of its connection was not reached.
+func Combine(reading, writing Ending) Ending {
+	switch reading.(type) {
+	case Finished, Cut:
+		switch writing.(type) {
+		case Reset, Silent:
+			return writing
+		}
+	}
+	return reading
+}
+
 func (Finished) isEnding()    {}
 func (Cut) isEnding()         {}
 func (Reset) isEnding()       {}
--- a/core/whole/verdict_test.go
+++ b/core/whole/verdict_test.go
@@ -1,6 +1,9 @@
 package whole
 
-import "testing"
+import (
+	"slices"
+	"testing"
+)
 
 // Guards against an answer that is taken for whole though its server may have ended within it, for every framing, ending and content.
 func TestJudge(t *testing.T) {
@@ -30,3 +33,19 @@
 		}
 	}
 }
+
+// Guards against half an answer that is taken for a whole one since writing its request was told of the error, whatever the error.
+func TestCombine(t *testing.T) {
+	endings := []Ending{Finished{}, Cut{}, Reset{}, Silent{}, Interrupted{}, Malformed{}}
+	for _, reading := range endings {
+		for _, writing := range endings {
+			want := reading
+			if slices.Contains([]Ending{Finished{}, Cut{}}, reading) && slices.Contains([]Ending{Reset{}, Silent{}}, writing) {
+				want = writing
+			}
+			if got := Combine(reading, writing); got != want {
+				t.Errorf("reading %s, writing %s: got %s, want %s", reading, writing, got, want)
+			}
+		}
+	}
+}
--- a/io/client/exchange.go
+++ b/io/client/exchange.go
@@ -154,7 +154,7 @@
 	cn.begin(key)
 	rq.reportUse(cn)
 	// A deadline in the past interrupts pending reads and writes.
-	stopCancel := context.AfterFunc(ctx, func() { _ = cn.net.SetDeadline(time.Unix(1, 0)) })
+	stopCancel := context.AfterFunc(ctx, func() { _ = cn.net.SetDeadline(past) })
 	rs, err := pl.exchange(cn, rq)
 	if err != nil {
 		stopCancel()
@@ -253,7 +253,7 @@
 	}
 }
 
-// write sends header and body in a single write, so that a small request fits one packet.
+// write sends header and body together, so that a small request fits one packet.
 func (rq *Request) write(cn *conn) error {
 	var head strings.Builder
 	head.Grow(512)
@@ -266,12 +266,7 @@
 		return fmt.Errorf("write header: %w", err)
 	}
 	head.WriteString("\r\n")
-	// WriteTo sends all parts with one system call, without a copy of them.
-	message := append(net.Buffers{[]byte(head.String())}, rq.Body...)
-	if _, err := message.WriteTo(cn.net); err != nil {
-		return fmt.Errorf("write request: %w", err)
-	}
-	return nil
+	return cn.net.writeAll(append(net.Buffers{[]byte(head.String())}, rq.Body...))
 }
 
 // applyKeepAlive sets the connection's idle time from the timeout parameter of the server's Keep-Alive header.
--- a/io/client/guard.go
+++ b/io/client/guard.go
@@ -17,12 +17,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial: %w", err)
 	}
-	return &guardedConn{Conn: nc, reader: bufio.NewReaderSize(nc, bufferBytes)}, nil
+	so := &socket{Conn: nc}
+	return &guardedConn{socket: so, reader: bufio.NewReaderSize(so, bufferBytes)}, nil
 }
 
 // guardedConn is a connection whose first response is checked. One of a version without chunks is the last.
 type guardedConn struct {
-	net.Conn
+	*socket
 	// reader and checked belong to the goroutine that reads.
 	reader  *bufio.Reader
 	checked bool
@@ -52,5 +53,5 @@
 	if gc.old.Load() {
 		return 0, errOldConnection
 	}
-	return gc.Conn.Write(text)
+	return gc.socket.Write(text)
 }
--- a/io/client/pool.go
+++ b/io/client/pool.go
@@ -48,7 +48,7 @@
 
 // conn is a connection; it serves one request at a time.
 type conn struct {
-	net net.Conn
+	net *socket
 	// limit bounds the bytes that reader takes from net; it is set for each header.
 	limit   *readLimit
 	reader  *bufio.Reader
@@ -156,8 +156,9 @@
 	if err != nil {
 		return nil, link.NewDialError(address, err)
 	}
-	limit := &readLimit{reader: nc}
-	return &conn{net: nc, limit: limit, reader: bufio.NewReaderSize(limit, bufferBytes), address: address, idleTime: maxIdleTime,
+	so := &socket{Conn: nc}
+	limit := &readLimit{reader: so}
+	return &conn{net: so, limit: limit, reader: bufio.NewReaderSize(limit, bufferBytes), address: address, idleTime: maxIdleTime,
 		establishedAt: time.Now()}, nil
 }
 
@@ -203,7 +204,7 @@
 	if cn.reader.Buffered() > 0 {
 		return false
 	}
-	tc, ok := cn.net.(*net.TCPConn)
+	tc, ok := cn.net.Conn.(*net.TCPConn)
 	if !ok {
 		return true
 	}
@@ -224,7 +225,7 @@
 // lastHeard returns when the kernel last received something from the peer, or a little earlier, and now if that is unknown.
 func (cn *conn) lastHeard() time.Time {
 	now := time.Now()
-	tc, ok := cn.net.(*net.TCPConn)
+	tc, ok := cn.net.Conn.(*net.TCPConn)
 	if !ok {
 		return now
 	}
--- a/io/server/plain_test.go
+++ b/io/server/plain_test.go
@@ -87,3 +87,52 @@
 		}
 	}
 }
+
+// Guards against a part of a response that is taken for a whole one, also as the recorded result of an order, since the service reset the connection
+// while the request was still being written; and against a whole one that is thrown away then.
+func TestPlainResponseDuringUpload(t *testing.T) {
+	const unframed, whole = "HTTP/1.1 200 OK\r\n\r\nwhole", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
+	const tries = 8
+	for _, tt := range []struct {
+		name, text string
+		whole      bool
+		end        func(conn *net.TCPConn)
+	}{
+		{"no length, reset", unframed, false, func(conn *net.TCPConn) { _ = conn.SetLinger(0) }},
+		{"no length, closed unread", unframed, false, func(*net.TCPConn) {}},
+		{"no length, end in good order", unframed, true, func(conn *net.TCPConn) {
+			_ = conn.CloseWrite()
+			_, _ = io.Copy(io.Discard, conn)
+		}},
+		{"length, reset", whole, true, func(conn *net.TCPConn) { _ = conn.SetLinger(0) }},
+	} {
+		srv := httptest.NewServer(http.HandlerFunc(func(wr http.ResponseWriter, hr *http.Request) {
+			if hr.URL.Path == "/healthz" {
+				return
+			}
+			conn, _, err := wr.(http.Hijacker).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_, _ = io.WriteString(conn, tt.text)
+			time.Sleep(20 * time.Millisecond)
+			tt.end(conn.(*net.TCPConn))
+			_ = conn.Close()
+		}))
+		for _, key := range []string{"", "k"} {
+			wrong := 0
+			for range tries {
+				rs, err := NewHTTPPlainService(srv.URL).Do(t.Context(), Request{Method: http.MethodPost, Path: "/", IdempotencyKey: key, Body: make([]byte, 9<<20)})
+				var ee *ExchangeError
+				if tt.whole && (err != nil || string(rs.Body) != "whole") || !tt.whole && !errors.As(err, &ee) {
+					wrong++
+				}
+			}
+			if wrong > 0 {
+				t.Errorf("%s, key %q: %d of %d wrong", tt.name, key, wrong, tries)
+			}
+		}
+		srv.Close()
+	}
+}
