core/head: one place decides what the head of an answer is

Callers got answers whose head was none: a status of 000 before a whole answer, 600 or 999, and fields with a blank in or behind their name. The line was passed on, or the body was not the server's: "Content-Length : 7" was not seen as a length, "Transfer-Encoding : chunked" brought the sizes of chunks into the body. Such a head could also promise that a request had not run, so that one that may run once was sent again. A service's 000 or 099 would have been the recorded result of an order.

Cause: nobody decided what a head is. net/http takes any three digits for a status, counts 000 to 099 as interim in io/client, keeps names with blanks as other fields, and believes any version. The one check of our own looked for chunks in HTTP/1.0, and below net/http at the first answer of a connection only.

Change: core/head scans the bytes of each head as they arrive by RFC 9112: status line, names, values, line ends, and transfer codings that the version does not have; interim heads, late answers to other requests and answers over kept connections too. io/client's pool and transport use it, so that gates and the agent's client of plain services reject such an answer like any that is malformed. A status of 101 is none either, since no request asks for another protocol. "invalid_head" in ended_by tells these answers apart.

RFC 9112 lets a proxy remove a blank behind a name. Then the length that the server may have meant would be believed; what it wrote is in doubt, so that the answer is not taken.

Already handled before: control bytes, DEL and bytes above 127 in a name, no name, no colon, NUL and CR in a value, a status 000 or 099 that no answer follows.

--- a/core/whole/answer.go
+++ b/core/whole/answer.go
@@ -26,7 +26,8 @@
 	return Connection
 }
 
-// Ending is how reading an answer, or writing its request, ended. It is one of Finished, Cut, Reset, Silent, Interrupted and Malformed.
+// Ending is how reading an answer, or writing its request, ended. It is one of Finished, Cut, Reset, Silent, Interrupted,
+// InvalidHead and Malformed.
 type Ending interface {
 	isEnding()
 	// String returns the name of the ending in logs.
@@ -48,7 +49,10 @@
 // Interrupted means that the reader stopped: at a deadline, since its caller left, or since the answer was of no use any more.
 type Interrupted struct{}
 
-// Malformed means that what the server sent is no answer, or one beyond a limit.
+// InvalidHead means that what the server sent does not begin with the head of an answer.
+type InvalidHead struct{}
+
+// Malformed means that what the server sent behind a valid status line and fields is no answer, or one beyond a limit.
 type Malformed struct{}
 
 // Combine returns how a connection ended whose two directions ended in these ways. The kernel reports an error of a connection once, to whichever of
@@ -70,6 +74,7 @@
 func (Reset) isEnding()       {}
 func (Silent) isEnding()      {}
 func (Interrupted) isEnding() {}
+func (InvalidHead) isEnding() {}
 func (Malformed) isEnding()   {}
 
 // String implements Ending.
@@ -87,5 +92,8 @@
 // String implements Ending.
 func (Interrupted) String() string { return "interrupted" }
 
+// String implements Ending.
+func (InvalidHead) String() string { return "invalid_head" }
+
 // String implements Ending.
 func (Malformed) String() string { return "malformed" }
--- a/core/whole/verdict_test.go
+++ b/core/whole/verdict_test.go
@@ -7,7 +7,7 @@
 
 // Guards against an answer that is taken for whole though its server may have ended within it, for every framing, ending and content.
 func TestJudge(t *testing.T) {
-	endings := []Ending{Cut{}, Reset{}, Silent{}, Interrupted{}, Malformed{}, nil}
+	endings := []Ending{Cut{}, Reset{}, Silent{}, Interrupted{}, InvalidHead{}, Malformed{}, nil}
 	contents := []Content{Opaque{}, Document{}, NewEvents(true, false), NewEvents(true, true), NewEvents(false, false)}
 	want := map[Framing][]Verdict{
 		Length:     {Whole, Whole, Whole, Broken, Whole},
@@ -36,7 +36,7 @@
 
 // Guards against half an answer that is taken for a whole one since writing its request was told of the error, whatever the error.
 func TestCombine(t *testing.T) {
-	endings := []Ending{Finished{}, Cut{}, Reset{}, Silent{}, Interrupted{}, Malformed{}}
+	endings := []Ending{Finished{}, Cut{}, Reset{}, Silent{}, Interrupted{}, InvalidHead{}, Malformed{}}
 	for _, reading := range endings {
 		for _, writing := range endings {
 			want := reading
--- a/io/client/ending.go
+++ b/io/client/ending.go
@@ -6,17 +6,21 @@
 	"os"
 	"syscall"
 
+	"shallotcleat/core/head"
 	"shallotcleat/core/whole"
 )
 
 // EndingOf returns how reading an answer ended with err, which is nil or io.EOF at the end of its body, or how writing a request did.
 func EndingOf(err error) whole.Ending {
 	var errno syscall.Errno
+	var he *head.Error
 	switch {
 	case err == nil || err == io.EOF:
 		return whole.Finished{}
 	case errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, syscall.EHOSTUNREACH) || errors.Is(err, syscall.ENETUNREACH):
 		return whole.Silent{}
+	case errors.As(err, &he):
+		return whole.InvalidHead{}
 	case errors.As(err, &errno):
 		return whole.Reset{}
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/io/client/ending_test.go
+++ b/io/client/ending_test.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"testing"
 
+	"shallotcleat/core/head"
 	"shallotcleat/core/whole"
 )
 
@@ -27,6 +28,7 @@
 	{syscall.ETIMEDOUT, whole.Silent{}},
 	{syscall.EHOSTUNREACH, whole.Silent{}},
 	{syscall.ENETUNREACH, whole.Silent{}},
+	{fmt.Errorf("read header: %w (%w)", new(head.Error), syscall.ECONNRESET), whole.InvalidHead{}},
 	{errHeadTooLong, whole.Malformed{}},
 }
 
--- a/io/client/exchange.go
+++ b/io/client/exchange.go
@@ -174,10 +174,12 @@
 	} else {
 		writeResult <- nil
 	}
-	cn.limit.beginHead(rq.HeadArrived)
+	if err := cn.beginHead(rq); err != nil {
+		return nil, &ExchangeError{address: cn.address, cause: err}
+	}
 	for {
-		resp, err := cn.readHead(rq.Method)
-		if err != nil && cn.limit.failure != nil {
+		resp, err := http.ReadResponse(cn.reader, &http.Request{Method: rq.Method})
+		if err != nil && cn.limit.failure != nil && !errors.Is(err, cn.limit.failure) {
 			// A header that was cut off is malformed, too.
 			err = fmt.Errorf("%w (%w)", err, cn.limit.failure)
 		}
@@ -195,7 +197,9 @@
 			if !usable {
 				return nil, &ExchangeError{address: cn.address, cause: errUnmatchedResponse}
 			}
-			cn.limit.beginHead(rq.HeadArrived)
+			if err := cn.beginHead(rq); err != nil {
+				return nil, &ExchangeError{address: cn.address, cause: err}
+			}
 			continue
 		}
 		cn.applyKeepAlive(resp.Header)
@@ -219,12 +223,17 @@
 	}
 }
 
-// readHead reads the header of the next response, to a request with the given method.
-func (cn *conn) readHead(method string) (*http.Response, error) {
-	if err := checkOldHead(cn.reader); err != nil {
-		return nil, err
+// beginHead prepares to read the header of a response to a request, of which a part may have come together with the response before it.
+func (cn *conn) beginHead(rq *Request) error {
+	// Peek returns what is buffered without reading.
+	buffered, err := cn.reader.Peek(cn.reader.Buffered())
+	if err != nil {
+		return fmt.Errorf("read header: %w", err)
+	}
+	if err := cn.limit.beginHead(buffered, rq.HeadArrived); err != nil {
+		return fmt.Errorf("read header: %w", err)
 	}
-	return http.ReadResponse(cn.reader, &http.Request{Method: method})
+	return nil
 }
 
 // skip reads an unmatched response to its end and reports whether the connection may still be used: the response was not too long,
--- a/io/object/store.go
+++ b/io/object/store.go
@@ -66,7 +66,7 @@
 
 // NewHTTP returns a client of the object store at the base URL.
 func NewHTTP(base string) *HTTP {
-	transport := &http.Transport{DialContext: client.GuardedDial, MaxResponseHeaderBytes: reply.MaxHeaderBytes}
+	transport := client.NewTransport(&http.Transport{MaxResponseHeaderBytes: reply.MaxHeaderBytes})
 	return &HTTP{base: base, client: &http.Client{Timeout: callTimeout, Transport: transport}, maxBytes: maxObjectBytes}
 }
 
--- a/io/server/plain.go
+++ b/io/server/plain.go
@@ -57,13 +57,13 @@
 
 // NewHTTPPlainService returns a client of the service at a base URL.
 func NewHTTPPlainService(baseURL string) *HTTPPlainService {
-	reusing := &http.Transport{DialContext: client.GuardedDial, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: time.Minute,
+	reusing := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: time.Minute,
 		MaxResponseHeaderBytes: reply.MaxHeaderBytes}
-	single := &http.Transport{DialContext: client.GuardedDial, DisableKeepAlives: true, MaxResponseHeaderBytes: reply.MaxHeaderBytes}
+	single := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: reply.MaxHeaderBytes}
 	return &HTTPPlainService{
 		baseURL:    baseURL,
-		atMostOnce: &http.Client{Transport: single, CheckRedirect: noRedirect},
-		repeatable: &http.Client{Transport: reusing, CheckRedirect: noRedirect},
+		atMostOnce: &http.Client{Transport: client.NewTransport(single), CheckRedirect: noRedirect},
+		repeatable: &http.Client{Transport: client.NewTransport(reusing), CheckRedirect: noRedirect},
 	}
 }
 
