--- a/io/server/engine.go
+++ b/io/server/engine.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"time"
 
+	"shallotcleat/io/client"
 	"shallotcleat/io/reply"
 )
 
@@ -86,7 +87,7 @@
 
 // NewHTTPEngine returns a client of the engine at a base URL.
 func NewHTTPEngine(baseURL string) *HTTPEngine {
-	transport := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: reply.MaxHeaderBytes}
+	transport := client.NewTransport(&http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: reply.MaxHeaderBytes})
 	return &HTTPEngine{baseURL: baseURL, client: &http.Client{Transport: transport}}
 }
 
--- a/io/table/http.go
+++ b/io/table/http.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"shallotcleat/io/client"
 	"shallotcleat/io/reply"
 )
 
@@ -26,7 +27,7 @@
 
 // NewHTTP returns a client of the table service at the base URL.
 func NewHTTP(base string) *HTTP {
-	transport := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: reply.MaxHeaderBytes}
+	transport := client.NewTransport(&http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: reply.MaxHeaderBytes})
 	return &HTTP{base: base, client: &http.Client{Transport: transport, Timeout: callTimeout}}
 }
 
--- a/io/vmlist/list.go
+++ b/io/vmlist/list.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"shallotcleat/io/client"
 	"shallotcleat/io/reply"
 )
 
@@ -64,7 +65,8 @@
 
 // NewHTTP returns a client of the VM list at the base URL.
 func NewHTTP(base string) *HTTP {
-	return &HTTP{base: base, client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxResponseHeaderBytes: reply.MaxHeaderBytes}}}
+	transport := client.NewTransport(&http.Transport{MaxResponseHeaderBytes: reply.MaxHeaderBytes})
+	return &HTTP{base: base, client: &http.Client{Timeout: callTimeout, Transport: transport}}
 }
 
 // List implements Lister.
