io/client: an answer that came before an error of writing is not thrown away

A plain service answered a long request early with a whole answer, with a length or chunks, and reset the connection.

Cause: net/http prefers the error of writing a request to an answer that has arrived. Such an answer is not in doubt.

Change: once a part of a request was written, connections of the transport keep an error of writing for the end of the connection, where reading fails with it. Before that, writes fail as they did, so that net/http sends what was not sent over another connection. Since writing goes on after the error then, its first error counts: a later one may be that of the deadline with which reading ends pending writes.

--- a/io/client/socket.go
+++ b/io/client/socket.go
@@ -15,7 +15,7 @@
 // connection.
 type socket struct {
 	net.Conn
-	// mu is held during a write, and guards failure, the last error of one.
+	// mu is held during a write, and guards failure, the first error of one.
 	mu      sync.Mutex
 	failure error
 }
@@ -55,9 +55,7 @@
 	so.mu.Lock()
 	defer so.mu.Unlock()
 	count, err := so.Conn.Write(text)
-	if err != nil {
-		so.failure = err
-	}
+	so.recordFailure(err)
 	return count, err
 }
 
@@ -66,8 +64,15 @@
 	so.mu.Lock()
 	defer so.mu.Unlock()
 	if _, err := parts.WriteTo(so.Conn); err != nil {
-		so.failure = err
+		so.recordFailure(err)
 		return fmt.Errorf("write request: %w", err)
 	}
 	return nil
 }
+
+// recordFailure records the error of a write. The first one counts: later writes fail since the connection is lost, or since Read has ended them.
+func (so *socket) recordFailure(err error) {
+	if so.failure == nil {
+		so.failure = err
+	}
+}
--- a/io/client/socket_test.go
+++ b/io/client/socket_test.go
@@ -61,6 +61,11 @@
 			if err := <-written; EndingOf(err) != (whole.Reset{}) {
 				t.Fatalf("%s: the write ended with %v", tt.name, err)
 			}
+			// net/http goes on writing; Read may have set the deadline already.
+			_ = so.SetWriteDeadline(past)
+			if _, err := so.Write([]byte("more")); err == nil {
+				t.Fatalf("%s: a write after the error did not fail", tt.name)
+			}
 		}
 		received, err := io.ReadAll(so)
 		var we *WriteError
--- a/io/client/transport.go
+++ b/io/client/transport.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 
 	"shallotcleat/core/head"
+	"shallotcleat/core/whole"
 )
 
 // Transport is a net/http transport for answers of servers: its connections fail at what is not the head of an answer, which net/http would pass on
@@ -45,6 +46,7 @@
 func beginAnswer(info httptrace.GotConnInfo) {
 	if hc, ok := info.Conn.(*headConn); ok {
 		hc.begun.Store(true)
+		hc.wrote.Store(false)
 	}
 }
 
@@ -57,6 +59,8 @@
 	head head.Scanner
 	// old is set once an answer of a version without chunks has been received.
 	old atomic.Bool
+	// wrote is set once a part of the request has been written.
+	wrote atomic.Bool
 }
 
 var errOldConnection = errors.New("the connection serves one request only, because of the version of its server")
@@ -76,10 +80,21 @@
 	return count, err
 }
 
-// Write implements net.Conn. It fails before it writes anything, so that net/http sends the request over another connection.
+// Write implements net.Conn. It fails only before a part of the request has been written, so that net/http may send the request over another connection.
+// Later, net/http would throw away an answer that came before the error, and the end of the connection tells reading of the error if no answer did.
 func (hc *headConn) Write(text []byte) (int, error) {
 	if hc.old.Load() {
 		return 0, errOldConnection
 	}
-	return hc.socket.Write(text)
+	count, err := hc.socket.Write(text)
+	switch EndingOf(err).(type) {
+	case whole.Reset, whole.Silent, whole.Interrupted:
+		if count > 0 || hc.wrote.Load() {
+			return len(text), nil
+		}
+	}
+	if count > 0 {
+		hc.wrote.Store(true)
+	}
+	return count, err
 }
--- a/io/server/plain_test.go
+++ b/io/server/plain_test.go
@@ -92,19 +92,25 @@
 // while the request was still being written; and against a whole one that is thrown away then.
 func TestPlainResponseDuringUpload(t *testing.T) {
 	const unframed, whole = "HTTP/1.1 200 OK\r\n\r\nwhole", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
-	const tries = 8
+	const tries, pause = 8, 20 * time.Millisecond
+	reset := func(conn *net.TCPConn) { _ = conn.SetLinger(0) }
 	for _, tt := range []struct {
 		name, text string
 		whole      bool
+		pause      time.Duration
 		end        func(conn *net.TCPConn)
 	}{
-		{"no length, reset", unframed, false, func(conn *net.TCPConn) { _ = conn.SetLinger(0) }},
-		{"no length, closed unread", unframed, false, func(*net.TCPConn) {}},
-		{"no length, end in good order", unframed, true, func(conn *net.TCPConn) {
+		{"no length, reset", unframed, false, pause, reset},
+		{"no length, closed unread", unframed, false, pause, func(*net.TCPConn) {}},
+		{"no length, end in good order", unframed, true, pause, func(conn *net.TCPConn) {
 			_ = conn.CloseWrite()
 			_, _ = io.Copy(io.Discard, conn)
 		}},
-		{"length, reset", whole, true, func(conn *net.TCPConn) { _ = conn.SetLinger(0) }},
+		{"no length, reset at once", unframed, false, 0, reset},
+		{"length, reset", whole, true, pause, reset},
+		{"length, reset at once", whole, true, 0, reset},
+		{"length, closed unread at once", whole, true, 0, func(*net.TCPConn) {}},
+		{"chunks, reset at once", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", true, 0, reset},
 	} {
 		srv := httptest.NewServer(http.HandlerFunc(func(wr http.ResponseWriter, hr *http.Request) {
 			if hr.URL.Path == "/healthz" {
@@ -116,7 +122,7 @@
 				return
 			}
 			_, _ = io.WriteString(conn, tt.text)
-			time.Sleep(20 * time.Millisecond)
+			time.Sleep(tt.pause)
 			tt.end(conn.(*net.TCPConn))
 			_ = conn.Close()
 		}))
