io/gate, io/agent: the log and a metric tell broken answers apart

A part of an answer that was taken for a whole one had "ended_by":"end" in the log, as whole ones do, and answers without a head counted with those that are too long. Now broken_answers counts them by how they ended and by the direction that met the error, at gates and agents; noticed_by says that it was writing, and ended_by knows invalid_head. An attempt whose connection was never made has no ended_by any more ("malformed" before). An agent's calls that end with their context count as interrupted.

The scanner passes over bytes that change nothing in a loop of its own.

--- a/core/head/scanner.go
+++ b/core/head/scanner.go
@@ -11,7 +11,7 @@
 	status int
 	// minor is the second digit of the version.
 	minor byte
-	// codingMatch is the number of bytes of the current field's name that match codingName, or negative if one did not.
+	// codingMatch is the number of bytes of the current field's name that match codingName, or negative if the name is another one or may be any.
 	codingMatch int
 	err         error
 }
@@ -70,17 +70,31 @@
 // first byte that cannot be part of a head.
 func (sc *Scanner) Scan(part []byte) error {
 	for i := 0; i < len(part) && sc.at != done && sc.err == nil; i++ {
-		if sc.at == inValue {
-			// Most bytes of a head are those of values.
-			for i < len(part)-1 && isText[part[i]] {
-				i++
-			}
-		}
+		i += sc.skip(part[i : len(part)-1])
 		sc.step(part[i])
 	}
 	return sc.err
 }
 
+// skip scans the bytes that change nothing at the beginning of a part, and returns their number. Most bytes of a head are such ones.
+func (sc *Scanner) skip(part []byte) int {
+	var set *[256]bool
+	switch {
+	case sc.at == inValue || sc.at == inReason:
+		set = &isText
+	case sc.at == inName && sc.codingMatch < 0:
+		set = &isToken
+	default:
+		return 0
+	}
+	for i, char := range part {
+		if !set[char] {
+			return i
+		}
+	}
+	return len(part)
+}
+
 // step scans one byte.
 func (sc *Scanner) step(char byte) {
 	switch sc.at {
@@ -156,6 +170,9 @@
 		sc.at = inValue
 	default:
 		sc.at, sc.count, sc.codingMatch = inName, 0, 0
+		if sc.HasTransferCodings() {
+			sc.codingMatch = -1
+		}
 		sc.stepName(char)
 	}
 }
@@ -165,7 +182,7 @@
 	switch {
 	case char == ':' && sc.count == 0:
 		sc.fail("a field has no name")
-	case char == ':' && sc.codingMatch == len(codingName) && !sc.HasTransferCodings():
+	case char == ':' && sc.codingMatch == len(codingName):
 		sc.fail("HTTP/1.%c has no transfer codings, but a field names one", sc.minor)
 	case char == ':':
 		sc.at = inValue
--- a/io/agent/lookup.go
+++ b/io/agent/lookup.go
@@ -47,7 +47,7 @@
 		RequestID:   requestID,
 	})
 	if err != nil {
-		ag.rec.RecordEvent(requestID, trace.ServerFailed, "message", err.Error())
+		ag.recordServerFailure(requestID, err)
 		return &wire.CallReply{Failed: toFailure(ctx, err)}
 	}
 	ag.rec.RecordEvent(requestID, trace.ServerAnswered)
--- a/io/agent/modelcall.go
+++ b/io/agent/modelcall.go
@@ -109,6 +109,7 @@
 		ag.limiter.cancelPrefill(uncached)
 	}
 	if err != nil {
+		ag.countBroken(err)
 		return &wire.Frame{Kind: &wire.Frame_Failed{Failed: toFailure(ctx, err)}}
 	}
 	return &wire.Frame{Kind: &wire.Frame_End{End: &wire.End{Usage: &wire.Usage{
--- a/io/agent/orders.go
+++ b/io/agent/orders.go
@@ -106,10 +106,10 @@
 		ag.rec.RecordEvent(requestID, trace.ServerAnswered)
 		return order.NewAnswered(order.NewResult(rs.Status, string(rs.Body)))
 	case errors.As(err, &notSent):
-		ag.rec.RecordEvent(requestID, trace.ServerFailed, "message", err.Error())
+		ag.recordServerFailure(requestID, err)
 		return order.NotSent{}
 	}
-	ag.rec.RecordEvent(requestID, trace.ServerFailed, "message", err.Error())
+	ag.recordServerFailure(requestID, err)
 	return order.AnswerLost{}
 }
 
--- a/io/client/ending.go
+++ b/io/client/ending.go
@@ -1,6 +1,7 @@
 package client
 
 import (
+	"context"
 	"errors"
 	"io"
 	"os"
@@ -23,7 +24,7 @@
 		return whole.InvalidHead{}
 	case errors.As(err, &errno):
 		return whole.Reset{}
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled):
 		return whole.Interrupted{}
 	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
 		return whole.Cut{}
--- a/io/client/ending_test.go
+++ b/io/client/ending_test.go
@@ -1,6 +1,7 @@
 package client
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"os"
@@ -21,6 +22,8 @@
 	{io.ErrUnexpectedEOF, whole.Cut{}},
 	{fmt.Errorf("read header: %w", io.EOF), whole.Cut{}},
 	{os.ErrDeadlineExceeded, whole.Interrupted{}},
+	{context.DeadlineExceeded, whole.Interrupted{}},
+	{context.Canceled, whole.Interrupted{}},
 	{syscall.ECONNRESET, whole.Reset{}},
 	{syscall.EPIPE, whole.Reset{}},
 	{syscall.ECONNABORTED, whole.Reset{}},
--- a/io/gate/answerlog.go
+++ b/io/gate/answerlog.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -11,14 +12,16 @@
 	"shallotcleat/core/fleet"
 	"shallotcleat/core/whole"
 	"shallotcleat/io/client"
+	"shallotcleat/io/link"
 )
 
 // answerLog is what the log says about the answer of one attempt, so that a log entry shows why the answer was taken for complete or not.
 type answerLog struct {
 	server  *fleet.Server
 	framing whole.Framing
-	// ending is nil until the answer has ended.
-	ending whole.Ending
+	// ending is nil until the answer has ended. writeFailed is set if an error of writing the request showed it.
+	ending      whole.Ending
+	writeFailed bool
 	// events is the number of events that reached the caller. firstID and lastID are the ids of the first and the last one; they are valid if
 	// hasID is set.
 	events          int
@@ -29,8 +32,18 @@
 	lifeTime time.Duration
 }
 
-// recordEnd records that reading the answer ended with err, which is nil or io.EOF at the end of its body.
-func (al *answerLog) recordEnd(err error) { al.ending = client.EndingOf(err) }
+// recordEnd records that reading the answer ended with err, which is nil or io.EOF at the end of its body, and returns how it ended. An error with
+// which nothing was sent is the end of no answer.
+func (al *answerLog) recordEnd(err error) whole.Ending {
+	var de *link.DialError
+	var nse *client.NotSentError
+	if errors.As(err, &de) || errors.As(err, &nse) {
+		return nil
+	}
+	var we *client.WriteError
+	al.ending, al.writeFailed = client.EndingOf(err), errors.As(err, &we)
+	return al.ending
+}
 
 // recordLife records whether the server still ran after the answer, and how long it took to find out.
 func (al *answerLog) recordLife(life whole.Life, took time.Duration) {
@@ -61,6 +74,9 @@
 	if al.ending != nil {
 		fields["ended_by"] = al.ending.String()
 	}
+	if al.writeFailed {
+		fields["noticed_by"] = "write"
+	}
 	if al.life != nil {
 		fields["server_after"], fields["asked_ms"] = al.life.String(), al.lifeTime.Milliseconds()
 	}
--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -182,7 +182,7 @@
 func (at *attempt) relayBuffered(requestCtx context.Context, resp *client.Response) (attemptResult, *answer.Error) {
 	rq := at.rq
 	body, err := at.gate.bodies.readAll(resp, at.gate.memory.Open(time.Now(), memory.Response, rq.response.interruptWrite))
-	at.answer.recordEnd(err)
+	at.recordEnd(err)
 	at.watchdog.Stop()
 	if err == nil {
 		err = at.checkWhole(requestCtx, resp, nil, whole.Opaque{})
@@ -222,6 +222,15 @@
 	return responded, nil
 }
 
+// recordEnd records that reading the answer ended with err, which is nil or io.EOF at the end of its body.
+func (at *attempt) recordEnd(err error) {
+	switch ending := at.answer.recordEnd(err).(type) {
+	case nil, whole.Finished, whole.Interrupted:
+	default:
+		at.gate.opts.Recorder.CountBrokenAnswer(ending.String(), at.answer.writeFailed)
+	}
+}
+
 // recordDuration records how long the server took for a request that it served.
 func (at *attempt) recordDuration() {
 	took := time.Since(at.sentAt)
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -40,7 +40,7 @@
 		}
 		event = append(event, line...)
 		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
-			at.answer.recordEnd(err)
+			at.recordEnd(err)
 		}
 		if err != nil && !errors.Is(err, bufio.ErrBufferFull) && at.handOver != nil {
 			cause := err
--- a/io/gate/run.go
+++ b/io/gate/run.go
@@ -178,7 +178,7 @@
 	clientRequest.HeadArrived = at.head.Add
 	resp, err := gt.connPool.Do(ctx, ch.Server().Address(), clientRequest)
 	if err != nil {
-		at.answer.recordEnd(err)
+		at.recordEnd(err)
 		return at.endNoResponse(parent, err)
 	}
 	defer resp.Close()
--- a/io/trace/recorder.go
+++ b/io/trace/recorder.go
@@ -59,6 +59,7 @@
 	beyondShare    metric.Int64Counter
 	prefillRate    metric.Float64Gauge
 	decodeStep     metric.Float64Gauge
+	brokenAnswers  metric.Int64Counter
 	zoneExits      metric.Int64Counter
 	zoneBytes      metric.Int64Counter
 	zoneShare      metric.Float64Gauge
@@ -91,7 +92,7 @@
 }
 
 func newMetrics(mt metric.Meter) (*Metrics, error) {
-	var errs [21]error
+	var errs [22]error
 	ms := &Metrics{meter: mt}
 	ms.requests, errs[0] = mt.Int64Counter("requests", metric.WithDescription("Requests answered, by outcome."))
 	ms.refusals, errs[1] = mt.Int64Counter("refusals", metric.WithDescription("Requests refused, by code."))
@@ -131,6 +132,8 @@
 	ms.handOvers, errs[19] = mt.Int64Counter("hand_overs", metric.WithDescription("Hand-overs of running streams to other engines, by result."))
 	ms.unframedEnds, errs[20] = mt.Int64Counter("unframed_ends",
 		metric.WithDescription("Answers that ended with their connection, by what their server showed afterwards: running, ended or unknown."))
+	ms.brokenAnswers, errs[21] = mt.Int64Counter("broken_answers",
+		metric.WithDescription("Answers of servers that were broken off or are none, by how they ended and whether reading or writing met the error."))
 	for _, err := range errs {
 		if err != nil {
 			return nil, fmt.Errorf("create instrument: %w", err)
@@ -278,6 +281,15 @@
 	rc.metrics.unframedEnds.Add(context.Background(), 1, metric.WithAttributes(attribute.String("server", life)))
 }
 
+// CountBrokenAnswer counts an answer of a server that was broken off or is none by how it ended; writeFailed is set if writing the request met the error.
+func (rc *Recorder) CountBrokenAnswer(ending string, writeFailed bool) {
+	noticedBy := "read"
+	if writeFailed {
+		noticedBy = "write"
+	}
+	rc.metrics.brokenAnswers.Add(context.Background(), 1, metric.WithAttributes(attribute.String("ended_by", ending), attribute.String("noticed_by", noticedBy)))
+}
+
 // CountControlBytes adds the size in bytes of a message that carries no request.
 func (rc *Recorder) CountControlBytes(size int) {
 	rc.metrics.controlBytes.Add(context.Background(), int64(size))
