--- a/io/agent/failure.go
+++ b/io/agent/failure.go
@@ -12,21 +12,27 @@
 
 // recordServerFailure records that a request to the plain service failed with err.
 func (ag *Agent) recordServerFailure(requestID string, err error) {
-	ag.rec.RecordEvent(requestID, trace.ServerFailed, "message", err.Error(), "ended_by", ag.countBroken(err).String())
+	fields := []string{"message", err.Error()}
+	if ending := ag.countBroken(err); ending != nil {
+		fields = append(fields, "ended_by", ending.String())
+	}
+	ag.rec.RecordEvent(requestID, trace.ServerFailed, fields...)
 }
 
-// countBroken counts an answer of the backend server that ended with err, if there was any and it was not the agent that stopped reading, and returns
-// how it ended.
+// countBroken counts an answer of the backend server that ended with err, unless the agent stopped reading it, and returns how it ended. It returns nil
+// if the request was not sent, or refused.
 func (ag *Agent) countBroken(err error) whole.Ending {
 	var ee *server.ExchangeError
-	var we *client.WriteError
-	ending := client.EndingOf(err)
-	switch {
-	case !errors.As(err, &ee) || ending == (whole.Interrupted{}):
-	case errors.Is(err, reply.ErrIncomplete):
-		ending = whole.Finished{}
+	if !errors.As(err, &ee) {
+		return nil
+	}
+	if errors.Is(err, reply.ErrIncomplete) {
 		ag.rec.CountUnframedEnd(whole.Unknown{}.String())
-	default:
+		return whole.Finished{}
+	}
+	ending := client.EndingOf(err)
+	if ending != (whole.Interrupted{}) {
+		var we *client.WriteError
 		ag.rec.CountBrokenAnswer(ending.String(), errors.As(err, &we))
 	}
 	return ending
