--- a/core/head/scanner_test.go
+++ b/core/head/scanner_test.go
@@ -140,7 +140,7 @@
 
 func BenchmarkScan(b *testing.B) {
 	text := []byte(ok + "Content-Type: application/json\r\nDate: Mon, 07 Dec 2026 03:00:00 GMT\r\nX-Request-Id: 9c41d07be2a35f68\r\n" +
-		"X-Server-Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\nKeep-Alive: timeout=5\r\nContent-Length: 200\r\n\r\n")
+		"X-Answer-Mark: 3e1b.07.5a2.600.0.c9f2a4d1\r\nKeep-Alive: timeout=5\r\nContent-Length: 200\r\n\r\n")
 	b.SetBytes(int64(len(text)))
 	b.ReportAllocs()
 	for b.Loop() {
--- a/io/client/answer_bench_test.go
+++ b/io/client/answer_bench_test.go
@@ -12,7 +12,7 @@
 
 // answerHead is the head of a usual answer.
 const answerHead = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nDate: Mon, 07 Dec 2026 03:00:00 GMT\r\nX-Request-Id: 9c41d07be2a35f68\r\n" +
-	"X-Server-Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\nKeep-Alive: timeout=5\r\n"
+	"X-Answer-Mark: 3e1b.07.5a2.600.0.c9f2a4d1\r\nKeep-Alive: timeout=5\r\n"
 
 // serveAnswers serves an answer to each request, over kept connections, and returns the address.
 func serveAnswers(b *testing.B, answer string) string {
