--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -17,7 +17,9 @@
 
 // cases are the cases by name; each reports whether the rule was broken.
 var cases = map[string]func(*run) bool{
-	"reload": runReload,
+	"reload":  runReload,
+	"takeup":  runTakeUp,
+	"restart": runRestart,
 }
 
 func main() {
@@ -112,6 +114,15 @@
 	return ""
 }
 
+// releaseAddresses makes addresses free again that were not used.
+func (rn *run) releaseAddresses(addresses []string) {
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	for _, address := range addresses {
+		delete(rn.used, address)
+	}
+}
+
 func (rn *run) listen() net.Listener {
 	lis, err := net.Listen("tcp", rn.freeAddress())
 	if err != nil {
@@ -144,6 +155,16 @@
 	return gt
 }
 
+// setPeer changes the peer address of a gate that has not been started.
+func (gt *gate) setPeer(address string) {
+	for n, setting := range gt.env {
+		if strings.HasPrefix(setting, "SHALLOTCLEAT_PEER=") {
+			gt.env[n] = "SHALLOTCLEAT_PEER=" + address
+		}
+	}
+	gt.peer = address
+}
+
 // start starts the process with the command of the deploy file.
 func (gt *gate) start() {
 	log, err := os.OpenFile(gt.run.dir+"/"+gt.name+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
