--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -17,9 +17,10 @@
 
 // cases are the cases by name; each reports whether the rule was broken.
 var cases = map[string]func(*run) bool{
-	"reload":  runReload,
-	"takeup":  runTakeUp,
-	"restart": runRestart,
+	"reload":   runReload,
+	"takeup":   runTakeUp,
+	"restart":  runRestart,
+	"unframed": runUnframed,
 }
 
 func main() {
--- a/review/standin-3/replica.go
+++ b/review/standin-3/replica.go
@@ -24,7 +24,30 @@
 	events int
 	gap    time.Duration
 	work   time.Duration
-	seq    atomic.Int64
+	// slots bounds the requests that are processed at once, health checks too; the others wait. Nil is no bound.
+	slots chan struct{}
+	// unframed is set if answers have neither a length nor chunks and end with their connections.
+	unframed bool
+	seq      atomic.Int64
+}
+
+// take waits for a slot, and reports whether the caller still waits for the answer.
+func (rp *replica) take(hr *http.Request) bool {
+	if rp.slots == nil {
+		return true
+	}
+	select {
+	case rp.slots <- struct{}{}:
+		return true
+	case <-hr.Context().Done():
+		return false
+	}
+}
+
+func (rp *replica) free() {
+	if rp.slots != nil {
+		<-rp.slots
+	}
 }
 
 func (rn *run) startReplica(rp *replica) *replica {
@@ -45,6 +68,10 @@
 
 func (rp *replica) ServeHTTP(wr http.ResponseWriter, hr *http.Request) {
 	if hr.Method == http.MethodGet && hr.URL.Path == "/healthz" {
+		if !rp.take(hr) {
+			return
+		}
+		defer rp.free()
 		wr.Header().Set("X-Instance-Id", rp.id)
 		return
 	}
@@ -59,6 +86,10 @@
 	if err != nil {
 		return
 	}
+	if !rp.take(hr) {
+		return
+	}
+	defer rp.free()
 	rp.run.record("run: request %s begins at replica %s (version %s), %d bytes, Last-Event-Id %q", id, rp.id, rp.version, len(body), hr.Header.Get("Last-Event-Id"))
 	wr.Header().Set("X-Request-Id", id)
 	wr.Header().Set("X-Server-Seal", "seal."+rp.id+"."+id)
@@ -74,6 +105,11 @@
 		first = last + 1
 	}
 	wr.Header().Set("Content-Type", "text/event-stream")
+	if rp.unframed {
+		// net/http ends such an answer with its connection.
+		wr.Header().Set("Connection", "close")
+		wr.Header().Set("Transfer-Encoding", "identity")
+	}
 	for number := first; number <= rp.events; number++ {
 		if _, err := fmt.Fprintf(wr, "id: %d\ndata: %s %s\n\n", number, rp.version, rp.id); err != nil {
 			return
