--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 11 to 15 that are scripts. It needs no network: the module has no dependencies.
+# Builds the stand-ins of the scripts of cases 11 to 15. It needs no network: the module has no dependencies.
 set -e
 cd "$(dirname "$0")/standin-3"
 mkdir -p ../../target
