io/logs: count lines that cannot be written, and bound the flush at the end

Callers and operators saw: a process whose log's reader had stopped reading did not end after its graceful stop, until it was killed; lines that could not be written were lost without a count. Cause: the writer ignored the errors of writes, and the end of a process waited for all queued lines. Change: such lines count as dropped, which is a metric (log_lines_dropped); Flush waits for at most a given time.

--- a/io/logs/asyncwriter.go
+++ b/io/logs/asyncwriter.go
@@ -4,12 +4,13 @@
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // maxQueuedLines bounds the queue of lines to be written.
 const maxQueuedLines = 4096
 
-// AsyncWriter queues lines for a slower writer and never blocks the caller. Lines that do not fit into the queue are dropped
+// AsyncWriter queues lines for a slower writer and never blocks the caller. Lines that do not fit into the queue or cannot be written are dropped
 // and counted.
 type AsyncWriter struct {
 	out     io.Writer
@@ -44,7 +45,7 @@
 	return len(line), nil
 }
 
-// DroppedCount returns the number of lines dropped because the queue was full.
+// DroppedCount returns the number of lines dropped because the queue was full or the writer failed, for example since the log's reader has gone.
 func (aw *AsyncWriter) DroppedCount() int64 { return aw.dropped.Load() }
 
 // Done returns a channel that is closed when all lines queued before Close have been written.
@@ -60,10 +61,23 @@
 	}
 }
 
+// Flush closes the writer and waits until the queued lines have been written, at most for the given duration.
+func (aw *AsyncWriter) Flush(limit time.Duration) {
+	aw.Close()
+	expired := time.NewTimer(limit)
+	defer expired.Stop()
+	select {
+	case <-aw.done:
+	case <-expired.C:
+	}
+}
+
 func (aw *AsyncWriter) run() {
 	defer close(aw.done)
 	for line := range aw.lines {
-		// There is no other place to report a failed write.
-		_, _ = aw.out.Write(line)
+		if _, err := aw.out.Write(line); err != nil {
+			// There is no other place to report the error; the count is a metric.
+			aw.dropped.Add(1)
+		}
 	}
 }
--- a/io/trace/recorder.go
+++ b/io/trace/recorder.go
@@ -63,6 +63,7 @@
 	zoneExits      metric.Int64Counter
 	zoneBytes      metric.Int64Counter
 	zoneShare      metric.Float64Gauge
+	signals        metric.Int64Counter
 }
 
 // pauseBoundaries are the buckets of the longest pauses of streams in seconds; routes ask for pauses of at most 0.4 or 0.5 s.
@@ -92,7 +93,7 @@
 }
 
 func newMetrics(mt metric.Meter) (*Metrics, error) {
-	var errs [22]error
+	var errs [23]error
 	ms := &Metrics{meter: mt}
 	ms.requests, errs[0] = mt.Int64Counter("requests", metric.WithDescription("Requests answered, by outcome."))
 	ms.refusals, errs[1] = mt.Int64Counter("refusals", metric.WithDescription("Requests refused, by code."))
@@ -134,6 +135,7 @@
 		metric.WithDescription("Answers that ended with their connection, by what their server showed afterwards: running, ended or unknown."))
 	ms.brokenAnswers, errs[21] = mt.Int64Counter("broken_answers",
 		metric.WithDescription("Answers of servers that were broken off or are none, by how they ended and whether reading or writing met the error."))
+	ms.signals, errs[22] = mt.Int64Counter("signals", metric.WithDescription("Signals that the process received, by signal."))
 	for _, err := range errs {
 		if err != nil {
 			return nil, fmt.Errorf("create instrument: %w", err)
@@ -341,6 +343,25 @@
 	return nil
 }
 
+// ObserveDroppedLines makes the number of dropped log lines that count returns a metric. It is called once.
+func (rc *Recorder) ObserveDroppedLines(count func() int64) error {
+	_, err := rc.metrics.meter.Int64ObservableCounter("log_lines_dropped",
+		metric.WithDescription("Log lines dropped because the queue was full or the log's reader had gone."),
+		metric.WithInt64Callback(func(_ context.Context, ob metric.Int64Observer) error {
+			ob.Observe(count())
+			return nil
+		}))
+	if err != nil {
+		return fmt.Errorf("create counter of dropped log lines: %w", err)
+	}
+	return nil
+}
+
+// CountSignal counts a signal that the process received.
+func (rc *Recorder) CountSignal(name string) {
+	rc.metrics.signals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("signal", name)))
+}
+
 // CountSpeedReport counts a message of a tender; used is not set if its speeds are implausible, known if there are any.
 func (rc *Recorder) CountSpeedReport(used, known bool) {
 	result := "used"
