io/signal: one place decides what signals do to a serving process

Cause: each role caught signals by itself. Gates and tenders caught SIGHUP until the context ended that SIGTERM cancels, and signal.Stop gave it its default action back while requests still ran; entries and agents never caught it; nobody caught SIGPIPE, so that a log without a reader ended the process with the next line; and nothing was caught before the flags were read. Commands are roles, which it serves, or tools, which keep the default actions. Entries and agents write their logs through the same queue as gates, which does not block.

--- a/io/cmds/agent.go
+++ b/io/cmds/agent.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"time"
 
 	"shallotcleat/io/agent"
 	"shallotcleat/io/link"
 	"shallotcleat/io/server"
+	"shallotcleat/io/signal"
 )
 
 const agentHelp = `Admits requests to its backend server, keeps the tickets of orders and reports
@@ -32,7 +32,7 @@
 	Slots   string `long:"slots" env:"SHALLOTCLEAT_SLOTS" description:"maximum number of concurrent requests to the backend server" default:"16"`
 }
 
-func (cm *agentCommand) run(ctx context.Context, _ io.Writer) error {
+func (cm *agentCommand) serve(ctx context.Context, ct *signal.Control) error {
 	var vd validator
 	opts := agent.Options{
 		Address:     vd.address("listen", cm.Listen),
@@ -62,7 +62,7 @@
 		return fmt.Errorf("listen for entries: %w", err)
 	}
 	ag := agent.New(opts)
-	return serveWithAdmin(ctx, cm.Admin, ag.Board(), deps.recorder, func(ctx context.Context) error {
+	return deps.serve(ctx, ct, cm.Admin, ag.Board(), func(ctx context.Context) error {
 		return ag.Serve(ctx, lis)
 	})
 }
--- a/io/cmds/entry.go
+++ b/io/cmds/entry.go
@@ -5,12 +5,12 @@
 	"crypto/rand"
 	"encoding/binary"
 	"fmt"
-	"io"
 	"net"
 	"time"
 
 	"shallotcleat/io/entry"
 	"shallotcleat/io/link"
+	"shallotcleat/io/signal"
 )
 
 const entryHelp = `Serves callers over HTTP, authenticates their workspaces and selects a backend
@@ -29,7 +29,7 @@
 	BalancerLag string `long:"balancer-lag" env:"SHALLOTCLEAT_BALANCER_LAG" description:"how long the load balancer may still send requests after the readiness check fails" default:"3s"`
 }
 
-func (cm *entryCommand) run(ctx context.Context, _ io.Writer) error {
+func (cm *entryCommand) serve(ctx context.Context, ct *signal.Control) error {
 	var vd validator
 	opts := entry.Options{
 		PeerAddress:  vd.address("peer", cm.Peer),
@@ -57,7 +57,7 @@
 		return fmt.Errorf("listen for peers: %w", err)
 	}
 	en := entry.New(opts)
-	return serveWithAdmin(ctx, cm.Admin, en.Board(), deps.recorder, func(ctx context.Context) error {
+	return deps.serve(ctx, ct, cm.Admin, en.Board(), func(ctx context.Context) error {
 		return en.Serve(ctx, callers, peers)
 	})
 }
--- a/io/cmds/gate.go
+++ b/io/cmds/gate.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math"
 	"net"
 	"time"
@@ -15,6 +14,7 @@
 	"shallotcleat/io/gate"
 	"shallotcleat/io/intake"
 	"shallotcleat/io/link"
+	"shallotcleat/io/signal"
 	"shallotcleat/io/timer"
 	"shallotcleat/platform"
 )
@@ -92,7 +92,7 @@
 	return callers
 }
 
-func (cm *gateCommand) run(ctx context.Context, _ io.Writer) error {
+func (cm *gateCommand) serve(ctx context.Context, ct *signal.Control) error {
 	var vd validator
 	stopTimeout := vd.duration("stop-timeout", cm.StopTimeout, 2*time.Second, time.Hour)
 	opts := gate.Options{
@@ -147,7 +147,7 @@
 		}
 	}
 	gt := gate.New(opts)
-	return deps.serve(ctx, func(ctx context.Context) error {
+	return deps.serve(ctx, ct, func(ctx context.Context) error {
 		return gt.Serve(ctx, listeners[0], listeners[1], listeners[2])
 	})
 }
--- a/io/cmds/gatetender.go
+++ b/io/cmds/gatetender.go
@@ -6,15 +6,13 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/sourcegraph/conc"
 
-	"shallotcleat/io/logs"
+	"shallotcleat/io/signal"
 	"shallotcleat/io/trace"
 )
 
@@ -38,8 +36,7 @@
 
 // gateTenderDeps are the common dependencies of gates and tenders.
 type gateTenderDeps struct {
-	recorder       *trace.Recorder
-	logWriter      *logs.AsyncWriter
+	*roleLog
 	seedGates      []string
 	metricsAddress string
 	memoryBytes    int64
@@ -66,28 +63,24 @@
 		return nil, err
 	}
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(memory) * bytesPerMegabyte))
-	gtd.logWriter = logs.NewAsyncWriter(os.Stdout)
-	lg, err := logs.New(gtd.logWriter, gtf.LogLevel, role+"/"+gtf.Name)
+	var err error
+	gtd.roleLog, err = newRoleLog(os.Stdout, gtf.LogLevel, role+"/"+gtf.Name, gtf.Zone)
 	if err != nil {
-		return nil, fmt.Errorf("set up logs: %w", err)
-	}
-	if gtd.recorder, err = trace.New(role+"/"+gtf.Name, lg.WithField("zone", gtf.Zone)); err != nil {
-		return nil, fmt.Errorf("set up metrics: %w", err)
+		return nil, err
 	}
 	return gtd, nil
 }
 
 // serve runs the process together with its metrics endpoint until run returns, then flushes the log.
-func (gtd *gateTenderDeps) serve(ctx context.Context, run func(context.Context) error) error {
+func (gtd *gateTenderDeps) serve(ctx context.Context, ct *signal.Control, run func(context.Context) error) error {
+	return gtd.roleLog.serve(ctx, ct, func(ctx context.Context) error { return gtd.serveMetrics(ctx, run) })
+}
+
+func (gtd *gateTenderDeps) serveMetrics(ctx context.Context, run func(context.Context) error) error {
 	lg := gtd.recorder.Log()
 	lg.WithField("event", string(trace.ProcessStarted)).Info("process started")
-	defer func() { <-gtd.logWriter.Done() }()
-	defer gtd.logWriter.Close()
 	var wg conc.WaitGroup
 	defer wg.Wait()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	wg.Go(func() { gtd.logReloads(ctx) })
 	if gtd.metricsAddress != "" {
 		lis, err := net.Listen("tcp", gtd.metricsAddress)
 		if err != nil {
@@ -101,18 +94,3 @@
 	lg.WithField("event", string(trace.ProcessStopped)).WithField("lines_dropped", gtd.logWriter.DroppedCount()).Info("process stopped")
 	return err
 }
-
-// logReloads logs each SIGHUP. It reloads nothing, since the settings are read at process start only.
-func (gtd *gateTenderDeps) logReloads(ctx context.Context) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangups:
-			gtd.recorder.Log().WithField("event", "reload").Info("received SIGHUP; settings take effect at the next start, requests continue")
-		}
-	}
-}
--- a/io/cmds/platform.go
+++ b/io/cmds/platform.go
@@ -11,10 +11,9 @@
 
 	"shallotcleat/core/board"
 	"shallotcleat/io/admin"
-	"shallotcleat/io/logs"
 	"shallotcleat/io/object"
+	"shallotcleat/io/signal"
 	"shallotcleat/io/table"
-	"shallotcleat/io/trace"
 	"shallotcleat/io/vmlist"
 )
 
@@ -43,11 +42,11 @@
 
 // entryAgentDeps are the common dependencies of entries and agents.
 type entryAgentDeps struct {
-	store    table.Store
-	objects  object.Store
-	vmList   vmlist.Lister
-	seedVMs  []vmlist.VM
-	recorder *trace.Recorder
+	*roleLog
+	store   table.Store
+	objects object.Store
+	vmList  vmlist.Lister
+	seedVMs []vmlist.VM
 	// memoryBytes is the memory available to the process.
 	memoryBytes int64
 }
@@ -69,19 +68,20 @@
 	}
 	deps.memoryBytes = int64(memory) * bytesPerMegabyte
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(memory) * bytesPerMegabyte))
-	lg, err := logs.New(os.Stderr, eaf.LogLevel, name)
+	var err error
+	deps.roleLog, err = newRoleLog(os.Stderr, eaf.LogLevel, name, eaf.Zone)
 	if err != nil {
-		return nil, fmt.Errorf("set up logs: %w", err)
-	}
-	deps.recorder, err = trace.New(name, lg.WithField("zone", eaf.Zone))
-	if err != nil {
-		return nil, fmt.Errorf("set up metrics: %w", err)
+		return nil, err
 	}
 	return deps, nil
 }
 
-// serveWithAdmin runs serve together with the admin interface, which is available until serve returns.
-func serveWithAdmin(ctx context.Context, address string, bd *board.Board, rec *trace.Recorder, serve func(context.Context) error) error {
+// serve runs the process together with the admin interface, which is available until run returns.
+func (ead *entryAgentDeps) serve(ctx context.Context, ct *signal.Control, address string, bd *board.Board, run func(context.Context) error) error {
+	return ead.roleLog.serve(ctx, ct, func(ctx context.Context) error { return ead.serveAdmin(ctx, address, bd, run) })
+}
+
+func (ead *entryAgentDeps) serveAdmin(ctx context.Context, address string, bd *board.Board, run func(context.Context) error) error {
 	lis, err := net.Listen("tcp", address)
 	if err != nil {
 		return fmt.Errorf("listen for admin interface: %w", err)
@@ -89,8 +89,8 @@
 	adminCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var wg conc.WaitGroup
-	wg.Go(func() { admin.New(bd, rec).Serve(adminCtx, lis) })
-	err = serve(ctx)
+	wg.Go(func() { admin.New(bd, ead.recorder).Serve(adminCtx, lis) })
+	err = run(ctx)
 	cancel()
 	wg.Wait()
 	return err
--- a/io/cmds/run.go
+++ b/io/cmds/run.go
@@ -6,11 +6,12 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
+	ossignal "os/signal"
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
 
+	"shallotcleat/io/signal"
 	"shallotcleat/platform"
 )
 
@@ -21,13 +22,22 @@
 	exitUsage   = 2
 )
 
-// command is the implementation of a subcommand; its exported fields are flags.
-type command interface {
+// command is the implementation of a subcommand, a tool or a role; its exported fields are flags.
+type command any
+
+// tool is a command that runs for a moment. The default actions of signals end it, but SIGINT and SIGTERM cancel its context.
+type tool interface {
 	// run executes the subcommand and prints its results to out. It returns a *SettingsError if a flag or a
 	// declarations file is invalid.
 	run(ctx context.Context, out io.Writer) error
 }
 
+// role is a command that serves until it is told to stop. Package signal decides what signals do to it; signal.IsServing has its name.
+type role interface {
+	// serve serves until ctx is done, then stops gracefully. It returns a *SettingsError if a flag is invalid.
+	serve(ctx context.Context, ct *signal.Control) error
+}
+
 // subcommand describes a subcommand to the flag parser.
 type subcommand struct {
 	name    string
@@ -55,11 +65,8 @@
 	}
 }
 
-// Run parses the arguments, executes the subcommand and returns the exit code. SIGINT and SIGTERM cancel the subcommand's
-// context.
+// Run parses the arguments, executes the subcommand and returns the exit code.
 func Run(args []string, out, errOut io.Writer) int {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
 	parser := flags.NewNamedParser("shallotcleat", flags.HelpFlag|flags.PassDoubleDash)
 	parser.ShortDescription = "router for language-model traffic with long shared prompts"
 	parser.CommandHandler = rejectArguments
@@ -78,7 +85,7 @@
 	if _, err := parser.ParseArgs(args); err != nil {
 		return printParseError(err, out, errOut)
 	}
-	return execute(ctx, commands[parser.Active.Name], out, errOut)
+	return execute(commands[parser.Active.Name], out, errOut)
 }
 
 // rejectArguments is the parser's command handler. It does not execute the subcommand; it only rejects positional
@@ -101,8 +108,8 @@
 	return exitUsage
 }
 
-func execute(ctx context.Context, cm command, out, errOut io.Writer) int {
-	err := cm.run(ctx, out)
+func execute(cm command, out, errOut io.Writer) int {
+	err := runCommand(cm, out)
 	var se *SettingsError
 	switch {
 	case err == nil:
@@ -114,3 +121,20 @@
 	_, _ = fmt.Fprintln(errOut, "shallotcleat:", err)
 	return exitFailure
 }
+
+// errUnknownCommand means that a subcommand is neither a tool nor a role.
+var errUnknownCommand = errors.New("the subcommand is neither a tool nor a role")
+
+func runCommand(cm command, out io.Writer) error {
+	switch cm := cm.(type) {
+	case role:
+		ct := signal.Start()
+		defer ct.Close()
+		return cm.serve(ct.Context(), ct)
+	case tool:
+		ctx, stop := ossignal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+		defer stop()
+		return cm.run(ctx, out)
+	}
+	return errUnknownCommand
+}
--- a/io/cmds/tender.go
+++ b/io/cmds/tender.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"shallotcleat/io/link"
+	"shallotcleat/io/signal"
 	"shallotcleat/io/tend"
 	"shallotcleat/platform"
 )
@@ -25,7 +25,7 @@
 	AddressReuse string `long:"address-reuse" env:"SHALLOTCLEAT_ADDRESS_REUSE" description:"time after the end of a backend server from which its address may go to a server of another service" default:"2s"`
 }
 
-func (cm *tenderCommand) run(ctx context.Context, _ io.Writer) error {
+func (cm *tenderCommand) serve(ctx context.Context, ct *signal.Control) error {
 	var vd validator
 	vd.address("engine", cm.Engine)
 	vd.name("service", cm.Service)
@@ -50,5 +50,5 @@
 		Engine:       platform.NewEngine(cm.Engine),
 		Recorder:     deps.recorder,
 	})
-	return deps.serve(ctx, td.Serve)
+	return deps.serve(ctx, ct, td.Serve)
 }
--- a/process_test.go
+++ b/process_test.go
@@ -58,6 +58,8 @@
 	adminAddresses []string
 	// program is the binary to start in place of the test binary, unless it is empty.
 	program string
+	// log is where processes write their log, or nil for the standard error of the test.
+	log *os.File
 }
 
 // newEmptyCluster returns a cluster that has a declaration in force but no processes.
@@ -135,7 +137,7 @@
 		"--table", cl.platform.TableURL(), "--objects", cl.platform.ObjectsURL(), "--vm-list", cl.platform.VMListURL())
 	cmd := exec.Command(cmp.Or(cl.program, os.Args[0]), args...)
 	cmd.Env = append(os.Environ(), runMainEnv+"=1")
-	cmd.Stderr = os.Stderr
+	cmd.Stderr = cmp.Or(cl.log, os.Stderr)
 	cl.launch(cmd)
 	return cmd
 }
