io/gate: streams that no gate knows are looked up in the store's log

Cause: where a stream began is known to its gate, two holders and the gate that writes the log to the store. Gates read that log as they start only, so that the loss of those four made the others refuse what the store knows. Change: a gate that finds no record at the gates lets the first gate of a ranking that replies read the log, or reads it itself. Questions that wait share a message and a read; a gate begins at most a read each 250 ms, and gets new rows only (core/origin.Log). Streams are unknown only after a read that began after the question; a name that is known to be unknown is refused at once for 2 s. While the store cannot be read the refusal has the code not_resumable_yet and the time of the next read. All rows count, so that a stream of several versions stays not resumable. stream_origin in the log, and the metric stream_origins, tell the cases apart.

--- a/core/answer/answer.go
+++ b/core/answer/answer.go
@@ -44,6 +44,7 @@
 	StreamBroken           Code = "stream_broken"
 	NotConfigured          Code = "not_configured"
 	NotResumable           Code = "not_resumable"
+	NotResumableYet        Code = "not_resumable_yet"
 	CrashingRequest        Code = "crashing_request"
 	LimitExceeded          Code = "limit_exceeded"
 	MemoryShort            Code = "memory_short"
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -118,6 +118,8 @@
 	origins          *origins
 	releases         *releases
 	originLog        *originLog
+	originReader     *originReader
+	originLookup     *originLookup
 	// meter measures how much work each workspace causes at each service, flow what the services serve.
 	meter *share.Meter
 	flow  *share.Flow
@@ -174,6 +176,8 @@
 	gt.origins = newOrigins(gt)
 	gt.releases = newReleases(gt)
 	gt.originLog = newOriginLog(gt)
+	gt.originReader = newOriginReader(gt)
+	gt.originLookup = newOriginLookup(gt)
 	gt.retryBudgets = newRetryBudgets(opts.RetryBudget, gt.gateCount)
 	gt.tableServer = feed.NewPullServer(gt.configTable, gt.serverTable, gt.nodeTable)
 	gt.watcher = newWatcher(gt)
--- a/io/gate/originlog.go
+++ b/io/gate/originlog.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"strconv"
 	"sync"
 	"time"
 
@@ -13,7 +12,6 @@
 	"shallotcleat/core/origin"
 	"shallotcleat/io/table"
 	"shallotcleat/io/timer"
-	"shallotcleat/io/wire"
 )
 
 // Parameters of the log of streams' origins in the store.
@@ -26,12 +24,10 @@
 	// maxOriginRowRecords bounds a row, and maxUnwrittenOrigins the records that wait while the store does not answer.
 	maxOriginRowRecords = 3000
 	maxUnwrittenOrigins = 30_000
-	// originLogTTL is the age above which a row is not used.
-	originLogTTL = 2 * time.Minute
 )
 
 // originLog writes to the store at which software versions streams began, as long as the releases alone do not show it. The first gate of a ranking
-// writes for all. Each gate reads the log as it starts.
+// writes for all. Each gate reads the log as it starts; originReader reads it later.
 type originLog struct {
 	gate *Gate
 	// wake has an element while records are to be written.
@@ -114,10 +110,8 @@
 	defer ol.mu.Unlock()
 	var newest uint64
 	for _, rw := range rows {
-		index, err := strconv.Atoi(rw.Key())
-		var so wire.StreamOrigins
-		if err != nil || index < 0 || index >= originLogRows || proto.Unmarshal(rw.Value(), &so) != nil {
-			ol.gate.log.WithField("row", rw.Key()).Warn("cannot decode a row about the origins of streams; skipping it")
+		index, so, ok := ol.gate.decodeOriginRow(rw)
+		if !ok {
 			continue
 		}
 		ol.versions[index] = rw.Revision()
@@ -125,10 +119,10 @@
 			newest, ol.next = rw.Revision(), (index+1)%originLogRows
 		}
 		now := time.Now()
-		if now.Sub(time.UnixMilli(so.GetAtUnixMilli())).Abs() > originLogTTL {
+		if now.Sub(time.UnixMilli(so.GetAtUnixMilli())).Abs() > origin.LogTTL {
 			continue
 		}
-		for _, rc := range decodeOrigins(&so) {
+		for _, rc := range decodeOrigins(so) {
 			ol.gate.origins.table.Put(now, rc)
 		}
 	}
--- a/io/gate/origins.go
+++ b/io/gate/origins.go
@@ -220,37 +220,59 @@
 	return records
 }
 
+// has reports whether this gate has the record of a stream.
+func (og *origins) has(stream uint64) bool {
+	_, ok := og.table.Find(time.Now(), stream)
+	return ok
+}
+
+// merge adds a record that was read from the store to those of this gate, and returns what both say.
+func (og *origins) merge(rc origin.Record) origin.Record {
+	now := time.Now()
+	og.table.Put(now, rc)
+	merged, _ := og.table.Find(now, rc.Stream())
+	return merged
+}
+
 // find returns the record of a stream, and false if no gate that replies knows it. The key of a request, unlike that of an id, may be that of
-// several streams, so that all gates are asked whether these began at one version.
-func (og *origins) find(parent context.Context, stream uint64, isRequest bool) (origin.Record, bool) {
-	rc, known := og.table.Find(time.Now(), stream)
-	if known && !isRequest {
-		return rc, true
+// several streams, so that all gates are asked whether these began at one version. hasSilent is set if a gate did not reply.
+func (og *origins) find(parent context.Context, stream uint64, isRequest bool) (rc origin.Record, known, hasSilent bool) {
+	rc, known = og.table.Find(time.Now(), stream)
+	if known && (!isRequest || rc.IsAmbiguous()) {
+		return rc, true, false
 	}
 	ctx, cancel := context.WithTimeout(parent, findOriginTimeout)
 	defer cancel()
 	peers := og.gate.peers()
-	replies := make(chan *wire.StreamOrigin, len(peers))
+	type peerReply struct {
+		address string
+		origin  *wire.StreamOrigin
+		err     error
+	}
+	replies := make(chan peerReply, len(peers))
 	for _, address := range peers {
 		og.calls.Go(func() {
 			reply, err := og.gate.opts.Links.Node(address).FindOrigin(ctx, &wire.StreamQuery{Stream: stream})
-			if err != nil {
-				og.gate.log.WithError(err).WithField("peer", address).Debug("asking a peer for the software version of a stream failed")
-			}
-			replies <- reply
+			replies <- peerReply{address: address, origin: reply, err: err}
 		})
 	}
 	for range peers {
-		reply := <-replies
-		if !reply.GetKnown() {
+		pr := <-replies
+		if pr.err != nil && parent.Err() == nil {
+			og.gate.log.WithError(pr.err).WithField("peer", pr.address).Debug("asking a peer for the software version of a stream failed")
+			og.gate.originLookup.setSilent(pr.address)
+			hasSilent = true
+		}
+		if !pr.origin.GetKnown() {
 			continue
 		}
-		og.table.Put(time.Now(), origin.NewRecord(stream, reply.GetVersion()))
+		og.table.Put(time.Now(), origin.NewRecord(stream, pr.origin.GetVersion()))
 		if !isRequest {
 			break
 		}
 	}
-	return og.table.Find(time.Now(), stream)
+	rc, known = og.table.Find(time.Now(), stream)
+	return rc, known, hasSilent
 }
 
 // encodeOrigins returns a message with records.
--- a/io/gate/resume.go
+++ b/io/gate/resume.go
@@ -10,11 +10,18 @@
 	"shallotcleat/core/answer"
 	"shallotcleat/core/origin"
 	"shallotcleat/core/route"
+	"shallotcleat/io/timer"
 )
 
 // resumeRetryAfter is told to callers whose streams cannot be resumed; they may start them anew at once.
 const resumeRetryAfter = 100 * time.Millisecond
 
+// notKnownYetRetryAfter is told to callers whose streams may be known by the store, which cannot be read: it is the time until the next read has ended.
+const notKnownYetRetryAfter = originReadInterval + originReadTimeout
+
+// originWriteDelay is how long a write that a lost gate has sent may take to show up in the store.
+const originWriteDelay = 300 * time.Millisecond
+
 // streamID returns the id of the request that began the stream, or begins it.
 func (rq *request) streamID() string {
 	if rq.info.Resumes != "" {
@@ -35,11 +42,19 @@
 	if !rq.isResumed() {
 		return nil
 	}
-	release, ok := gt.findRelease(ctx, rq)
-	service, version := origin.SplitRelease(release)
+	began := time.Now()
+	rc, source := gt.findRelease(ctx, rq)
+	gt.reportOrigin(rq, rc, source, time.Since(began))
+	service, version := origin.SplitRelease(rc.Version())
 	switch {
-	case !ok:
+	case source == originNotKnownYet:
+		return answer.NewError(answer.NotResumableYet, answer.NotRun, notKnownYetRetryAfter,
+			"not known yet at which software version stream %q began: the store cannot be read", rq.info.Resumes)
+	case source == originUnknown:
 		return answer.NewError(answer.NotResumable, answer.NotRun, resumeRetryAfter, "unknown at which software version stream %q began", rq.info.Resumes)
+	case rc.IsAmbiguous():
+		return answer.NewError(answer.NotResumable, answer.NotRun, resumeRetryAfter, "stream %q began at an unknown software version, or at several",
+			rq.info.Resumes)
 	case !rq.route.Allows(service) || rq.routes.Service(service) == nil:
 		return answer.NewError(answer.NotResumable, answer.NotRun, resumeRetryAfter, "stream %q began at service %q, which its route no longer allows",
 			rq.info.Resumes, service)
@@ -55,21 +70,44 @@
 	return nil
 }
 
-// findRelease returns the service and the software version at which a resumed stream began, from the records of gates, or else, after a loss of those
-// that had the record, if it cannot have begun elsewhere.
-func (gt *Gate) findRelease(ctx context.Context, rq *request) (release string, ok bool) {
-	stream, services := origin.Key(rq.workspace.Name(), rq.info.Resumes), []string{rq.service.Name()}
+// reportOrigin logs and counts how the gate learned where a resumed stream began, or that it did not.
+func (gt *Gate) reportOrigin(rq *request, rc origin.Record, source originSource, took time.Duration) {
+	gt.opts.Recorder.CountStreamOrigin(string(source))
+	gt.log.WithFields(logrus.Fields{"event": "stream_origin", "request_id": rq.info.RequestID, "resumes": rq.info.Resumes, "source": string(source),
+		"release": rc.Version(), "took_ms": took.Milliseconds()}).Info("looked for the software version at which the stream began")
+}
+
+// findRelease returns the record of a resumed stream: that of gates, or, after a loss of those that had it, the only release at which it can have
+// begun, or else that of the log in the store.
+func (gt *Gate) findRelease(ctx context.Context, rq *request) (origin.Record, originSource) {
+	stream, services, isNamed := origin.Key(rq.workspace.Name(), rq.info.Resumes), []string{rq.service.Name()}, true
 	if rq.info.Resumes == "" {
 		// The service depends on the id of the first request.
-		stream, services = rq.key, rq.route.Services()
+		stream, services, isNamed = rq.key, rq.route.Services(), false
 	}
-	if rc, known := gt.origins.find(ctx, stream, rq.info.Resumes == ""); known {
-		return rc.Version(), !rc.IsAmbiguous()
+	if gt.originLookup.isUnknown(stream) && !gt.origins.has(stream) {
+		return origin.Record{}, originUnknown
+	}
+	rc, known, hasSilent := gt.origins.find(ctx, stream, !isNamed)
+	if known {
+		return rc, fromGates
 	}
 	if !rq.route.Resumable() {
-		return "", false
+		return rc, originUnknown
+	}
+	if release, ok := gt.releases.sole(route.HostKey(hostName(rq.host)), services); ok {
+		return origin.NewRecord(stream, release), fromReleases
+	}
+	stored, source := gt.originLookup.find(ctx, stream)
+	if source == originUnknown && hasSilent {
+		// A gate that is gone may just have sent a write to the store.
+		timer.Sleep(ctx, originWriteDelay)
+		stored, source = gt.originLookup.find(ctx, stream)
+	}
+	if source == fromStore {
+		return gt.origins.merge(stored), source
 	}
-	return gt.releases.sole(route.HostKey(hostName(rq.host)), services)
+	return origin.Record{}, source
 }
 
 // errOtherSoftware means that a server would continue a stream that began at another software version.
--- a/io/gate/watcher.go
+++ b/io/gate/watcher.go
@@ -316,6 +316,8 @@
 	wg.Go(func() { gt.originLog.run(ctx) })
 	wg.Go(func() { <-ctx.Done(); gt.crashes.calls.Wait() })
 	wg.Go(func() { <-ctx.Done(); gt.origins.calls.Wait() })
+	wg.Go(func() { <-ctx.Done(); gt.originLookup.rounds.Wait() })
+	wg.Go(func() { <-ctx.Done(); gt.originReader.reads.Wait() })
 	wg.Go(func() { <-ctx.Done(); gt.prober.Close() })
 	every := func(interval time.Duration, fn func()) {
 		cancel := gt.opts.Timer.Every(interval, fn)
@@ -330,6 +332,7 @@
 	every(logSharesInterval, gt.zoneLog.check)
 	every(refreshRulesInterval, gt.crashes.refresh)
 	every(checkReleasesInterval, gt.releases.notify)
+	every(originCopyIdle/2, gt.originReader.dropIdle)
 	every(saveRulesInterval, func() { gt.crashes.saveRules(ctx) })
 	every(pullInterval, func() {
 		if config.Stale() || servers.Stale() || gt.configTable.Revision() == 0 {
--- a/io/trace/recorder.go
+++ b/io/trace/recorder.go
@@ -64,6 +64,7 @@
 	zoneBytes      metric.Int64Counter
 	zoneShare      metric.Float64Gauge
 	signals        metric.Int64Counter
+	streamOrigins  metric.Int64Counter
 }
 
 // pauseBoundaries are the buckets of the longest pauses of streams in seconds; routes ask for pauses of at most 0.4 or 0.5 s.
@@ -93,7 +94,7 @@
 }
 
 func newMetrics(mt metric.Meter) (*Metrics, error) {
-	var errs [23]error
+	var errs [24]error
 	ms := &Metrics{meter: mt}
 	ms.requests, errs[0] = mt.Int64Counter("requests", metric.WithDescription("Requests answered, by outcome."))
 	ms.refusals, errs[1] = mt.Int64Counter("refusals", metric.WithDescription("Requests refused, by code."))
@@ -136,6 +137,8 @@
 	ms.brokenAnswers, errs[21] = mt.Int64Counter("broken_answers",
 		metric.WithDescription("Answers of servers that were broken off or are none, by how they ended and whether reading or writing met the error."))
 	ms.signals, errs[22] = mt.Int64Counter("signals", metric.WithDescription("Signals that the process received, by signal."))
+	ms.streamOrigins, errs[23] = mt.Int64Counter("stream_origins",
+		metric.WithDescription("Resumed streams, by how the gate learned where they began, or that it did not."))
 	for _, err := range errs {
 		if err != nil {
 			return nil, fmt.Errorf("create instrument: %w", err)
@@ -362,6 +365,11 @@
 	rc.metrics.signals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("signal", name)))
 }
 
+// CountStreamOrigin counts a resumed stream by how the gate learned where it began, or that it did not.
+func (rc *Recorder) CountStreamOrigin(source string) {
+	rc.metrics.streamOrigins.Add(context.Background(), 1, metric.WithAttributes(attribute.String("source", source)))
+}
+
 // CountSpeedReport counts a message of a tender; used is not set if its speeds are implausible, known if there are any.
 func (rc *Recorder) CountSpeedReport(used, known bool) {
 	result := "used"
