io/gate: a stream whose caller does not name it is looked up in the store even if gates know one

Callers saw: a caller that repeats its request without naming the first one got the rest of its stream from another software version. Cause: the key of a request may be that of several streams. After a loss of gates those that are left may know only the one that began at the other version, and the stream counted as known. Change: while several versions may be meant, the log in the store counts beside the records of gates; records that differ refuse the stream. Result: TestUnnamedStreamThatGatesKnowInPart got status 200 and events of the other version on the code before; it is refused now.

--- a/io/gate/resume.go
+++ b/io/gate/resume.go
@@ -89,23 +89,33 @@
 		return origin.Record{}, originUnknown
 	}
 	rc, known, hasSilent := gt.origins.find(ctx, stream, !isNamed)
-	if known {
+	if known && (isNamed || rc.IsAmbiguous()) {
 		return rc, fromGates
 	}
 	if !rq.route.Resumable() {
+		if known {
+			return rc, fromGates
+		}
 		return rc, originUnknown
 	}
 	if release, ok := gt.releases.sole(route.HostKey(hostName(rq.host)), services); ok {
+		if known {
+			return rc, fromGates
+		}
 		return origin.NewRecord(stream, release), fromReleases
 	}
+	// The gates that are left may lack a stream with the same request that began at another version, so that the log counts even if they know one.
 	stored, source := gt.originLookup.find(ctx, stream)
-	if source == originUnknown && hasSilent {
+	if source == originUnknown && !known && hasSilent {
 		// A gate that is gone may just have sent a write to the store.
 		timer.Sleep(ctx, originWriteDelay)
 		stored, source = gt.originLookup.find(ctx, stream)
 	}
-	if source == fromStore {
+	switch {
+	case source == fromStore:
 		return gt.origins.merge(stored), source
+	case source == originUnknown && known:
+		return rc, fromGates
 	}
 	return origin.Record{}, source
 }
