io/gate: the origin of a running stream is recorded again every ten seconds

Callers saw: by reading, a stream that lasts longer than the log reaches back (25.6 s while streams begin all the time), or than gates keep a record (one minute), cannot be resumed after its connection is lost. Cause: a record is made as a stream begins and not renewed. Change: the gate records it again, as at the beginning, with the first event after ten seconds.

--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -12,6 +12,7 @@
 
 	"shallotcleat/core/answer"
 	"shallotcleat/core/memory"
+	"shallotcleat/core/origin"
 	"shallotcleat/core/pick"
 	"shallotcleat/core/whole"
 	"shallotcleat/io/client"
@@ -33,6 +34,9 @@
 	continuing bool
 	// versionChecked is set once checkVersion has been called.
 	versionChecked bool
+	// originRecords say where the stream began, and renewedAt is when they were last recorded.
+	originRecords []origin.Record
+	renewedAt     time.Time
 	// watchdog fires after the response timeout unless the first event of a stream or a complete other response arrives before. It
 	// cancels the attempt, or marks the server unreachable if the request must not run more than once.
 	watchdog *time.Timer
--- a/io/gate/resume.go
+++ b/io/gate/resume.go
@@ -127,6 +127,7 @@
 // checkVersion fails if the attempt's server, which is to continue a stream, may have another one.
 func (at *attempt) checkVersion(ctx context.Context) error {
 	if at.versionChecked {
+		at.renewOrigin(ctx)
 		return nil
 	}
 	at.versionChecked = true
@@ -156,9 +157,23 @@
 		}
 		records = append(records, rc)
 	}
+	at.originRecords = records
+	at.renewedAt = time.Now()
 	at.gate.origins.record(ctx, records...)
 }
 
+// originRenewInterval is the time after which the origin of a running stream is recorded again. The log in the store reaches back for 25.6 s while
+// streams begin all the time, and gates keep records for a minute; streams may last longer.
+const originRenewInterval = 10 * time.Second
+
+// renewOrigin records the origin of a running stream again if that is due.
+func (at *attempt) renewOrigin(ctx context.Context) {
+	if now := time.Now(); len(at.originRecords) > 0 && now.Sub(at.renewedAt) >= originRenewInterval {
+		at.renewedAt = now
+		at.gate.origins.record(ctx, at.originRecords...)
+	}
+}
+
 // softwareVersion returns the software version of the attempt's server, or "" if it is unknown: the server may have started again under its id.
 func (at *attempt) softwareVersion() string {
 	sv := at.choice.Server()
