io/gate: gates write the origins of their streams again after a restore of the store

Callers saw: after a restore that lost the log and a loss of the gates that know them, streams were refused while two versions served. Cause: gates wrote their rows about themselves and about crashes again, but not where their streams began.

--- a/io/gate/releases.go
+++ b/io/gate/releases.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -132,6 +133,13 @@
 	return rl.uncertain[service]
 }
 
+// uncertainServices returns the services of which the releases alone do not show where a stream began.
+func (rl *releases) uncertainServices() []string {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	return slices.Collect(maps.Keys(rl.uncertain))
+}
+
 // updateUncertain returns the services of which the releases alone no longer show where a stream began.
 func (rl *releases) updateUncertain() (added []string) {
 	rl.mu.Lock()
--- a/io/gate/restore.go
+++ b/io/gate/restore.go
@@ -51,6 +51,9 @@
 			Warn("the store was restored from a backup; writing the row of this gate again")
 		timer.Sleep(ctx, rand.N(maxRepairDelay))
 		gt.crashes.rewriteRules()
+		for _, service := range gt.releases.uncertainServices() {
+			gt.origins.saveRecent(ctx, service)
+		}
 		gt.register(ctx)
 		gt.exchangeKept(ctx)
 	}
