--- a/core/origin/log_test.go
+++ b/core/origin/log_test.go
@@ -61,3 +61,36 @@
 		}
 	}
 }
+
+// fullRow returns the records of a row at the size that the design is made for: the streams of a quarter of all gates in 0.2 s.
+func fullRow(seed int) []Record {
+	records := make([]Record, 3000)
+	for i := range records {
+		records[i] = NewRecord(Key("north", fmt.Sprint(seed, "-", i)), Release("chat", fmt.Sprint("v", i%2)))
+	}
+	return records
+}
+
+// BenchmarkLogAdd adds a full row to a log of 128 rows, and BenchmarkLogFind finds a stream in it.
+func BenchmarkLogAdd(b *testing.B) {
+	now, lg := time.Unix(1000, 0), NewLog()
+	for i := range 128 {
+		lg.Add(now, uint64(i+1), now, fullRow(i))
+	}
+	records := fullRow(128)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		lg.Add(now, uint64(i+1000), now, records)
+	}
+}
+
+func BenchmarkLogFind(b *testing.B) {
+	now, lg := time.Unix(1000, 0), NewLog()
+	for i := range 128 {
+		lg.Add(now, uint64(i+1), now, fullRow(i))
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		lg.Find(now, uint64(i)*0x9e3779b97f4a7c15)
+	}
+}
