io/gate: a request that begins streams again is asked about at all gates each time

Cause: what the store did not have is remembered, by name or by request, before gates are asked. Change: only a name is refused at once by that; findRelease is split by where the record comes from. The signal channels are named after their actions.

--- a/io/gate/resume.go
+++ b/io/gate/resume.go
@@ -73,7 +73,7 @@
 // reportOrigin logs and counts how the gate learned where a resumed stream began, or that it did not.
 func (gt *Gate) reportOrigin(rq *request, rc origin.Record, source originSource, took time.Duration) {
 	gt.opts.Recorder.CountStreamOrigin(string(source))
-	gt.log.WithFields(logrus.Fields{"event": "stream_origin", "request_id": rq.info.RequestID, "resumes": rq.info.Resumes, "source": string(source),
+	gt.log.WithFields(logrus.Fields{"event": "stream_origin", "request_id": rq.info.RequestID, "source": string(source),
 		"release": rc.Version(), "took_ms": took.Milliseconds()}).Info("looked for the software version at which the stream began")
 }
 
@@ -85,39 +85,50 @@
 		// The service depends on the id of the first request.
 		stream, services, isNamed = rq.key, rq.route.Services(), false
 	}
-	if gt.originLookup.isUnknown(stream) && !gt.origins.has(stream) {
+	if isNamed && gt.originLookup.isUnknown(stream) && !gt.origins.has(stream) {
+		// Unlike a name, the same request may begin another stream at any time, so that gates are asked about it again.
 		return origin.Record{}, originUnknown
 	}
 	rc, known, hasSilent := gt.origins.find(ctx, stream, !isNamed)
-	if known && (isNamed || rc.IsAmbiguous()) {
+	release, isSole := gt.releases.sole(route.HostKey(hostName(rq.host)), services)
+	switch {
+	case known && (isNamed || rc.IsAmbiguous() || isSole || !rq.route.Resumable()):
 		return rc, fromGates
-	}
-	if !rq.route.Resumable() {
-		if known {
+	case !rq.route.Resumable():
+		return origin.Record{}, originUnknown
+	case isSole:
+		return origin.NewRecord(stream, release), fromReleases
+	case known:
+		// The gates that are left may lack a stream with the same request that began at another version.
+		stored, source := gt.originLookup.find(ctx, stream)
+		if source == originUnknown {
 			return rc, fromGates
 		}
-		return rc, originUnknown
+		return gt.mergeStored(stored, source)
 	}
-	if release, ok := gt.releases.sole(route.HostKey(hostName(rq.host)), services); ok {
-		if known {
-			return rc, fromGates
-		}
-		return origin.NewRecord(stream, release), fromReleases
+	return gt.findStored(ctx, stream, hasSilent)
+}
+
+// findStored returns the record that the store has of a stream that no gate knows. hasSilent is set if a gate did not reply.
+func (gt *Gate) findStored(ctx context.Context, stream uint64, hasSilent bool) (origin.Record, originSource) {
+	if gt.originLookup.isUnknown(stream) {
+		return origin.Record{}, originUnknown
 	}
-	// The gates that are left may lack a stream with the same request that began at another version, so that the log counts even if they know one.
 	stored, source := gt.originLookup.find(ctx, stream)
-	if source == originUnknown && !known && hasSilent {
+	if source == originUnknown && hasSilent {
 		// A gate that is gone may just have sent a write to the store.
 		timer.Sleep(ctx, originWriteDelay)
 		stored, source = gt.originLookup.find(ctx, stream)
 	}
-	switch {
-	case source == fromStore:
-		return gt.origins.merge(stored), source
-	case source == originUnknown && known:
-		return rc, fromGates
+	return gt.mergeStored(stored, source)
+}
+
+// mergeStored adds what the store has of a stream to the records of this gate, and returns what both say.
+func (gt *Gate) mergeStored(stored origin.Record, source originSource) (origin.Record, originSource) {
+	if source != fromStore {
+		return origin.Record{}, source
 	}
-	return origin.Record{}, source
+	return gt.origins.merge(stored), source
 }
 
 // errOtherSoftware means that a server would continue a stream that began at another software version.
--- a/io/signal/control.go
+++ b/io/signal/control.go
@@ -10,12 +10,12 @@
 // maxHeld bounds the reports that wait for a subscriber.
 const maxHeld = 16
 
-// stops and others receive the caught signals. A signal is dropped if one of its channel is waiting; stop signals have their own, so that no series
-// of other signals hides one.
+// The caught signals by their actions. A signal is dropped while another one waits in its channel, so that stop signals have their own: no series of
+// others hides one. Nothing receives from discarded, since catching SIGPIPE suffices to make writes fail instead.
 var (
-	stops  = make(chan os.Signal, 1)
-	others = make(chan os.Signal, 1)
-	pipes  = make(chan os.Signal, 1)
+	stops     = make(chan os.Signal, 1)
+	ignored   = make(chan os.Signal, 1)
+	discarded = make(chan os.Signal, 1)
 )
 
 // catch takes over the signals of a serving process. Nothing gives them back.
@@ -25,9 +25,9 @@
 		case Stop:
 			signal.Notify(stops, sig)
 		case Ignore:
-			signal.Notify(others, sig)
+			signal.Notify(ignored, sig)
 		case Discard:
-			signal.Notify(pipes, sig)
+			signal.Notify(discarded, sig)
 		}
 	}
 })
@@ -107,7 +107,7 @@
 			return
 		case sig := <-stops:
 			rp = Report{signal: sig, begins: ct.ctx.Err() == nil}
-		case sig := <-others:
+		case sig := <-ignored:
 			rp = Report{signal: sig}
 		}
 		ct.tell(rp)
