--- a/io/cmds/run_test.go
+++ b/io/cmds/run_test.go
@@ -11,6 +11,7 @@
 	"shallotcleat/io/local"
 	"shallotcleat/io/object"
 	"shallotcleat/io/rows"
+	"shallotcleat/io/signal"
 	"shallotcleat/io/table"
 	"shallotcleat/io/watch"
 )
@@ -180,3 +181,15 @@
 		t.Errorf("soft limit of %d bytes for 1000 MB, want 700 MB", got)
 	}
 }
+
+// Guards against a role that package signal does not know: it would catch its signals late, or a tool would outlive its terminal.
+func TestRolesAreServing(t *testing.T) {
+	for _, sc := range subcommands() {
+		if _, isRole := sc.command.(role); isRole != signal.IsServing(sc.name) {
+			t.Errorf("%s is a role: %t, but counts as serving: %t", sc.name, isRole, signal.IsServing(sc.name))
+		}
+		if _, isTool := sc.command.(tool); !isTool && !signal.IsServing(sc.name) {
+			t.Errorf("%s is neither a role nor a tool", sc.name)
+		}
+	}
+}
