io/gate: no call begins while the gate waits for its last ones

The wait could also miss the message. Cause: a wait group may not grow from zero while something waits for it. Change: tasks, which are not started once they are closed, in place of wait groups, for all five. A refused question is answered as one to a gate that does not reply.

--- a/io/gate/crashwatch.go
+++ b/io/gate/crashwatch.go
@@ -9,7 +9,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
-	"github.com/sourcegraph/conc"
 
 	"shallotcleat/core/answer"
 	"shallotcleat/core/crash"
@@ -40,7 +39,7 @@
 type crashWatch struct {
 	gate *Gate
 	// calls are the examinations of servers and the claims of trials in progress.
-	calls conc.WaitGroup
+	calls tasks
 
 	// mu guards the fields below. It is not held during calls of the nodes table's copy, whose lock is taken first.
 	mu       sync.Mutex
@@ -111,7 +110,7 @@
 	case !verdict.Forbidden:
 		return nil
 	case verdict.Offer > 0:
-		cw.calls.Go(func() { cw.claimTrial(context.WithoutCancel(ctx), verdict.Rule, verdict.Offer) })
+		cw.calls.start(func() { cw.claimTrial(context.WithoutCancel(ctx), verdict.Rule, verdict.Offer) })
 	}
 	return answer.NewError(answer.CrashingRequest, answer.NotRun, verdict.RetryAfter, "servers crash on the request or parts of its prompt (rule %s)",
 		keyName(verdict.Rule.Key()))
@@ -155,7 +154,7 @@
 	if !ok || ex.responded && !answered {
 		ex = &examination{server: sv, closedAt: time.Now(), responded: answered, suspects: make(map[uint64]time.Time)}
 		cw.examined[sv.ID()] = ex
-		cw.calls.Go(func() { cw.examine(context.WithoutCancel(ctx), ex) })
+		cw.calls.start(func() { cw.examine(context.WithoutCancel(ctx), ex) })
 	}
 	if answered {
 		ex.answered = append(ex.answered, keys)
--- a/io/gate/hint.go
+++ b/io/gate/hint.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"shallotcleat/core/crash"
 	"shallotcleat/core/pick"
 	"shallotcleat/io/wire"
@@ -33,7 +31,7 @@
 type hintExchange struct {
 	gate *Gate
 	// calls are the calls in progress.
-	calls conc.WaitGroup
+	calls tasks
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -262,7 +260,7 @@
 		return
 	}
 	hx.setPeer(address, peerCalls{busy: true})
-	hx.calls.Go(func() {
+	hx.calls.start(func() {
 		ctx, cancel := context.WithTimeout(parent, hintTimeout)
 		defer cancel()
 		var done peerCalls
--- a/io/gate/originlookup.go
+++ b/io/gate/originlookup.go
@@ -7,7 +7,6 @@
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
-	"github.com/sourcegraph/conc"
 
 	"shallotcleat/core/origin"
 	"shallotcleat/io/wire"
@@ -46,7 +45,7 @@
 type originLookup struct {
 	gate *Gate
 	// rounds is the goroutine that answers questions, while there are any.
-	rounds conc.WaitGroup
+	rounds tasks
 	// unknown has the streams that the store did not have, with the time of the read.
 	unknown *lru.Cache[uint64, time.Time]
 
@@ -86,10 +85,14 @@
 	ol.mu.Lock()
 	ol.waiting = append(ol.waiting, oq)
 	if !ol.isRunning {
-		ol.isRunning = true
-		ol.rounds.Go(func() { ol.run(context.WithoutCancel(ctx)) })
+		ol.isRunning = ol.rounds.start(func() { ol.run(context.WithoutCancel(ctx)) })
 	}
+	isRunning := ol.isRunning
 	ol.mu.Unlock()
+	if !isRunning {
+		// The gate ends.
+		return origin.Record{}, originNotKnownYet
+	}
 	select {
 	case <-oq.done:
 		return oq.record, oq.source
--- a/io/gate/originreader.go
+++ b/io/gate/originreader.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc"
 	"google.golang.org/protobuf/proto"
 
 	"shallotcleat/core/origin"
@@ -32,7 +31,7 @@
 type originReader struct {
 	gate *Gate
 	// reads are the reads in progress.
-	reads conc.WaitGroup
+	reads tasks
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -52,6 +51,9 @@
 	err     error
 }
 
+// errGateEnds means that nothing is read any more since the gate ends.
+var errGateEnds = errors.New("the gate ends")
+
 func newOriginReader(gt *Gate) *originReader { return &originReader{gate: gt} }
 
 // find returns the records that the log has of some streams, by a read that begins after the call.
@@ -81,8 +83,12 @@
 	defer or.mu.Unlock()
 	if or.current == nil {
 		rd, delay := &originRead{done: make(chan struct{})}, time.Until(or.next)
+		if !or.reads.start(func() { or.run(context.WithoutCancel(ctx), rd, delay) }) {
+			rd.beganAt, rd.err = time.Now(), errGateEnds
+			close(rd.done)
+			return rd
+		}
 		or.current = rd
-		or.reads.Go(func() { or.run(context.WithoutCancel(ctx), rd, delay) })
 	}
 	return or.current
 }
--- a/io/gate/origins.go
+++ b/io/gate/origins.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"shallotcleat/core/origin"
 	"shallotcleat/io/timer"
 	"shallotcleat/io/wire"
@@ -35,7 +33,7 @@
 	gate  *Gate
 	table *origin.Table
 	// calls are the messages in progress.
-	calls conc.WaitGroup
+	calls tasks
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -136,8 +134,7 @@
 		og.untold[ls] = append(og.untold[ls], records...)
 	}
 	if !og.telling[ls] {
-		og.telling[ls] = true
-		og.calls.Go(func() { og.tell(context.WithoutCancel(ctx), ls) })
+		og.telling[ls] = og.calls.start(func() { og.tell(context.WithoutCancel(ctx), ls) })
 	}
 }
 
@@ -251,10 +248,13 @@
 	}
 	replies := make(chan peerReply, len(peers))
 	for _, address := range peers {
-		og.calls.Go(func() {
+		isAsked := og.calls.start(func() {
 			reply, err := og.gate.opts.Links.Node(address).FindOrigin(ctx, &wire.StreamQuery{Stream: stream})
 			replies <- peerReply{address: address, origin: reply, err: err}
 		})
+		if !isAsked {
+			replies <- peerReply{address: address, err: errGateEnds}
+		}
 	}
 	for range peers {
 		pr := <-replies
